--- /dev/null
+++ b/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "hemlockchute/core/Errors.h"
+#include "hemlockchute/core/Identifiers.h"
+#include "hemlockchute/core/Units.h"
+
+#include <set>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace hemlockchute {
+
+/** A keeper in one of its lives; a new or emptied data folder is a new incarnation. */
+struct ReplicaId {
+    KeeperId keeper;
+    IncarnationId incarnation;
+
+    friend auto operator<=>(const ReplicaId&, const ReplicaId&) = default;
+};
+
+/** Who votes and who only learns. */
+struct Membership {
+    std::set<ReplicaId> voters;
+    std::set<ReplicaId> learners;
+
+    friend bool operator==(const Membership&, const Membership&) = default;
+};
+
+/** One entry of the agreed log. */
+struct LogEntry {
+    enum class Kind : std::uint8_t {
+        /** Written by a new leader, so that entries of earlier terms can commit. */
+        Empty = 0,
+        Command = 1,
+        Membership = 2
+    };
+
+    LogIndex index;
+    AgreementTerm term;
+    Kind kind = Kind::Empty;
+    ByteString payload;
+
+    friend bool operator==(const LogEntry&, const LogEntry&) = default;
+};
+
+struct VoteRequest {
+    bool isPreVote = false;
+    LogIndex lastIndex;
+    AgreementTerm lastTerm;
+};
+
+struct VoteReply {
+    bool isPreVote = false;
+    bool granted = false;
+};
+
+struct AppendRequest {
+    LogIndex previousIndex;
+    AgreementTerm previousTerm;
+    std::vector<LogEntry> entries;
+    LogIndex committed;
+    /** Counts the leader's rounds, to confirm leadership for reads. */
+    std::uint64_t round = 0;
+};
+
+struct AppendReply {
+    bool accepted = false;
+    /** Highest index known to match, or where to try next. */
+    LogIndex matched;
+    std::uint64_t round = 0;
+};
+
+struct SnapshotChunk {
+    LogIndex lastIndex;
+    AgreementTerm lastTerm;
+    Membership membership;
+    std::uint64_t offset = 0;
+    ByteString bytes;
+    bool isLast = false;
+};
+
+struct SnapshotReply {
+    LogIndex lastIndex;
+    std::uint64_t received = 0;
+};
+
+using AgreementBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply>;
+
+/** One message between keepers. */
+struct AgreementMessage {
+    ReplicaId from;
+    ReplicaId to;
+    AgreementTerm term;
+    AgreementBody body;
+};
+
+enum class AgreementErrorCode {
+    Malformed,
+    NotLeader,
+    /** A membership change is in progress, or the change is not one step. */
+    ChangeRefused,
+    StateUnusable
+};
+
+/** Messages, memberships and entries as Cap'n Proto messages. Thread safety: any thread. */
+ByteString encodeMessage(const AgreementMessage&);
+Result<AgreementMessage, AgreementErrorCode> decodeMessage(std::string_view bytes);
+ByteString encodeMembership(const Membership&);
+Result<Membership, AgreementErrorCode> decodeMembership(std::string_view bytes);
+ByteString encodeEntry(const LogEntry&);
+Result<LogEntry, AgreementErrorCode> decodeEntry(std::string_view bytes);
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_backend/include/hemlockchute/backend/HostListClient.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "hemlockchute/backend/BackendServer.h"
+#include "hemlockchute/core/Errors.h"
+#include "hemlockchute/http/HttpClient.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace hemlockchute {
+
+enum class HostListErrorCode {
+    Malformed
+};
+
+/** Reads the platform's answer; a wrong type is refused with the field named. Thread safety: any thread. */
+Result<std::vector<BackendServer>, HostListErrorCode> parseHostList(std::string_view json);
+
+//==============================================================================
+/**
+    Asks the platform for its list of backend servers again and again.
+
+    The list lags, and stays as it was while the platform does not answer. Thread safety: every
+    method may be called from any thread.
+*/
+class HostListClient {
+public:
+    HostListClient(boost::asio::io_context&, HttpClient&, boost::asio::ip::tcp::endpoint platform, Duration interval);
+    ~HostListClient();
+
+    void start();
+    void stop();
+    /** The newest list. */
+    std::vector<BackendServer> servers() const;
+    /** Calls back on the io_context after each change. Precondition: not started. */
+    void onChange(std::function<void(const std::vector<BackendServer>&)>);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_backend/include/hemlockchute/backend/Placement.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "hemlockchute/backend/BackendServer.h"
+
+#include "hemlockchute/core/Errors.h"
+
+#include <map>
+#include <string_view>
+
+namespace hemlockchute {
+
+/** Waiting requests for one model at one router. */
+struct ModelDemand {
+    unsigned waiting = 0;
+    /** The most urgent rank among them, by its order. */
+    unsigned bestRankOrder = 0;
+    /** How long the oldest has waited. */
+    Duration oldestWait {};
+    /** Requests that came in since the last report. */
+    unsigned arrivals = 0;
+    /** Waiting requests by adapter. */
+    std::map<AdapterName, unsigned> adapters;
+
+    friend bool operator==(const ModelDemand&, const ModelDemand&) = default;
+};
+
+/** A router's report to its data centre's controllers (PeerMethod::ReportDemand). */
+struct DemandReport {
+    HostName router;
+    std::map<ModelName, ModelDemand> models;
+
+    friend bool operator==(const DemandReport&, const DemandReport&) = default;
+};
+
+/** One engine as the leading controller knows it. */
+struct PlacedEngine {
+    BackendServerName name;
+    boost::asio::ip::tcp::endpoint endpoint;
+    std::string protocol;
+    bool takesNewWork = true;
+    unsigned running = 0;
+    unsigned queued = 0;
+    unsigned slots = 1;
+    /** How old the load figures are. */
+    Duration lag {};
+    /** Models loaded, each with its adapters. */
+    std::map<ModelName, std::vector<AdapterName>> models;
+
+    friend bool operator==(const PlacedEngine&, const PlacedEngine&) = default;
+};
+
+/** The controller's answer to a DemandReport. */
+struct PlacementView {
+    /** False from a controller that does not lead; `leader` then says who does, if known. */
+    bool isLeader = false;
+    HostName leader;
+    std::vector<PlacedEngine> engines;
+    /** When a model that is loading should be ready, counted from now. */
+    std::map<ModelName, Duration> readyIn;
+
+    friend bool operator==(const PlacementView&, const PlacementView&) = default;
+};
+
+enum class PlacementCodecErrorCode {
+    Malformed
+};
+
+/** Reports and views as Cap'n Proto messages. Thread safety: any thread. */
+ByteString encodeDemandReport(const DemandReport&);
+Result<DemandReport, PlacementCodecErrorCode> decodeDemandReport(std::string_view bytes);
+ByteString encodePlacementView(const PlacementView&);
+Result<PlacementView, PlacementCodecErrorCode> decodePlacementView(std::string_view bytes);
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_core/core/EventTable.cpp
@@ -0,0 +1,53 @@
+#include "hemlockchute/core/EventTable.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace hemlockchute {
+namespace {
+
+using enum Severity;
+
+constexpr EventDefinition events[] = {
+    // 1000: kernel
+    { EventId::DaemonStarted, Info, "daemon.started", "The daemon has read its settings and serves." },
+    { EventId::DaemonReloaded, Info, "daemon.reloaded", "The daemon read its settings again after SIGHUP." },
+    { EventId::DaemonStopping, Info, "daemon.stopping", "The daemon was told to stop and finishes what runs." },
+    { EventId::DaemonStopped, Info, "daemon.stopped", "The daemon has finished what ran and exits." },
+    { EventId::DaemonFailed, Error, "daemon.failed", "The daemon could not start or go on; the reason is given." },
+    // 1100: storage
+
+    // 1200: agreement
+
+    // 1300: state and document
+
+    // 1400: peer
+
+    // 1500: backend servers
+
+    // 1600: router
+
+    // 1700: controller
+
+    // 1800: keeper
+
+    // 1900: report
+
+};
+
+} // namespace
+
+std::span<const EventDefinition> eventTable()
+{
+    return events;
+}
+
+const EventDefinition& eventDefinition(EventId id)
+{
+    const auto* found = std::lower_bound(std::begin(events), std::end(events), id,
+        [](const EventDefinition& row, EventId wanted) { return row.id < wanted; });
+    assert(found != std::end(events) && found->id == id);
+    return *found;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_core/core/Kernel.cpp
@@ -0,0 +1,153 @@
+#include "hemlockchute/core/Kernel.h"
+
+#include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/core/PluginRegistry.h"
+#include "hemlockchute/core/RoleService.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <docopt/docopt.h>
+#include <iostream>
+#include <map>
+#include <thread>
+
+namespace hemlockchute {
+namespace {
+
+constexpr int exitClean = 0;
+constexpr int exitNotStarted = 1;
+constexpr int exitFaultySettings = 2;
+
+std::string usage(const std::string& role)
+{
+    return "hemlock-" + role + "\n\nUsage:\n  hemlock-" + role + " --settings=FILE [--check]\n  hemlock-" + role
+        + " (-h | --help)\n\nOptions:\n  --settings=FILE  The daemon's settings, in TOML.\n"
+          "  --check          Check the settings, print every fault, and exit.\n  -h --help        Show this.\n";
+}
+
+int printFaults(const std::vector<std::string>& faults)
+{
+    for (const std::string& fault : faults)
+        std::cerr << fault << '\n';
+    return exitFaultySettings;
+}
+
+/** A started role together with its signals and threads. */
+class RunningRole {
+public:
+    RunningRole(RoleService& service, std::filesystem::path settingsFile, std::string roleName)
+        : m_service(service)
+        , m_settingsFile(std::move(settingsFile))
+        , m_roleName(std::move(roleName))
+        , m_context(static_cast<int>(service.threadCount()))
+        , m_work(boost::asio::make_work_guard(m_context))
+        , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
+    {
+    }
+
+    int run()
+    {
+        if (auto started = m_service.start(m_context); !started) {
+            logEvent(EventId::DaemonFailed, { { "role", m_roleName }, { "reason", started.error().detail } });
+            return exitNotStarted;
+        }
+        logEvent(EventId::DaemonStarted, { { "role", m_roleName } });
+        awaitSignal();
+        runThreads();
+        logEvent(EventId::DaemonStopped, { { "role", m_roleName } });
+        return exitClean;
+    }
+
+private:
+    void runThreads()
+    {
+        std::vector<std::thread> threads;
+        for (unsigned i = 1; i < m_service.threadCount(); ++i)
+            threads.emplace_back([this] { m_context.run(); });
+        m_context.run();
+        for (std::thread& thread : threads)
+            thread.join();
+    }
+
+    void awaitSignal()
+    {
+        m_signals.async_wait([this](const boost::system::error_code& error, int signal) {
+            if (error)
+                return;
+            if (signal == SIGHUP)
+                reload();
+            else
+                stop();
+        });
+    }
+
+    void reload()
+    {
+        std::vector<std::string> faults = m_service.reload(m_settingsFile);
+        for (const std::string& fault : faults)
+            logEvent(EventId::DaemonFailed, { { "role", m_roleName }, { "reason", fault } });
+        if (faults.empty())
+            logEvent(EventId::DaemonReloaded, { { "role", m_roleName } });
+        awaitSignal();
+    }
+
+    void stop()
+    {
+        logEvent(EventId::DaemonStopping, { { "role", m_roleName } });
+        m_service.stop([this] {
+            boost::asio::post(m_context, [this] {
+                m_work.reset();
+                m_context.stop();
+            });
+        });
+    }
+
+    RoleService& m_service;
+    std::filesystem::path m_settingsFile;
+    std::string m_roleName;
+    boost::asio::io_context m_context;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    boost::asio::signal_set m_signals;
+};
+
+} // namespace
+
+Kernel::Kernel(std::string roleName)
+    : m_roleName(std::move(roleName))
+{
+}
+
+int Kernel::run(int argc, const char* const* argv)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    std::map<std::string, docopt::value> arguments;
+    try {
+        arguments = docopt::docopt_parse(usage(m_roleName), { argv + 1, argv + argc }, true, false);
+    } catch (const docopt::DocoptExitHelp&) {
+        std::cout << usage(m_roleName);
+        return exitClean;
+    } catch (const std::runtime_error& error) {
+        std::cerr << error.what() << '\n'
+                  << usage(m_roleName);
+        return exitFaultySettings;
+    }
+    std::filesystem::path settingsFile = arguments["--settings"].asString();
+
+    std::unique_ptr<RoleService> service = PluginRegistry<RoleService>::instance().create(m_roleName);
+    if (!service) {
+        std::cerr << "no role named " << m_roleName << " is linked into this program\n";
+        return exitNotStarted;
+    }
+    if (auto faults = service->configure(settingsFile); !faults.empty())
+        return printFaults(faults);
+    if (arguments["--check"].asBool()) {
+        std::cout << settingsFile.string() << ": no faults\n";
+        return exitClean;
+    }
+    configureLog(service->logOptions());
+    return RunningRole(*service, settingsFile, m_roleName).run();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_core/include/hemlockchute/core/EventLog.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "hemlockchute/core/EventTable.h"
+
+#include <concepts>
+#include <filesystem>
+#include <initializer_list>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace hemlockchute {
+
+/** One key and value of a log record. Never holds secrets or the body of a request. */
+struct LogField {
+    std::string_view key;
+    std::string value;
+
+    LogField(std::string_view fieldKey, std::string fieldValue)
+        : key(fieldKey)
+        , value(std::move(fieldValue))
+    {
+    }
+    template <typename T>
+    LogField(std::string_view fieldKey, const T& fieldValue)
+        : key(fieldKey)
+    {
+        std::ostringstream stream;
+        stream << fieldValue;
+        value = stream.str();
+    }
+};
+
+/** How and where records are written. */
+struct LogOptions {
+    enum class Format {
+        KeyValue,
+        Json
+    };
+
+    Severity level = Severity::Info;
+    Format format = Format::KeyValue;
+    /** Empty: standard error. */
+    std::filesystem::path file;
+
+    LogOptions withLevel(Severity value) const
+    {
+        LogOptions copy = *this;
+        copy.level = value;
+        return copy;
+    }
+    LogOptions withFormat(Format value) const
+    {
+        LogOptions copy = *this;
+        copy.format = value;
+        return copy;
+    }
+    LogOptions withFile(std::filesystem::path value) const
+    {
+        LogOptions copy = *this;
+        copy.file = std::move(value);
+        return copy;
+    }
+};
+
+/** Sets level, format and target for the process; may be called again. Thread safety: any thread. */
+void configureLog(const LogOptions&);
+
+/** Writes one record on one line: time, severity, number, name, fields. Thread safety: any thread. */
+void logEvent(EventId, std::initializer_list<LogField> = {});
+
+/** Renders a record as logEvent() would, without the time. Thread safety: any thread. */
+std::string formatEvent(EventId, std::initializer_list<LogField>, LogOptions::Format);
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace hemlockchute {
+
+enum class Severity {
+    Debug,
+    Info,
+    Warning,
+    Error
+};
+
+/** Every event the system logs. The value is the number that appears in the log; numbers are never reused. */
+enum class EventId : std::uint16_t {
+    // 1000: kernel
+    DaemonStarted = 1000,
+    DaemonReloaded = 1001,
+    DaemonStopping = 1002,
+    DaemonStopped = 1003,
+    DaemonFailed = 1004,
+    // 1100: storage
+
+    // 1200: agreement
+
+    // 1300: state and document
+
+    // 1400: peer
+
+    // 1500: backend servers
+
+    // 1600: router
+
+    // 1700: controller
+
+    // 1800: keeper
+
+    // 1900: report
+
+};
+
+/** One row of the catalogue. */
+struct EventDefinition {
+    EventId id;
+    Severity severity;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/** Every event, by rising number. docs/EVENTS.md is checked against this table. Thread safety: immutable. */
+std::span<const EventDefinition> eventTable();
+
+/** The row of one event. Precondition: the event stands in the table. */
+const EventDefinition& eventDefinition(EventId);
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -0,0 +1,298 @@
+#include "hemlockchute/http/HttpClient.h"
+
+#include "http/BeastMessages.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <map>
+#include <mutex>
+#include <vector>
+
+namespace hemlockchute {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr unsigned httpVersion = 11;
+constexpr std::size_t pieceBytes = 16U << 10U;
+
+HttpClientErrorCode codeFor(beast::error_code error)
+{
+    if (error == beast::error::timeout)
+        return HttpClientErrorCode::TimedOut;
+    if (error == http::error::body_limit || error == http::error::header_limit || error == http::error::buffer_overflow)
+        return HttpClientErrorCode::TooLarge;
+    bool isParseError = error.category() == make_error_code(http::error::bad_version).category();
+    bool isEnd = error == http::error::end_of_stream || error == http::error::partial_message;
+    return isParseError && !isEnd ? HttpClientErrorCode::Malformed : HttpClientErrorCode::ConnectionLost;
+}
+
+/** A connection and what was read from it ahead of time. */
+struct ClientConnection {
+    explicit ClientConnection(const asio::any_io_executor& executor)
+        : stream(executor)
+    {
+    }
+
+    beast::tcp_stream stream;
+    beast::flat_buffer buffer;
+    Instant idleSince;
+};
+
+/** True while the other side has neither closed nor sent anything unasked. */
+bool isQuiet(ClientConnection& connection)
+{
+    char byte = 0;
+    beast::error_code error;
+    tcp::socket& socket = connection.stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+} // namespace
+
+//==============================================================================
+struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
+    explicit Impl(Options clientOptions)
+        : options(clientOptions)
+    {
+    }
+
+    std::unique_ptr<ClientConnection> takeIdle(const tcp::endpoint& endpoint)
+    {
+        std::lock_guard guard(lock);
+        auto& connections = idle[endpoint];
+        Instant oldest = std::chrono::steady_clock::now() - options.idleTimeout;
+        while (!connections.empty()) {
+            auto connection = std::move(connections.back());
+            connections.pop_back();
+            if (connection->idleSince > oldest && isQuiet(*connection))
+                return connection;
+        }
+        return nullptr;
+    }
+
+    void giveBack(const tcp::endpoint& endpoint, std::unique_ptr<ClientConnection> connection)
+    {
+        std::lock_guard guard(lock);
+        auto& connections = idle[endpoint];
+        connection->idleSince = std::chrono::steady_clock::now();
+        if (connections.size() < options.maximumIdle)
+            connections.push_back(std::move(connection));
+    }
+
+    void forget(const tcp::endpoint& endpoint)
+    {
+        std::lock_guard guard(lock);
+        idle.erase(endpoint);
+    }
+
+    /** An idle connection, or a new one dialled before the deadline. */
+    asio::awaitable<Result<std::unique_ptr<ClientConnection>, HttpClientErrorCode>> connect(tcp::endpoint endpoint, Instant deadline, ConnectionUse use)
+    {
+        if (use == ConnectionUse::Pooled) {
+            if (auto connection = takeIdle(endpoint))
+                co_return connection;
+        }
+        auto connection = std::make_unique<ClientConnection>(co_await asio::this_coro::executor);
+        connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
+        beast::error_code error;
+        co_await connection->stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return failure(HttpClientErrorCode::NotConnected, error.message());
+        beast::error_code ignored;
+        connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        co_return connection;
+    }
+
+    Options options;
+    std::mutex lock;
+    std::map<tcp::endpoint, std::vector<std::unique_ptr<ClientConnection>>> idle;
+};
+
+namespace {
+
+/** An answer read piece by piece; gives its connection back at the end of the body. */
+template <typename ClientImpl>
+class BeastResponseStream : public HttpResponseStream {
+public:
+    BeastResponseStream(std::shared_ptr<ClientImpl> client, tcp::endpoint endpoint, std::unique_ptr<ClientConnection> connection)
+        : m_client(std::move(client))
+        , m_endpoint(std::move(endpoint))
+        , m_connection(std::move(connection))
+    {
+        m_parser.header_limit(static_cast<std::uint32_t>(m_client->options.maximumHeaderBytes));
+        m_parser.body_limit(m_client->options.maximumBodyBytes);
+    }
+
+    asio::awaitable<Result<void, HttpClientErrorCode>> readHeader(Instant deadline)
+    {
+        beast::error_code error;
+        m_connection->stream.expires_at(deadline);
+        co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return fail(error);
+        m_headers = headersFromBeast(m_parser.get());
+        co_return Result<void, HttpClientErrorCode> {};
+    }
+
+    unsigned status() const override { return m_parser.get().result_int(); }
+    const HttpHeaders& headers() const override { return m_headers; }
+
+    asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) override
+    {
+        if (!m_connection)
+            co_return std::optional<ByteString>();
+        ByteString piece(pieceBytes, '\0');
+        while (!m_parser.is_done()) {
+            m_parser.get().body().data = piece.data();
+            m_parser.get().body().size = piece.size();
+            beast::error_code error;
+            m_connection->stream.expires_at(deadline);
+            co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+            if (error && error != http::error::need_buffer)
+                co_return fail(error);
+            std::size_t count = piece.size() - m_parser.get().body().size;
+            if (count == 0)
+                continue;
+            piece.resize(count);
+            co_return std::optional<ByteString>(std::move(piece));
+        }
+        releaseConnection();
+        co_return std::optional<ByteString>();
+    }
+
+    void close() override
+    {
+        if (m_connection)
+            m_connection->stream.close();
+    }
+
+private:
+    tl::unexpected<Error<HttpClientErrorCode>> fail(beast::error_code error)
+    {
+        if (error == beast::error::timeout)
+            m_client->forget(m_endpoint);
+        m_connection.reset();
+        return failure(codeFor(error), error.message());
+    }
+
+    void releaseConnection()
+    {
+        m_connection->stream.expires_never();
+        if (m_parser.keep_alive())
+            m_client->giveBack(m_endpoint, std::move(m_connection));
+        m_connection.reset();
+    }
+
+    std::shared_ptr<ClientImpl> m_client;
+    tcp::endpoint m_endpoint;
+    std::unique_ptr<ClientConnection> m_connection;
+    http::response_parser<http::buffer_body> m_parser;
+    HttpHeaders m_headers;
+};
+
+http::request<http::string_body> toBeast(HttpRequest request, const tcp::endpoint& endpoint)
+{
+    http::request<http::string_body> message;
+    message.method_string(request.method);
+    message.target(request.target);
+    message.version(httpVersion);
+    headersToBeast(request.headers, message);
+    message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+    message.body() = std::move(request.body);
+    message.prepare_payload();
+    return message;
+}
+
+} // namespace
+
+HttpClient::HttpClient(Options options)
+    : m_impl(std::make_shared<Impl>(options))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> HttpClient::open(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use)
+{
+    auto impl = m_impl;
+    auto connection = co_await impl->connect(endpoint, deadline, use);
+    if (!connection)
+        co_return tl::unexpected(connection.error());
+    auto message = toBeast(std::move(request), endpoint);
+    beast::error_code error;
+    (*connection)->stream.expires_at(deadline);
+    co_await http::async_write((*connection)->stream, message, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        impl->forget(endpoint);
+        co_return failure(codeFor(error), error.message());
+    }
+    auto stream = std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection));
+    if (auto header = co_await stream->readHeader(deadline); !header)
+        co_return tl::unexpected(header.error());
+    co_return stream;
+}
+
+asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> HttpClient::send(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use)
+{
+    auto stream = co_await open(endpoint, std::move(request), deadline, use);
+    if (!stream)
+        co_return tl::unexpected(stream.error());
+    HttpResponse response { (*stream)->status(), (*stream)->headers(), {} };
+    while (true) {
+        auto piece = co_await (*stream)->read(deadline);
+        if (!piece)
+            co_return tl::unexpected(piece.error());
+        if (!*piece)
+            co_return response;
+        response.body += **piece;
+    }
+}
+
+void HttpClient::forget(const tcp::endpoint& endpoint)
+{
+    m_impl->forget(endpoint);
+}
+
+//==============================================================================
+HttpClient::Options HttpClient::Options::withConnectTimeout(Duration value) const
+{
+    Options copy = *this;
+    copy.connectTimeout = value;
+    return copy;
+}
+
+HttpClient::Options HttpClient::Options::withMaximumIdle(std::size_t value) const
+{
+    Options copy = *this;
+    copy.maximumIdle = value;
+    return copy;
+}
+
+HttpClient::Options HttpClient::Options::withIdleTimeout(Duration value) const
+{
+    Options copy = *this;
+    copy.idleTimeout = value;
+    return copy;
+}
+
+HttpClient::Options HttpClient::Options::withMaximumBodyBytes(std::size_t value) const
+{
+    Options copy = *this;
+    copy.maximumBodyBytes = value;
+    return copy;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -0,0 +1,483 @@
+#include "hemlockchute/http/HttpServer.h"
+
+#include "http/BeastMessages.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <mutex>
+#include <set>
+
+namespace hemlockchute {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Duration acceptPause = 50ms;
+constexpr unsigned httpVersion = 11;
+
+class Connection;
+
+unsigned statusForUnreadable(beast::error_code error)
+{
+    static const std::pair<beast::error_code, unsigned> statuses[] = {
+        { http::error::header_limit, 431 }, { http::error::body_limit, 413 }, { http::error::buffer_overflow, 431 }
+    };
+    for (const auto& [code, status] : statuses) {
+        if (error == code)
+            return status;
+    }
+    return 400;
+}
+
+HttpResponse unreadableAnswer(beast::error_code error)
+{
+    std::string body = "{\"title\":\"the request cannot be read: " + error.message() + "\",\"outcome\":\"not-run\"}";
+    return { statusForUnreadable(error), { { "Content-Type", "application/problem+json" } }, body };
+}
+
+/** The connections open now, which drain() waits for. */
+class ConnectionTable {
+public:
+    bool add(std::shared_ptr<Connection> connection, std::size_t limit)
+    {
+        std::lock_guard guard(m_lock);
+        if (m_draining || m_connections.size() >= limit)
+            return false;
+        m_connections.insert(std::move(connection));
+        return true;
+    }
+
+    void remove(const std::shared_ptr<Connection>& connection)
+    {
+        std::function<void()> done;
+        {
+            std::lock_guard guard(m_lock);
+            m_connections.erase(connection);
+            if (m_draining && m_connections.empty())
+                done = std::exchange(m_done, nullptr);
+        }
+        if (done)
+            done();
+    }
+
+    /** Returns the connections left to end; `done` is called when the last has ended. */
+    std::set<std::shared_ptr<Connection>> drain(std::function<void()> done)
+    {
+        std::unique_lock guard(m_lock);
+        m_draining = true;
+        if (!m_connections.empty()) {
+            m_done = std::move(done);
+            return m_connections;
+        }
+        guard.unlock();
+        done();
+        return {};
+    }
+
+    bool isDraining() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_draining;
+    }
+
+    std::size_t size() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_connections.size();
+    }
+
+private:
+    mutable std::mutex m_lock;
+    std::set<std::shared_ptr<Connection>> m_connections;
+    bool m_draining = false;
+    std::function<void()> m_done;
+};
+
+//==============================================================================
+/** One accepted connection: reads requests one after the other and runs the handler for each. */
+class Connection : public HttpExchange, public std::enable_shared_from_this<Connection> {
+public:
+    Connection(tcp::socket socket, HttpServer::Options options, HttpServer::Handler handler, std::shared_ptr<ConnectionTable> table)
+        : m_stream(std::move(socket))
+        , m_options(options)
+        , m_handler(std::move(handler))
+        , m_table(std::move(table))
+    {
+        m_buffer.max_size(m_options.maximumHeaderBytes + m_options.maximumBodyBytes + readSize);
+    }
+
+    asio::awaitable<void> run()
+    {
+        bool mayGoOn = true;
+        while (mayGoOn && !m_table->isDraining()) {
+            mayGoOn = co_await readRequest();
+            if (mayGoOn)
+                mayGoOn = co_await handleRequest();
+        }
+    }
+
+    /** Closes the connection and leaves the table, also when the handler threw. */
+    void end()
+    {
+        close();
+        m_table->remove(shared_from_this());
+    }
+
+    /** Closes the connection unless a request is in progress. Thread safety: any thread. */
+    void closeIfIdle()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            if (!self->m_inRequest)
+                self->close();
+        });
+    }
+
+    //==============================================================================
+    const HttpRequest& request() const override { return m_request; }
+
+    asio::awaitable<bool> respond(HttpResponse response) override
+    {
+        http::response<http::string_body> message(static_cast<http::status>(response.status), httpVersion);
+        headersToBeast(response.headers, message);
+        message.body() = std::move(response.body);
+        message.keep_alive(mayKeepAlive());
+        message.prepare_payload();
+        m_answered = true;
+        m_stream.expires_after(m_options.writeTimeout);
+        beast::error_code error;
+        co_await http::async_write(m_stream, message, asio::redirect_error(asio::use_awaitable, error));
+        co_return finishAnswer(error);
+    }
+
+    asio::awaitable<bool> startStream(unsigned status, HttpHeaders headers) override
+    {
+        http::response<http::empty_body> message(static_cast<http::status>(status), httpVersion);
+        headersToBeast(headers, message);
+        message.keep_alive(mayKeepAlive());
+        message.chunked(true);
+        http::response_serializer<http::empty_body> serializer(message);
+        m_answered = true;
+        m_stream.expires_after(m_options.writeTimeout);
+        beast::error_code error;
+        co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        co_return noteWrite(error);
+    }
+
+    asio::awaitable<bool> write(ByteString chunk) override
+    {
+        if (m_broken || chunk.empty())
+            co_return !m_broken;
+        m_stream.expires_after(m_options.writeTimeout);
+        beast::error_code error;
+        co_await asio::async_write(m_stream, http::make_chunk(asio::buffer(chunk)), asio::redirect_error(asio::use_awaitable, error));
+        co_return noteWrite(error);
+    }
+
+    asio::awaitable<bool> finish() override
+    {
+        if (m_broken)
+            co_return false;
+        m_stream.expires_after(m_options.writeTimeout);
+        beast::error_code error;
+        co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        co_return finishAnswer(error);
+    }
+
+    void onCallerGone(std::function<void()> callback) override
+    {
+        if (isCallerGone())
+            asio::post(m_stream.get_executor(), std::move(callback));
+        else
+            m_callerGone = std::move(callback);
+    }
+
+    bool isCallerGone() const override { return m_gone; }
+
+private:
+    bool mayKeepAlive() const { return m_keepAlive && !m_table->isDraining(); }
+
+    bool noteWrite(beast::error_code error)
+    {
+        m_stream.expires_never();
+        if (error)
+            noteCallerGone();
+        return !error;
+    }
+
+    bool finishAnswer(beast::error_code error)
+    {
+        m_finished = true;
+        return noteWrite(error);
+    }
+
+    void noteCallerGone()
+    {
+        m_broken = true;
+        m_gone = true;
+        if (auto callback = std::exchange(m_callerGone, nullptr); callback && !m_finished)
+            callback();
+    }
+
+    void close()
+    {
+        beast::error_code ignored;
+        m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
+        m_stream.close();
+    }
+
+    asio::awaitable<bool> readRequest()
+    {
+        bool hasBytes = m_buffer.size() > 0;
+        if (!hasBytes)
+            hasBytes = co_await waitForFirstByte();
+        if (!hasBytes)
+            co_return false;
+        http::request_parser<http::string_body> parser;
+        parser.header_limit(static_cast<std::uint32_t>(m_options.maximumHeaderBytes));
+        parser.body_limit(m_options.maximumBodyBytes);
+        beast::error_code error;
+        m_stream.expires_after(m_options.readTimeout);
+        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        m_stream.expires_never();
+        if (error) {
+            co_await refuse(error);
+            co_return false;
+        }
+        takeRequest(parser);
+        co_return true;
+    }
+
+    asio::awaitable<bool> waitForFirstByte()
+    {
+        m_stream.expires_after(m_options.idleTimeout);
+        beast::error_code error;
+        std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(readSize), asio::redirect_error(asio::use_awaitable, error));
+        m_buffer.commit(count);
+        co_return !error;
+    }
+
+    void takeRequest(http::request_parser<http::string_body>& parser)
+    {
+        auto message = parser.release();
+        m_keepAlive = message.keep_alive();
+        m_request.method = std::string(message.method_string());
+        m_request.target = std::string(message.target());
+        m_request.headers = headersFromBeast(message);
+        m_request.body = std::move(message.body());
+        m_answered = m_finished = m_broken = false;
+        m_callerGone = nullptr;
+    }
+
+    asio::awaitable<void> refuse(beast::error_code error)
+    {
+        if (error == http::error::end_of_stream || error == beast::error::timeout || error == asio::error::operation_aborted || error == asio::error::connection_reset)
+            co_return;
+        m_keepAlive = false;
+        co_await respond(unreadableAnswer(error));
+    }
+
+    asio::awaitable<bool> handleRequest()
+    {
+        m_inRequest = true;
+        watchForClose();
+        co_await m_handler(*this);
+        if (!m_answered && !m_broken)
+            co_await respond(HttpResponse::text(500, "no answer was made\n"));
+        m_inRequest = false;
+        beast::error_code ignored;
+        m_stream.socket().cancel(ignored);
+        co_return m_finished && !m_broken && m_keepAlive;
+    }
+
+    /** Notices a caller that closes while its request is in progress. */
+    void watchForClose()
+    {
+        m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
+            if (error || !self->m_inRequest)
+                return;
+            char byte = 0;
+            beast::error_code peekError;
+            self->m_stream.socket().non_blocking(true, peekError);
+            std::size_t count = self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
+            bool closed = (peekError && peekError != asio::error::would_block) || (!peekError && count == 0);
+            if (closed)
+                self->noteCallerGone();
+        });
+    }
+
+    static constexpr std::size_t readSize = 8192;
+
+    beast::tcp_stream m_stream;
+    HttpServer::Options m_options;
+    HttpServer::Handler m_handler;
+    std::shared_ptr<ConnectionTable> m_table;
+    beast::flat_buffer m_buffer;
+    HttpRequest m_request;
+    std::function<void()> m_callerGone;
+    std::atomic<bool> m_gone { false };
+    bool m_inRequest = false;
+    bool m_keepAlive = true;
+    bool m_answered = false;
+    bool m_finished = false;
+    bool m_broken = false;
+};
+
+} // namespace
+
+//==============================================================================
+struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
+    Impl(asio::io_context& ioContext, Options serverOptions, Handler requestHandler)
+        : context(ioContext)
+        , options(serverOptions)
+        , handler(std::move(requestHandler))
+        , acceptor(asio::make_strand(ioContext))
+    {
+    }
+
+    asio::awaitable<void> acceptLoop()
+    {
+        auto self = shared_from_this();
+        while (acceptor.is_open()) {
+            beast::error_code error;
+            tcp::socket socket = co_await acceptor.async_accept(asio::make_strand(context), asio::redirect_error(asio::use_awaitable, error));
+            if (error == asio::error::operation_aborted)
+                co_return;
+            if (error) {
+                co_await pause();
+                continue;
+            }
+            startConnection(std::move(socket));
+        }
+    }
+
+    asio::awaitable<void> pause()
+    {
+        asio::steady_timer timer(acceptor.get_executor(), acceptPause);
+        beast::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    void startConnection(tcp::socket socket)
+    {
+        beast::error_code ignored;
+        socket.set_option(tcp::no_delay(true), ignored);
+        auto executor = socket.get_executor();
+        auto connection = std::make_shared<Connection>(std::move(socket), options, handler, table);
+        if (!table->add(connection, options.maximumConnections))
+            return;
+        asio::co_spawn(
+            executor, [connection] { return connection->run(); }, [connection](const std::exception_ptr&) { connection->end(); });
+    }
+
+    asio::io_context& context;
+    Options options;
+    Handler handler;
+    tcp::acceptor acceptor;
+    std::shared_ptr<ConnectionTable> table = std::make_shared<ConnectionTable>();
+};
+
+HttpServer::HttpServer(asio::io_context& context, Options options, Handler handler)
+    : m_impl(std::make_shared<Impl>(context, options, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    beast::error_code ignored;
+    m_impl->acceptor.close(ignored);
+}
+
+Result<tcp::endpoint, HttpServerErrorCode> HttpServer::listen(const tcp::endpoint& endpoint)
+{
+    beast::error_code error;
+    auto step = [&](auto&& operation) {
+        if (!error)
+            operation();
+    };
+    tcp::acceptor& acceptor = m_impl->acceptor;
+    step([&] { acceptor.open(endpoint.protocol(), error); });
+    step([&] { acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
+    step([&] { acceptor.bind(endpoint, error); });
+    step([&] { acceptor.listen(asio::socket_base::max_listen_connections, error); });
+    if (error)
+        return failure(HttpServerErrorCode::ListenFailed, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + error.message());
+    asio::co_spawn(
+        acceptor.get_executor(), [impl = m_impl] { return impl->acceptLoop(); }, asio::detached);
+    return acceptor.local_endpoint();
+}
+
+void HttpServer::drain(std::function<void()> done)
+{
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl, done = std::move(done)]() mutable {
+        beast::error_code ignored;
+        impl->acceptor.close(ignored);
+        for (const auto& connection : impl->table->drain(std::move(done)))
+            connection->closeIfIdle();
+    });
+}
+
+std::size_t HttpServer::connectionCount() const
+{
+    return m_impl->table->size();
+}
+
+//==============================================================================
+HttpServer::Options HttpServer::Options::withMaximumHeaderBytes(std::size_t value) const
+{
+    Options copy = *this;
+    copy.maximumHeaderBytes = value;
+    return copy;
+}
+
+HttpServer::Options HttpServer::Options::withMaximumBodyBytes(std::size_t value) const
+{
+    Options copy = *this;
+    copy.maximumBodyBytes = value;
+    return copy;
+}
+
+HttpServer::Options HttpServer::Options::withMaximumConnections(std::size_t value) const
+{
+    Options copy = *this;
+    copy.maximumConnections = value;
+    return copy;
+}
+
+HttpServer::Options HttpServer::Options::withIdleTimeout(Duration value) const
+{
+    Options copy = *this;
+    copy.idleTimeout = value;
+    return copy;
+}
+
+HttpServer::Options HttpServer::Options::withReadTimeout(Duration value) const
+{
+    Options copy = *this;
+    copy.readTimeout = value;
+    return copy;
+}
+
+HttpServer::Options HttpServer::Options::withWriteTimeout(Duration value) const
+{
+    Options copy = *this;
+    copy.writeTimeout = value;
+    return copy;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "hemlockchute/core/Clock.h"
+#include "hemlockchute/core/Errors.h"
+#include "hemlockchute/http/HttpMessage.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <optional>
+
+namespace hemlockchute {
+
+enum class HttpClientErrorCode {
+    /** No connection came about: no byte of the request left this process. */
+    NotConnected,
+    /** The request may have left, wholly or in part; no whole answer came. */
+    ConnectionLost,
+    /** The request may have left; the deadline passed before a whole answer came. */
+    TimedOut,
+    /** The answer was not HTTP, or was cut short. */
+    Malformed,
+    /** The answer passed its bound. */
+    TooLarge
+};
+
+/** True when no byte of the request can have reached the other side. */
+constexpr bool isCertainlyNotSent(HttpClientErrorCode code)
+{
+    return code == HttpClientErrorCode::NotConnected;
+}
+
+//==============================================================================
+/**
+    An answer whose body is read piece by piece.
+
+    Destroying it before the end closes its connection. Thread safety: one coroutine at a time;
+    close() from the same executor.
+*/
+class HttpResponseStream {
+public:
+    virtual ~HttpResponseStream() = default;
+
+    virtual unsigned status() const = 0;
+    virtual const HttpHeaders& headers() const = 0;
+    /** The next piece, or nothing after the body's own end; a body cut short is an error. */
+    virtual boost::asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) = 0;
+    /** Gives up; a read in progress fails. */
+    virtual void close() = 0;
+};
+
+//==============================================================================
+/**
+    Sends requests over pooled connections, one pool per endpoint.
+
+    A pooled connection that went silent is found out by its deadline and closed together with
+    every idle connection to that endpoint, so that the next request dials anew. The client never
+    repeats a request by itself. Thread safety: every method may be called from any thread; a
+    coroutine must run on a strand or on a single thread.
+*/
+class HttpClient {
+public:
+    /** Bounds on time and memory. */
+    struct Options {
+        Duration connectTimeout = 1s;
+        /** Idle connections kept per endpoint. */
+        std::size_t maximumIdle = 32;
+        /** A pooled connection idle for longer is closed instead of used. */
+        Duration idleTimeout = 20s;
+        std::size_t maximumHeaderBytes = 16U << 10U;
+        std::size_t maximumBodyBytes = 16U << 20U;
+
+        Options withConnectTimeout(Duration) const;
+        Options withMaximumIdle(std::size_t) const;
+        Options withIdleTimeout(Duration) const;
+        Options withMaximumBodyBytes(std::size_t) const;
+    };
+
+    enum class ConnectionUse {
+        Pooled,
+        /** Dials a connection of its own: for requests that may not be repeated, and to tell a silent connection from a dead host. */
+        Fresh
+    };
+
+    explicit HttpClient(Options);
+    ~HttpClient();
+
+    /** Sends a request and reads the whole answer. */
+    boost::asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> send(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled);
+    /** Sends a request and reads the answer up to the end of its header. */
+    boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled);
+    /** Closes the idle connections to an endpoint, as when its host has left. */
+    void forget(const boost::asio::ip::tcp::endpoint&);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> m_impl;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -0,0 +1,244 @@
+#include "hemlockchute/http/http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/connect.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <thread>
+
+using namespace hemlockchute;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+const tcp::endpoint anyPort(asio::ip::make_address("127.0.0.1"), 0);
+
+const HttpHeaders plainText { { "Content-Type", "text/plain" } };
+
+std::atomic<bool> holding { false };
+std::atomic<bool> release { false };
+
+asio::awaitable<void> holdUntilReleased(HttpExchange& exchange)
+{
+    holding = true;
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (!release) {
+        timer.expires_after(5ms);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+    co_await exchange.respond(HttpResponse::text(200, "held"));
+}
+
+asio::awaitable<void> answer(HttpExchange& exchange, std::atomic<int>& callersGone)
+{
+    const HttpRequest& request = exchange.request();
+    if (request.path() == "/echo") {
+        co_await exchange.respond(HttpResponse::text(200, request.body + request.queryParameter("tail").value_or("")));
+    } else if (request.path() == "/stream") {
+        co_await exchange.startStream(200, plainText);
+        co_await exchange.write("one ");
+        co_await exchange.write("two ");
+        co_await exchange.write("three");
+        co_await exchange.finish();
+    } else if (request.path() == "/cut") {
+        co_await exchange.startStream(200, {});
+        co_await exchange.write("half");
+    } else if (request.path() == "/flood") {
+        co_await exchange.startStream(200, {});
+        while (co_await exchange.write(ByteString(1U << 20U, 'x'))) { }
+        ++callersGone;
+    } else if (request.path() == "/hold") {
+        co_await holdUntilReleased(exchange);
+    } else if (request.path() == "/wait") {
+        asio::steady_timer timer(co_await asio::this_coro::executor, 1h);
+        exchange.onCallerGone([&] {
+            ++callersGone;
+            timer.cancel();
+        });
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+/** A server and two threads to run it and its clients. */
+struct Fixture {
+    Fixture()
+        : server(context, HttpServer::Options().withMaximumHeaderBytes(2048).withMaximumBodyBytes(4096).withReadTimeout(200ms).withIdleTimeout(300ms).withWriteTimeout(300ms), [this](HttpExchange& exchange) { return answer(exchange, callersGone); })
+        , client(HttpClient::Options())
+        , work(asio::make_work_guard(context))
+    {
+        endpoint = server.listen(anyPort).value();
+        for (int i = 0; i < 2; ++i)
+            threads.emplace_back([this] { context.run(); });
+    }
+
+    ~Fixture()
+    {
+        context.stop();
+        for (std::thread& thread : threads)
+            thread.join();
+    }
+
+    Result<HttpResponse, HttpClientErrorCode> send(HttpRequest request, Duration timeout = 5s)
+    {
+        return asio::co_spawn(asio::make_strand(context), client.send(endpoint, std::move(request), std::chrono::steady_clock::now() + timeout), asio::use_future).get();
+    }
+
+    /** Sends raw bytes and returns all that comes back until the server closes. */
+    std::string exchangeRaw(const std::string& bytes)
+    {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect(endpoint);
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(bytes), error);
+        std::string all;
+        asio::read(socket, asio::dynamic_buffer(all), error);
+        return all;
+    }
+
+    asio::io_context context;
+    std::atomic<int> callersGone { 0 };
+    HttpServer server;
+    HttpClient client;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    tcp::endpoint endpoint;
+    std::vector<std::thread> threads;
+};
+
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    for (int i = 0; i < 1000 && !condition(); ++i)
+        std::this_thread::sleep_for(10ms);
+    return condition();
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpTests, Fixture)
+
+BOOST_AUTO_TEST_CASE(wholeAnswersComeBack)
+{
+    for (int i = 0; i < 3; ++i) {
+        auto response = send({ "POST", "/echo?tail=%21", {}, "hello" });
+        BOOST_REQUIRE_MESSAGE(response, response.error().detail);
+        BOOST_TEST(response->status == 200U);
+        BOOST_TEST(response->body == "hello!");
+    }
+    BOOST_TEST(server.connectionCount() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(streamsComeWholeOrAreReportedCut)
+{
+    auto whole = send({ "GET", "/stream", {}, {} });
+    BOOST_REQUIRE(whole);
+    BOOST_TEST(whole->body == "one two three");
+    auto cut = send({ "GET", "/cut", {}, {} });
+    BOOST_REQUIRE(!cut);
+    BOOST_TEST((cut.error().code == HttpClientErrorCode::ConnectionLost));
+}
+
+BOOST_AUTO_TEST_CASE(oversizedHeaderIsRefused)
+{
+    std::string answer = exchangeRaw("GET /echo HTTP/1.1\r\nX-Long: " + std::string(8192, 'a') + "\r\n\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 431"));
+}
+
+BOOST_AUTO_TEST_CASE(oversizedBodyIsRefused)
+{
+    std::string answer = exchangeRaw("POST /echo HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + std::string(5000, 'a'));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 413"));
+}
+
+BOOST_AUTO_TEST_CASE(brokenChunkIsRefused)
+{
+    std::string answer = exchangeRaw("POST /echo HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 400"));
+}
+
+BOOST_AUTO_TEST_CASE(silentConnectionsAreClosed)
+{
+    BOOST_TEST(exchangeRaw("").empty());
+    BOOST_TEST(exchangeRaw("POST /echo HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc").empty());
+}
+
+BOOST_AUTO_TEST_CASE(halfClosedConnectionIsClosedAfterItsRequest)
+{
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect(endpoint);
+    socket.send(asio::buffer(std::string("GET /stream HTTP/1.1\r\n\r\n")));
+    socket.shutdown(tcp::socket::shutdown_send);
+    BOOST_TEST(eventually([&] { return server.connectionCount() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(slowReaderIsCutOff)
+{
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect(endpoint);
+    socket.send(asio::buffer(std::string("GET /flood HTTP/1.1\r\n\r\n")));
+    BOOST_TEST(eventually([&] { return callersGone == 1; }));
+    BOOST_TEST(eventually([&] { return server.connectionCount() == 0; }));
+}
+
+BOOST_AUTO_TEST_CASE(callerThatLeavesIsNoticed)
+{
+    {
+        asio::io_context own;
+        tcp::socket socket(own);
+        socket.connect(endpoint);
+        socket.send(asio::buffer(std::string("GET /wait HTTP/1.1\r\n\r\n")));
+        BOOST_TEST(eventually([&] { return server.connectionCount() == 1; }));
+    }
+    BOOST_TEST(eventually([&] { return callersGone == 1; }));
+}
+
+BOOST_AUTO_TEST_CASE(refusedConnectionIsCertainlyNotSent)
+{
+    std::promise<void> drained;
+    server.drain([&] { drained.set_value(); });
+    drained.get_future().wait();
+    auto response = send({ "GET", "/echo", {}, {} });
+    BOOST_REQUIRE(!response);
+    BOOST_TEST(isCertainlyNotSent(response.error().code));
+}
+
+BOOST_AUTO_TEST_CASE(silentServerTimesOutAndIsNotCalledUnsent)
+{
+    auto response = send({ "GET", "/wait", {}, {} }, 100ms);
+    BOOST_REQUIRE(!response);
+    BOOST_TEST((response.error().code == HttpClientErrorCode::TimedOut));
+    BOOST_TEST(!isCertainlyNotSent(response.error().code));
+}
+
+BOOST_AUTO_TEST_CASE(drainWaitsForTheRequestInProgress)
+{
+    asio::io_context own;
+    tcp::socket socket(own);
+    socket.connect(endpoint);
+    socket.send(asio::buffer(std::string("GET /hold HTTP/1.1\r\n\r\n")));
+    BOOST_TEST(eventually([&] { return holding.load(); }));
+    std::promise<void> drained;
+    std::future<void> whenDrained = drained.get_future();
+    server.drain([&] { drained.set_value(); });
+    BOOST_TEST((whenDrained.wait_for(50ms) == std::future_status::timeout));
+    release = true;
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    BOOST_TEST(answer.ends_with("held"));
+    whenDrained.wait();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
