Add the stand-ins, the scenario language and the first scenarios

The stand-ins play what docs/PROTOCOLS.md describes; the runner starts the real daemons, puts a relay on every path between data centres and checks the promises from outside after each step. The scenarios are not run yet: the daemons they start are still being built.

--- /dev/null
+++ b/cmake/CompareOutput.cmake
@@ -0,0 +1,6 @@
+# Fails unless PROGRAM prints exactly what PAGE holds.
+execute_process(COMMAND ${PROGRAM} OUTPUT_VARIABLE printed RESULT_VARIABLE code)
+file(READ ${PAGE} page)
+if(NOT code EQUAL 0 OR NOT printed STREQUAL page)
+    message(FATAL_ERROR "${PAGE} is stale: run ${PROGRAM} > ${PAGE}")
+endif()
--- /dev/null
+++ b/tests/harness/Deployment.cpp
@@ -0,0 +1,342 @@
+#include "Deployment.h"
+
+#include <algorithm>
+#include <boost/asio/executor_work_guard.hpp>
+#include <csignal>
+#include <fstream>
+#include <openssl/evp.h>
+#include <stdexcept>
+#include <unistd.h>
+
+namespace hemlockchute::harness {
+namespace {
+
+constexpr int callerPort = 8080;
+constexpr int routerPort = 7101;
+constexpr int controllerPort = 7102;
+constexpr int keeperPort = 7103;
+constexpr int routerOperatorPort = 7201;
+constexpr int controllerOperatorPort = 7202;
+constexpr int keeperOperatorPort = 7203;
+constexpr int backendPort = 9001;
+constexpr int platformPort = 9000;
+constexpr int storePort = 9002;
+constexpr int firstRelayPort = 10000;
+constexpr int firstNetwork = 20;
+constexpr int networkCount = 200;
+constexpr auto longestStop = std::chrono::seconds(20);
+
+std::string joined(const std::string& address, int port)
+{
+    return address + ":" + std::to_string(port);
+}
+
+Endpoint endpointOf(const std::string& text)
+{
+    return parseEndpoint(text).value();
+}
+
+} // namespace
+
+Deployment::Deployment(std::filesystem::path programs, std::filesystem::path folder)
+    : m_programs(std::move(programs))
+    , m_folder(std::move(folder))
+    , m_network("127." + std::to_string(firstNetwork + ::getpid() % networkCount))
+    , m_work(boost::asio::make_work_guard(m_context))
+    , m_thread([this] { m_context.run(); })
+{
+    std::filesystem::remove_all(m_folder);
+    std::filesystem::create_directories(m_folder);
+}
+
+Deployment::~Deployment()
+{
+    m_processes.clear();
+    m_context.stop();
+    m_thread.join();
+}
+
+//==============================================================================
+void Deployment::addDataCentre(DataCentreShape shape)
+{
+    int number = static_cast<int>(m_dataCentres.size()) + 1;
+    int keepers = static_cast<int>(std::count_if(m_hosts.begin(), m_hosts.end(), [](const Host& host) { return host.keeperId != 0; }));
+    for (int i = 1; i <= shape.hosts; ++i) {
+        std::string address = m_network + "." + std::to_string(number) + "." + std::to_string(i);
+        m_hosts.push_back({ shape.name + "-" + std::to_string(i), shape.name, address, i <= shape.keepers ? ++keepers : 0 });
+    }
+    m_dataCentres.push_back(std::move(shape));
+}
+
+void Deployment::addBackend(BackendShape shape)
+{
+    m_backends.push_back(std::move(shape));
+}
+
+std::string Deployment::backendAddress(const std::string& name) const
+{
+    auto found = std::find_if(m_backends.begin(), m_backends.end(), [&](const BackendShape& shape) { return shape.name == name; });
+    auto index = found - m_backends.begin() + 1;
+    return joined(m_network + ".100." + std::to_string(index), backendPort);
+}
+
+std::string Deployment::addressSeenFrom(const std::string& dataCentre, const std::string& targetDataCentre, const std::string& address)
+{
+    if (dataCentre == targetDataCentre)
+        return address;
+    auto [entry, isNew] = m_relays.try_emplace({ dataCentre, address });
+    if (isNew) {
+        std::string relayAddress = joined(m_network + ".200.1", firstRelayPort + static_cast<int>(m_relays.size()));
+        entry->second = { dataCentre, targetDataCentre, relayAddress, std::make_unique<Relay>(m_context, endpointOf(relayAddress), endpointOf(address), m_delay) };
+    }
+    return entry->second.address;
+}
+
+//==============================================================================
+std::string Deployment::commonSettings(const Host& self)
+{
+    std::string text = "[host]\nname = \"" + self.name + "\"\ndata_centre = \"" + self.dataCentre + "\"\n\n[cluster]\nname = \"demo\"\nkey_file = \"cluster.key\"\n\n";
+    for (const Host& host : m_hosts) {
+        text += "[[cluster.entry_hosts]]\nname = \"" + host.name + "\"\ndata_centre = \"" + host.dataCentre + "\"\nrouter = \""
+            + addressSeenFrom(self.dataCentre, host.dataCentre, joined(host.address, routerPort)) + "\"\ncontroller = \""
+            + addressSeenFrom(self.dataCentre, host.dataCentre, joined(host.address, controllerPort)) + "\"\n\n";
+    }
+    for (const Host& host : m_hosts) {
+        if (host.keeperId != 0) {
+            text += "[[cluster.keepers]]\nid = " + std::to_string(host.keeperId) + "\nhost = \"" + host.name + "\"\ndata_centre = \"" + host.dataCentre
+                + "\"\npeer = \"" + addressSeenFrom(self.dataCentre, host.dataCentre, joined(host.address, keeperPort)) + "\"\n\n";
+        }
+    }
+    return text;
+}
+
+/** The operators' table with the administrator's token: salt and PBKDF2 hash, both in hexadecimal. */
+std::string Deployment::operatorSettings() const
+{
+    return "[operators]\nadmin_salt = \"" + m_adminSalt + "\"\nadmin_hash = \"" + m_adminHash + "\"\n";
+}
+
+void Deployment::writeFile(const std::string& name, const std::string& text) const
+{
+    std::ofstream(m_folder / name) << text;
+}
+
+void Deployment::addCommand(const std::string& name, const std::string& program, std::vector<std::string> arguments)
+{
+    m_commands[name] = { m_programs / program, std::move(arguments) };
+    m_order.push_back(name);
+}
+
+void Deployment::writeSettings()
+{
+    writeFile("cluster.key", "a-shared-key-for-the-demo-only\n");
+    std::string keepers;
+    for (const Host& host : m_hosts) {
+        std::string common = commonSettings(host);
+        std::string platform = "[platform]\naddress = \"" + m_network + ".101." + std::to_string(1 + static_cast<int>(std::find_if(m_dataCentres.begin(), m_dataCentres.end(), [&](const DataCentreShape& shape) { return shape.name == host.dataCentre; }) - m_dataCentres.begin())) + ":" + std::to_string(platformPort) + "\"\n\n";
+        auto listen = [&](int peers, int operators) {
+            return "[listen]\npeers = \"" + joined(host.address, peers) + "\"\noperators = \"" + joined(host.address, operators) + "\"\n";
+        };
+        std::string routerFile = host.name + ".router.toml";
+        std::string controllerFile = host.name + ".controller.toml";
+        std::string keeperFile = host.name + ".keeper.toml";
+        writeFile(routerFile, common + platform + listen(routerPort, routerOperatorPort) + "callers = \"" + joined(host.address, callerPort) + "\"\n");
+        writeFile(controllerFile, common + platform + listen(controllerPort, controllerOperatorPort));
+        if (host.keeperId != 0) {
+            writeFile(keeperFile, common + "[keeper]\nid = " + std::to_string(host.keeperId) + "\ndata_folder = \"" + (m_folder / (host.name + ".data")).string() + "\"\n\n" + listen(keeperPort, keeperOperatorPort) + "\n" + operatorSettings());
+            addCommand(host.name + " keeper", "hemlock-keeper", { "--settings=" + (m_folder / keeperFile).string() });
+            keepers += (keepers.empty() ? "\"" : ", \"") + joined(host.address, keeperOperatorPort) + "\"";
+        }
+        addCommand(host.name + " controller", "hemlock-controller", { "--settings=" + (m_folder / controllerFile).string() });
+        addCommand(host.name + " router", "hemlock-router", { "--settings=" + (m_folder / routerFile).string() });
+    }
+    writeFile("admin.token", "demo-admin-token\n");
+    writeFile("hemlockctl.toml", "keepers = [" + keepers + "]\ntoken_file = \"admin.token\"\n");
+}
+
+boost::json::array Deployment::hostList(const std::string& dataCentre)
+{
+    boost::json::array hosts;
+    for (const BackendShape& shape : m_backends) {
+        boost::json::object host { { "name", shape.name }, { "data_centre", shape.dataCentre }, { "kind", shape.isEngine ? "engine" : "service" },
+            { "address", addressSeenFrom(dataCentre, shape.dataCentre, backendAddress(shape.name)) }, { "state", m_leaving[shape.name] ? "leaving" : "live" } };
+        if (!shape.isEngine)
+            host["service"] = shape.name.substr(0, shape.name.find('@'));
+        hosts.push_back(host);
+    }
+    return hosts;
+}
+
+void Deployment::writeHostLists()
+{
+    for (const DataCentreShape& shape : m_dataCentres)
+        writeFile(shape.name + ".hosts.json", boost::json::serialize(hostList(shape.name)));
+}
+
+void Deployment::addStandIns()
+{
+    std::string store = joined(m_network + ".102.1", storePort);
+    addCommand("weight-store", "hemlock-stand-in", { "weight-store", "--listen=" + store });
+    int number = 0;
+    for (const DataCentreShape& shape : m_dataCentres) {
+        std::string address = joined(m_network + ".101." + std::to_string(++number), platformPort);
+        addCommand("platform@" + shape.name, "hemlock-stand-in", { "platform", "--listen=" + address, "--hosts=" + (m_folder / (shape.name + ".hosts.json")).string() });
+    }
+    for (const BackendShape& shape : m_backends) {
+        std::vector<std::string> arguments { shape.isEngine ? "engine" : "service", "--listen=" + backendAddress(shape.name), "--name=" + shape.name };
+        if (shape.isEngine)
+            arguments.push_back("--store=" + store);
+        arguments.insert(arguments.end(), shape.extraArguments.begin(), shape.extraArguments.end());
+        addCommand(shape.name, "hemlock-stand-in", arguments);
+    }
+}
+
+//==============================================================================
+void Deployment::startAll()
+{
+    writeHostLists();
+    addStandIns();
+    writeSettings();
+    for (const std::string& name : m_order)
+        start(name);
+}
+
+std::vector<std::string> Deployment::stopAll()
+{
+    std::vector<std::string> failed;
+    auto isDaemon = [&](const std::string& name) { return m_commands.at(name).program.filename() != "hemlock-stand-in"; };
+    for (const char* role : { " router", " controller", " keeper" }) {
+        for (auto& [name, process] : m_processes) {
+            if (isDaemon(name) && name.ends_with(role))
+                process->signal(SIGTERM);
+        }
+        for (auto& [name, process] : m_processes) {
+            if (isDaemon(name) && name.ends_with(role) && process->waitForEnd(longestStop) != 0)
+                failed.push_back(name + " (" + (process->exitCode() ? std::to_string(*process->exitCode()) : "still running") + ")");
+        }
+    }
+    m_processes.clear();
+    return failed;
+}
+
+void Deployment::start(const std::string& name)
+{
+    const Command& command = m_commands.at(name);
+    std::string log = name + ".log";
+    std::replace(log.begin(), log.end(), ' ', '.');
+    m_processes.erase(name);
+    m_processes[name] = std::make_unique<Process>(command.program, command.arguments, m_folder / log);
+}
+
+Process& Deployment::process(const std::string& name)
+{
+    auto found = m_processes.find(name);
+    if (found == m_processes.end())
+        throw std::runtime_error("no process named " + name + " was started");
+    return *found->second;
+}
+
+void Deployment::eraseData(const std::string& hostName)
+{
+    std::filesystem::remove_all(m_folder / (host(hostName).name + ".data"));
+}
+
+void Deployment::cut(const std::string& dataCentre)
+{
+    for (auto& [key, entry] : m_relays) {
+        if (entry.from == dataCentre || entry.to == dataCentre)
+            entry.relay->cut();
+    }
+}
+
+void Deployment::heal(const std::string& dataCentre)
+{
+    for (auto& [key, entry] : m_relays) {
+        if (entry.from == dataCentre || entry.to == dataCentre)
+            entry.relay->heal();
+    }
+}
+
+void Deployment::silence(const std::string& dataCentre)
+{
+    for (auto& [key, entry] : m_relays) {
+        if (entry.from == dataCentre || entry.to == dataCentre)
+            entry.relay->silenceOpenConnections();
+    }
+}
+
+void Deployment::setLeaving(const std::string& name)
+{
+    m_leaving[name] = true;
+    writeHostLists();
+    for (const DataCentreShape& shape : m_dataCentres)
+        start("platform@" + shape.name);
+}
+
+//==============================================================================
+const Deployment::Host& Deployment::host(const std::string& name) const
+{
+    auto found = std::find_if(m_hosts.begin(), m_hosts.end(), [&](const Host& host) { return host.name == name; });
+    if (found == m_hosts.end())
+        throw std::runtime_error("no host named " + name);
+    return *found;
+}
+
+const BackendShape& Deployment::backend(const std::string& name) const
+{
+    auto found = std::find_if(m_backends.begin(), m_backends.end(), [&](const BackendShape& shape) { return shape.name == name; });
+    if (found == m_backends.end())
+        throw std::runtime_error("no backend server named " + name);
+    return *found;
+}
+
+Endpoint Deployment::callerEndpoint(const std::string& hostName) const
+{
+    return endpointOf(joined(host(hostName).address, callerPort));
+}
+
+Endpoint Deployment::operatorEndpoint(const std::string& hostName, const std::string& role) const
+{
+    int port = role == "router" ? routerOperatorPort : role == "controller" ? controllerOperatorPort
+                                                                            : keeperOperatorPort;
+    return endpointOf(joined(host(hostName).address, port));
+}
+
+Endpoint Deployment::backendEndpoint(const std::string& name) const
+{
+    return endpointOf(backendAddress(backend(name).name));
+}
+
+std::vector<std::string> Deployment::backendNames(bool engines) const
+{
+    std::vector<std::string> names;
+    for (const BackendShape& shape : m_backends) {
+        if (shape.isEngine == engines)
+            names.push_back(shape.name);
+    }
+    return names;
+}
+
+std::string Deployment::dataCentreOf(const std::string& name) const
+{
+    for (const Host& candidate : m_hosts) {
+        if (candidate.name == name)
+            return candidate.dataCentre;
+    }
+    return backend(name).dataCentre;
+}
+
+std::vector<std::string> Deployment::hostNames() const
+{
+    std::vector<std::string> names;
+    for (const Host& candidate : m_hosts)
+        names.push_back(candidate.name);
+    return names;
+}
+
+std::vector<std::string> Deployment::processNames() const
+{
+    return m_order;
+}
+
+} // namespace hemlockchute::harness
--- /dev/null
+++ b/tests/harness/Relay.cpp
@@ -0,0 +1,139 @@
+#include "Relay.h"
+
+#include <array>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+namespace hemlockchute::harness {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr Duration pollInterval = 50ms;
+
+/** Two sockets, one towards each side. */
+struct Passage {
+    explicit Passage(tcp::socket accepted)
+        : near(std::move(accepted))
+        , far(near.get_executor())
+    {
+    }
+
+    tcp::socket near;
+    tcp::socket far;
+    std::uint64_t generation = 0;
+};
+
+} // namespace
+
+struct Relay::Impl : std::enable_shared_from_this<Relay::Impl> {
+    Impl(asio::io_context& context, Endpoint from, Endpoint to, Duration delay)
+        : acceptor(context, from)
+        , target(std::move(to))
+        , oneWayDelay(delay)
+    {
+    }
+
+    bool isSilent(const Passage& passage) const { return isCut || passage.generation < oldestLive; }
+
+    asio::awaitable<void> pause(Duration duration)
+    {
+        asio::steady_timer timer(acceptor.get_executor(), duration);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    asio::awaitable<void> acceptLoop()
+    {
+        auto self = shared_from_this();
+        while (acceptor.is_open()) {
+            boost::system::error_code error;
+            tcp::socket socket = co_await acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                continue;
+            auto passage = std::make_shared<Passage>(std::move(socket));
+            passage->generation = ++generations;
+            asio::co_spawn(
+                acceptor.get_executor(), [self, passage] { return self->open(passage); }, asio::detached);
+        }
+    }
+
+    asio::awaitable<void> open(std::shared_ptr<Passage> passage)
+    {
+        while (isCut)
+            co_await pause(pollInterval);
+        boost::system::error_code error;
+        co_await passage->far.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+        if (error) {
+            passage->near.close(error);
+            co_return;
+        }
+        passage->near.set_option(tcp::no_delay(true), error);
+        passage->far.set_option(tcp::no_delay(true), error);
+        auto self = shared_from_this();
+        asio::co_spawn(
+            acceptor.get_executor(), [self, passage] { return self->pump(passage, passage->near, passage->far); }, asio::detached);
+        asio::co_spawn(
+            acceptor.get_executor(), [self, passage] { return self->pump(passage, passage->far, passage->near); }, asio::detached);
+    }
+
+    asio::awaitable<void> pump(std::shared_ptr<Passage> passage, tcp::socket& from, tcp::socket& to)
+    {
+        std::array<char, 65536> buffer {};
+        boost::system::error_code error;
+        while (!error) {
+            std::size_t count = co_await from.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
+            if (oneWayDelay > Duration::zero())
+                co_await pause(oneWayDelay);
+            // A silent passage swallows what it is given and never says that either side has closed.
+            while (isSilent(*passage))
+                co_await pause(pollInterval);
+            if (!error)
+                co_await asio::async_write(to, asio::buffer(buffer.data(), count), asio::redirect_error(asio::use_awaitable, error));
+        }
+        boost::system::error_code ignored;
+        passage->near.close(ignored);
+        passage->far.close(ignored);
+    }
+
+    tcp::acceptor acceptor;
+    Endpoint target;
+    Duration oneWayDelay;
+    std::atomic<bool> isCut { false };
+    std::atomic<std::uint64_t> generations { 0 };
+    std::atomic<std::uint64_t> oldestLive { 0 };
+};
+
+Relay::Relay(asio::io_context& context, Endpoint from, Endpoint to, Duration oneWayDelay)
+    : m_impl(std::make_shared<Impl>(context, std::move(from), std::move(to), oneWayDelay))
+{
+    asio::co_spawn(
+        context, [impl = m_impl] { return impl->acceptLoop(); }, asio::detached);
+}
+
+Relay::~Relay() = default;
+
+void Relay::cut()
+{
+    silenceOpenConnections();
+    m_impl->isCut = true;
+}
+
+void Relay::heal()
+{
+    m_impl->isCut = false;
+}
+
+void Relay::silenceOpenConnections()
+{
+    m_impl->oldestLive = m_impl->generations + 1;
+}
+
+} // namespace hemlockchute::harness
