Parse the operators' document by section, with every fault and its line

Cause: every host and keeper needs the document's data, its sections' own text and the difference between two versions.

The text is cut into sections by the headers [team.NAME...], strings of several lines and open arrays taken into account, and each section is read by itself, so that a syntax error in one hides no fault of another. A section's text is normalised at its ends, so that it is the same wherever it stands and the digest of a document depends on its sections alone. Ruled out: one parse of the whole text, which stops at the first syntax error.

--- /dev/null
+++ b/modules/hc_document/document/EntryReader.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "document/SectionSplitter.h"
+
+#include <set>
+#include <toml++/toml.h>
+
+namespace hemlockchute {
+
+/** Whom the faults of a section are reported for, and where they go. */
+struct SectionContext {
+    TeamName team;
+    const SectionText& text;
+    DocumentFaults& faults;
+
+    unsigned lineOf(const toml::node&) const;
+    void addFault(unsigned line, std::string what) const;
+};
+
+/** True when the text may name something in a document. Thread safety: any thread. */
+bool isDocumentName(std::string_view);
+
+//==============================================================================
+/**
+    Reads the keys of one entry of a section; each value that does not fit is a fault.
+
+    Each method leaves its target alone when the key is missing or faulty. Keys that nobody asked
+    for become faults in finish(). Thread safety: one thread at a time.
+*/
+class EntryReader {
+public:
+    EntryReader(const SectionContext&, const toml::table&, std::string kind);
+
+    unsigned line() const { return m_line; }
+
+    /** A required name; an empty one comes with a fault. */
+    std::string name(std::string_view key);
+    void number(std::string_view key, unsigned& target, unsigned least, unsigned most);
+    void duration(std::string_view key, Duration& target);
+    /** A size; when required, a missing one is a fault. */
+    void bytes(std::string_view key, ByteCount& target, bool isRequired);
+    void text(std::string_view key, std::string& target);
+    void flag(std::string_view key, bool& target);
+    /** Adds a fault for each key that nobody asked for. */
+    void finish();
+    void addFault(std::string_view key, const std::string& what);
+
+private:
+    const toml::node* find(std::string_view key);
+    template <typename T>
+    std::optional<T> value(std::string_view key, std::string_view wanted);
+
+    const SectionContext& m_context;
+    const toml::table& m_table;
+    std::string m_kind;
+    unsigned m_line;
+    std::set<std::string, std::less<>> m_asked;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_document/document/SectionSplitter.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "hemlockchute/document/DocumentParser.h"
+
+namespace hemlockchute {
+
+/** One team's part of a document's text. */
+struct SectionText {
+    std::string text;
+    /** The line of the whole document that each line of the text came from. */
+    std::vector<unsigned> lines;
+
+    /** The line of the whole document, for a line of this text counted from 1. */
+    unsigned documentLine(unsigned sectionLine) const;
+};
+
+//==============================================================================
+/**
+    Cuts a document's text into its teams' sections, by the headers [team.NAME…] and [[team.NAME…]].
+
+    A section keeps its own text, comments included; a comment directly above a header goes with
+    that header. Blank lines at the ends of a section do not count, so that a section's text is the
+    same wherever it stands. What belongs to no team is a fault. Thread safety: one thread at a
+    time.
+*/
+class SectionSplitter {
+public:
+    explicit SectionSplitter(std::string_view text);
+
+    const std::map<TeamName, SectionText>& sections() const { return m_sections; }
+    const DocumentFaults& faults() const { return m_faults; }
+
+private:
+    enum class Inside {
+        Nothing,
+        BasicString,
+        LiteralString
+    };
+
+    struct Line {
+        std::string_view text;
+        unsigned number = 0;
+    };
+
+    void takeLine(Line);
+    void takeHeader(Line);
+    void finishPiece();
+    void scan(std::string_view line);
+    std::size_t scanString(std::string_view line, std::size_t at);
+    std::size_t endOfLongString(std::string_view line, std::size_t from);
+
+    std::map<TeamName, SectionText> m_sections;
+    DocumentFaults m_faults;
+    /** The lines since the last header of another team. */
+    std::vector<Line> m_piece;
+    TeamName m_team;
+    bool m_isOutside = true;
+    Inside m_inside = Inside::Nothing;
+    /** Open brackets of an array or inline table. */
+    unsigned m_depth = 0;
+};
+
+} // namespace hemlockchute
