Speak to backend servers: protocol plug-in, host list, placement codec

A caller must receive the whole answer to its own request, so the plug-in checks attempt id, index and end marker of every event; the platform's list and engine states refuse wrong types with the field named.

hc_http: a pooled connection kept the executor of the coroutine that dialled it, so that its timers ran on another strand than its next user. It now moves to the executor of its next user, and is not kept when bytes are left over.

cmake: hc_link_modules links the module's objects, since CMake refuses a library that occurs both with and without WHOLE_ARCHIVE (seen: 'Impossible to link target hc_backend_tests').

--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -38,6 +38,7 @@
 #   Links modules whole, so that the linker drops no plug-in that only registers itself.
 function(hc_link_modules target)
     foreach(module IN LISTS ARGN)
-        target_link_libraries(${target} PRIVATE "$<LINK_LIBRARY:WHOLE_ARCHIVE,hc_${module}>")
+        target_sources(${target} PRIVATE $<TARGET_OBJECTS:hc_${module}>)
+        target_link_libraries(${target} PRIVATE hc_${module})
     endforeach()
 endfunction()
--- /dev/null
+++ b/modules/hc_backend/backend/EngineMessages.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "hemlockchute/backend/BackendProtocol.h"
+
+#include <string>
+#include <string_view>
+
+namespace hemlockchute {
+
+/** Reads an engine's answer to GET /v1/state. Thread safety: any thread. */
+Result<EngineState, BackendErrorCode> parseEngineState(std::string_view json);
+/** The body of POST /v1/orders. Thread safety: any thread. */
+ByteString encodeEngineOrder(const EngineOrder&);
+/** The body of POST /v1/infer. Thread safety: any thread. */
+Result<ByteString, BackendErrorCode> encodeInferBody(InferRequest&);
+
+//==============================================================================
+/**
+    Checks that the events of an answer are one attempt's own, whole and in order.
+
+    Thread safety: one thread at a time.
+*/
+class AnswerChecker {
+public:
+    /** `firstIndex`: how many tokens of the answer are known already. */
+    AnswerChecker(AttemptId, std::uint64_t firstIndex);
+
+    /** The event's token, nothing for the end marker, or an error for an event that does not belong here. */
+    Result<std::optional<TokenEvent>, BackendErrorCode> take(std::string_view data);
+    /** True once the end marker has come. */
+    bool isDone() const { return m_done; }
+
+private:
+    AttemptId m_attempt;
+    std::uint64_t m_nextIndex;
+    bool m_done = false;
+};
+
+} // namespace hemlockchute
--- a/modules/hc_backend/include/hemlockchute/backend/BackendProtocol.h
+++ b/modules/hc_backend/include/hemlockchute/backend/BackendProtocol.h
@@ -70,6 +70,8 @@
     virtual boost::asio::awaitable<Result<std::optional<TokenEvent>, BackendErrorCode>> next(Instant deadline) = 0;
     /** Asks the engine to stop. */
     virtual boost::asio::awaitable<void> cancel() = 0;
+    /** Gives up at once; a next() in progress fails. Thread safety: from the executor that next() runs on. */
+    virtual void close() = 0;
 };
 
 /** One call of a plain service. */
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -24,8 +24,15 @@
     // 1400: peer
 
     // 1500: backend servers
+    { EventId::HostListChanged, Info, "host-list.changed", "The platform's list of backend servers changed." },
+    { EventId::HostListUnavailable, Warning, "host-list.unavailable", "The platform's list could not be read; the last one stays in use." },
 
     // 1600: router
+    { EventId::RouterAttemptFailed, Info, "router.attempt-failed", "A backend server gave no whole answer to one attempt; the reason is given." },
+    { EventId::RouterPlacementLost, Warning, "router.placement-lost", "No controller of the data centre answers; the last placement stays in use." },
+    { EventId::RouterRunUnknown, Warning, "router.run-unknown", "A call that may not be repeated may have run, and its outcome is not known." },
+    { EventId::RouterClaimNotVoided, Warning, "router.claim-not-voided", "A claim of which nothing was sent could not be voided yet; it is tried again." },
+    { EventId::RouterDocumentInForce, Info, "router.document-in-force", "The router works by a newer document." },
 
     // 1700: controller
 
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -30,8 +30,15 @@
     // 1400: peer
 
     // 1500: backend servers
+    HostListChanged = 1500,
+    HostListUnavailable = 1501,
 
     // 1600: router
+    RouterAttemptFailed = 1600,
+    RouterPlacementLost = 1601,
+    RouterRunUnknown = 1602,
+    RouterClaimNotVoided = 1603,
+    RouterDocumentInForce = 1604,
 
     // 1700: controller
 
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -49,6 +49,22 @@
     Instant idleSince;
 };
 
+/** The same connection on another executor: its timers must run where its next user runs. */
+std::unique_ptr<ClientConnection> moveTo(const asio::any_io_executor& executor, std::unique_ptr<ClientConnection> connection)
+{
+    if (connection->stream.get_executor() == executor)
+        return connection;
+    tcp::socket old = connection->stream.release_socket();
+    beast::error_code error;
+    auto protocol = old.local_endpoint(error).protocol();
+    auto handle = old.release(error);
+    if (error)
+        return nullptr;
+    auto moved = std::make_unique<ClientConnection>(executor);
+    moved->stream.socket().assign(protocol, handle, error);
+    return error ? nullptr : std::move(moved);
+}
+
 /** True while the other side has neither closed nor sent anything unasked. */
 bool isQuiet(ClientConnection& connection)
 {
@@ -85,6 +101,8 @@
 
     void giveBack(const tcp::endpoint& endpoint, std::unique_ptr<ClientConnection> connection)
     {
+        if (connection->buffer.size() > 0)
+            return;
         std::lock_guard guard(lock);
         auto& connections = idle[endpoint];
         connection->idleSince = std::chrono::steady_clock::now();
@@ -101,11 +119,15 @@
     /** An idle connection, or a new one dialled before the deadline. */
     asio::awaitable<Result<std::unique_ptr<ClientConnection>, HttpClientErrorCode>> connect(tcp::endpoint endpoint, Instant deadline, ConnectionUse use)
     {
+        auto executor = co_await asio::this_coro::executor;
         if (use == ConnectionUse::Pooled) {
-            if (auto connection = takeIdle(endpoint))
-                co_return connection;
+            auto idleConnection = takeIdle(endpoint);
+            if (idleConnection)
+                idleConnection = moveTo(executor, std::move(idleConnection));
+            if (idleConnection)
+                co_return idleConnection;
         }
-        auto connection = std::make_unique<ClientConnection>(co_await asio::this_coro::executor);
+        auto connection = std::make_unique<ClientConnection>(executor);
         connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
         beast::error_code error;
         co_await connection->stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
