--- a/modules/hc_policy/include/hemlockchute/policy/RequestQueue.h
+++ b/modules/hc_policy/include/hemlockchute/policy/RequestQueue.h
@@ -27,6 +27,8 @@
     Instant deadline;
     /** Expected cost in service time; charged against its model and rank. */
     Duration cost = 1ms;
+    /** Expected time until its model and adapter can serve, as while they load. */
+    Duration readyIn {};
 };
 
 /** Why a request was not served. */
@@ -82,6 +84,8 @@
     virtual std::vector<Refusal> expire(Instant now) = 0;
     /** Takes out one request, as when its caller has left; false when it is not there. */
     virtual bool remove(QueueTicket) = 0;
+    /** Tells how many requests the backend servers can run at once; 0 when unknown, which stops the estimate of waits. */
+    virtual void setParallelism(unsigned) = 0;
 
     //==============================================================================
     virtual std::size_t size() const = 0;
--- /dev/null
+++ b/modules/hc_policy/policy/LruPlanner.cpp
@@ -0,0 +1,74 @@
+#include "policy/LruPlanner.h"
+
+#include "policy/PlanBuilder.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+namespace {
+
+using Place = PlanBuilder::Place;
+using Victim = PlanBuilder::Victim;
+
+Duration sinceLastUse(const Victim& victim)
+{
+    return victim.demand ? victim.demand->sinceLastUse : Duration::max();
+}
+
+/** Unloads what was used least lately until the model will fit; false when it never will. */
+bool makeRoom(PlanBuilder& builder, const ModelSpec& spec, const Place& place)
+{
+    std::vector<Victim> victims = builder.victims(place.engine);
+    std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) { return sinceLastUse(a) > sinceLastUse(b); });
+    ByteCount room = place.freeSoon;
+    std::size_t count = 0;
+    while (room < spec.memory && count < victims.size())
+        room += victims[count++].memory;
+    if (room < spec.memory)
+        return false;
+    for (std::size_t index = 0; index < count; ++index)
+        builder.unload(victims[index].model, place.engine);
+    return true;
+}
+
+void loadSomewhere(PlanBuilder& builder, const ModelSpec& spec)
+{
+    std::vector<Place> places = builder.places(spec);
+    std::sort(places.begin(), places.end(), [](const Place& a, const Place& b) { return a.freeSoon > b.freeSoon; });
+    for (const Place& place : places) {
+        if (builder.load(spec, place))
+            return;
+        if (makeRoom(builder, spec, place)) {
+            builder.holdMemory(place, spec.memory);
+            return;
+        }
+    }
+}
+
+} // namespace
+
+std::vector<PlanStep> LruPlanner::plan(const PlannerInput& input) const
+{
+    PlanBuilder builder(input);
+    builder.shrinkToPermits();
+    std::vector<const PlannedDemand*> waiting;
+    for (const PlannedDemand& demand : input.demand) {
+        if (demand.waiting > 0)
+            waiting.push_back(&demand);
+    }
+    std::stable_sort(waiting.begin(), waiting.end(),
+        [](const PlannedDemand* a, const PlannedDemand* b) { return a->oldestWait > b->oldestWait; });
+    for (const PlannedDemand* demand : waiting) {
+        builder.loadAdapters(*demand);
+        const ModelSpec* spec = builder.spec(demand->model);
+        if (!spec || builder.serving(spec->name) > 0 || builder.isLoading(spec->name))
+            continue;
+        if (builder.replicas(spec->name) >= builder.permits(spec->name))
+            builder.requestPermit(*spec);
+        else
+            loadSomewhere(builder, *spec);
+    }
+    return builder.takeSteps();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_policy/policy/RankFairOrder.cpp
@@ -0,0 +1,132 @@
+#include "policy/RankFairOrder.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+namespace {
+
+constexpr int wholePerMille = 1000;
+/** One part in so many of a rank's room is kept for models with few requests waiting. */
+constexpr std::size_t keptRoomDivisor = 4;
+
+/** Service time spent inside the rank before the model's next request, when models take turns. */
+Duration turnsAhead(const WaitingRequests::Rank& rank, const QueuedRequest& request)
+{
+    auto own = rank.flows.find(request.model);
+    Duration ownCost = own == rank.flows.end() ? Duration::zero() : own->second.cost;
+    Duration ahead = ownCost;
+    for (const auto& [model, flow] : rank.flows) {
+        if (model != request.model)
+            ahead += std::min(flow.cost, ownCost + request.cost);
+    }
+    return ahead;
+}
+
+} // namespace
+
+void RankFairOrder::noteRanks(const WaitingRequests& waiting)
+{
+    m_floors.setRanks(waiting);
+    std::erase_if(m_flows, [&](const auto& entry) { return !waiting.rank(entry.first); });
+}
+
+void RankFairOrder::noteAdded(const QueuedRequest& request, const WaitingRequests& waiting)
+{
+    const WaitingRequests::Flow& flow = waiting.rank(request.rank)->flows.at(request.model);
+    m_flows[request.rank].setWaiting(request.model, waiting.headDeadline(flow));
+}
+
+void RankFairOrder::noteRemoved(const QueuedRequest& request, const WaitingRequests& waiting)
+{
+    const WaitingRequests::Rank* rank = waiting.rank(request.rank);
+    auto flow = rank->flows.find(request.model);
+    FairFlows& flows = m_flows[request.rank];
+    if (flow == rank->flows.end())
+        flows.setIdle(request.model);
+    else
+        flows.setWaiting(request.model, waiting.headDeadline(flow->second));
+    if (rank->waiting == 0)
+        m_floors.noteEmpty(request.rank);
+}
+
+void RankFairOrder::noteServed(const QueuedRequest& request, const WaitingRequests& waiting)
+{
+    m_flows[request.rank].noteServed(request.model, request.cost);
+    m_floors.book(request.rank, request.cost, request.cost, waiting);
+}
+
+void RankFairOrder::noteCostChange(const QueuedRequest& request, Duration difference, const WaitingRequests& waiting)
+{
+    m_flows[request.rank].adjust(request.model, difference);
+    m_floors.book(request.rank, difference, request.cost + std::max(difference, Duration::zero()), waiting);
+}
+
+//==============================================================================
+std::optional<QueueTicket> RankFairOrder::choose(const WaitingRequests& waiting, const CanServe& canServe) const
+{
+    for (const RankName& name : m_floors.owed()) {
+        if (auto ticket = chooseInRank(waiting, *waiting.rank(name), canServe))
+            return ticket;
+    }
+    for (const auto& [order, rank] : waiting.ranks()) {
+        if (auto ticket = chooseInRank(waiting, rank, canServe))
+            return ticket;
+    }
+    return std::nullopt;
+}
+
+std::optional<QueueTicket> RankFairOrder::chooseInRank(const WaitingRequests& waiting, const WaitingRequests::Rank& rank, const CanServe& canServe) const
+{
+    auto flows = m_flows.find(rank.spec.name);
+    if (flows == m_flows.end() || rank.waiting == 0)
+        return std::nullopt;
+    std::optional<QueueTicket> chosen;
+    flows->second.visit([&](const ModelName& model) {
+        if (auto candidate = waiting.firstServable(rank.flows.at(model), canServe); candidate.request)
+            chosen = candidate.request->ticket;
+        return chosen.has_value();
+    });
+    return chosen;
+}
+
+Duration RankFairOrder::costAhead(const QueuedRequest& request, const WaitingRequests& waiting) const
+{
+    const WaitingRequests::Rank* own = waiting.rank(request.rank);
+    if (!own)
+        return Duration::zero();
+    Duration inRank = turnsAhead(*own, request);
+    Duration moreUrgent {};
+    Duration lessUrgent {};
+    unsigned floorsBelow = 0;
+    for (const auto& [order, rank] : waiting.ranks()) {
+        if (order < own->spec.order)
+            moreUrgent += rank.cost;
+        if (order > own->spec.order && rank.waiting > 0) {
+            lessUrgent += rank.cost;
+            floorsBelow += rank.spec.floorPerMille;
+        }
+    }
+    // What less urgent ranks take under their floors while this request waits.
+    Duration ahead = moreUrgent + inRank;
+    if (floorsBelow < wholePerMille)
+        ahead += std::min(lessUrgent, ahead * floorsBelow / (wholePerMille - floorsBelow));
+    if (own->spec.floorPerMille == 0)
+        return ahead;
+    return std::min(ahead, inRank * wholePerMille / own->spec.floorPerMille);
+}
+
+bool RankFairOrder::hasRoom(const QueuedRequest& request, const WaitingRequests& waiting, std::size_t maximumWaiting) const
+{
+    const WaitingRequests::Rank& rank = *waiting.rank(request.rank);
+    std::size_t room = std::max<std::size_t>(1, maximumWaiting / waiting.ranks().size());
+    std::size_t kept = room / keptRoomDivisor;
+    if (rank.waiting < room - kept)
+        return true;
+    if (rank.waiting >= room)
+        return false;
+    auto flow = rank.flows.find(request.model);
+    std::size_t flowWaiting = flow == rank.flows.end() ? 0 : flow->second.waiting;
+    return flowWaiting * rank.flows.size() < kept;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_policy/policy/RankFairOrder.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "policy/FairFlows.h"
+#include "policy/FloorLedger.h"
+#include "policy/QueueOrder.h"
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    The most urgent rank first, with a floor for each other rank; fair among models inside a rank.
+
+    A rank that is owed service under its floor goes before more urgent ones. Inside a rank models
+    take turns by start-time fair queueing, cold ones too.
+
+    @see FloorLedger, FairFlows
+*/
+class RankFairOrder : public QueueOrder {
+public:
+    void noteRanks(const WaitingRequests&) override;
+    void noteAdded(const QueuedRequest&, const WaitingRequests&) override;
+    void noteRemoved(const QueuedRequest&, const WaitingRequests&) override;
+    void noteServed(const QueuedRequest&, const WaitingRequests&) override;
+    void noteCostChange(const QueuedRequest&, Duration, const WaitingRequests&) override;
+
+    //==============================================================================
+    std::optional<QueueTicket> choose(const WaitingRequests&, const CanServe&) const override;
+    Duration costAhead(const QueuedRequest&, const WaitingRequests&) const override;
+    bool hasRoom(const QueuedRequest&, const WaitingRequests&, std::size_t maximumWaiting) const override;
+
+private:
+    std::optional<QueueTicket> chooseInRank(const WaitingRequests&, const WaitingRequests::Rank&, const CanServe&) const;
+
+    FloorLedger m_floors;
+    std::map<RankName, FairFlows> m_flows;
+};
+
+} // namespace hemlockchute
