--- a/scripts/check-proofs.sh
+++ b/scripts/check-proofs.sh
@@ -3,6 +3,8 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 status=0
+# The backquotes below are Markdown's.
+# shellcheck disable=SC2016
 while IFS= read -r name; do
     case "$name" in
     *.scenario) [ -f "tests/scenarios/$name" ] || { echo "no scenario $name"; status=1; } ;;
