Agree on documents, terms, permits and run records in one state machine

Cause: what must hold across hosts and data centres rests on commands applied in one order.

Ruled out: taking lease safety from the keepers' wall clocks. apply() now takes any index above the last, since the log also holds entries that are no command.

Applies to hc_state.

--- a/modules/hc_state/include/hemlockchute/state/Commands.h
+++ b/modules/hc_state/include/hemlockchute/state/Commands.h
@@ -54,7 +54,7 @@
     friend bool operator==(const RenewTerm&, const RenewTerm&) = default;
 };
 
-/** Gives a term up, as at a graceful shutdown. */
+/** Gives a term up, as at a graceful shutdown. Precondition: TermAnswer::wait of its grant has passed. */
 struct ReleaseTerm {
     DataCentreName dataCentre;
     HostName host;
@@ -69,6 +69,8 @@
     FencingNumber fencing;
     ModelName model;
     unsigned wanted = 0;
+    /** As for ReturnPermits. */
+    std::uint64_t sequence = 0;
 
     friend bool operator==(const RequestPermits&, const RequestPermits&) = default;
 };
@@ -79,6 +81,12 @@
     FencingNumber fencing;
     ModelName model;
     unsigned held = 0;
+    /**
+        Rises with each command of one term about one model, so that a command which was delayed
+        or delivered twice changes nothing after a later one. Zero only where no earlier command
+        can still be under way.
+    */
+    std::uint64_t sequence = 0;
 
     friend bool operator==(const ReturnPermits&, const ReturnPermits&) = default;
 };
@@ -92,6 +100,8 @@
     Digest request;
     /** How long the record is kept after its last change. */
     Duration retention = 24h;
+    /** A claim without an outcome for so long reads as OutcomeUnknown, as when its router died. */
+    Duration longestRun = 10min;
 
     friend bool operator==(const ClaimRun&, const ClaimRun&) = default;
 };
@@ -165,6 +175,8 @@
     HostName holder;
     /** When granted, how long from the moment the request was sent; otherwise what is left of the holder's lease. */
     Duration lease {};
+    /** When granted after another holder's term, how long from receipt to wait before the first order. */
+    Duration wait {};
 
     friend bool operator==(const TermAnswer&, const TermAnswer&) = default;
 };
--- a/modules/hc_state/include/hemlockchute/state/StateMachine.h
+++ b/modules/hc_state/include/hemlockchute/state/StateMachine.h
@@ -40,7 +40,7 @@
     StateMachine& operator=(StateMachine&&) noexcept;
 
     //==============================================================================
-    /** Applies the command at the given place in the log. Precondition: the index is one above lastApplied(). */
+    /** Applies the command at the given place in the log. Precondition: the index is above lastApplied(). */
     Answer apply(LogIndex, const Command&);
     /** The place of the last command applied. */
     LogIndex lastApplied() const;
--- /dev/null
+++ b/modules/hc_state/state/PermitTable.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "hemlockchute/state/Commands.h"
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    How many replicas of each model each data centre may have loaded.
+
+    The sum over the data centres is never raised above the model's cap, and permits do not
+    expire. A lowered cap takes nothing away: it says which holders are to give back. Thread
+    safety: one thread at a time.
+
+    @see StateMachine
+*/
+class PermitTable {
+public:
+    /** What one data centre holds of one model. */
+    struct Holding {
+        unsigned held = 0;
+        /** The term and sequence of the last command applied. */
+        FencingNumber fencing;
+        std::uint64_t sequence = 0;
+    };
+
+    using Holdings = std::map<DataCentreName, Holding>;
+
+    /** Raises a holding as far as the cap allows. Precondition: the term is current. */
+    PermitAnswer request(const RequestPermits&, unsigned cap);
+    /** Lowers a holding. Precondition: the term is current. */
+    PermitAnswer giveBack(const ReturnPermits&, unsigned cap);
+    /** What a data centre holds, in answer to a command whose term is not current. */
+    PermitAnswer refuse(const DataCentreName&, const ModelName&, unsigned cap) const;
+
+    const std::map<ModelName, Holdings>& holdings() const { return m_holdings; }
+    /** Takes the place of all that is held. */
+    void restore(std::map<ModelName, Holdings> holdings) { m_holdings = std::move(holdings); }
+
+private:
+    PermitAnswer answer(bool accepted, const DataCentreName&, const ModelName&, unsigned cap) const;
+
+    std::map<ModelName, Holdings> m_holdings;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_state/state/TermTable.cpp
@@ -0,0 +1,112 @@
+#include "state/TermTable.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+namespace {
+
+WallTime later(WallTime now, Duration duration)
+{
+    return now + std::chrono::ceil<std::chrono::milliseconds>(duration);
+}
+
+Duration leaseLeft(const TermTable::Term& term, WallTime now)
+{
+    bool isRunning = !term.holder.isEmpty() && now < term.leaseEnd;
+    return isRunning ? Duration(term.leaseEnd - now) : Duration::zero();
+}
+
+std::set<HostName> asSet(const std::vector<HostName>& hosts)
+{
+    return { hosts.begin(), hosts.end() };
+}
+
+} // namespace
+
+TermTable::TermTable(Duration lease)
+    : m_lease(lease)
+{
+}
+
+TermAnswer TermTable::acquire(const AcquireTerm& command, WallTime now)
+{
+    Term& term = m_terms[command.dataCentre];
+    Duration left = leaseLeft(term, now);
+    bool isSameAttempt = term.holder == command.host && term.attempt == command.attempt && !term.holder.isEmpty();
+    if (isSameAttempt) {
+        // The same command again: the lease already granted, as far as it still runs.
+        if (left == Duration::zero())
+            return refusal(term, now);
+        return { true, term.fencing, term.holder, left, m_lease };
+    }
+    if (left > Duration::zero() || !maySeek(term, command))
+        return refusal(term, now);
+    return grant(term, command, now);
+}
+
+bool TermTable::maySeek(const Term& term, const AcquireTerm& command) const
+{
+    if (!term.seekers.empty())
+        return term.seekers.contains(command.host);
+    return std::find(command.seekers.begin(), command.seekers.end(), command.host) != command.seekers.end();
+}
+
+TermAnswer TermTable::grant(Term& term, const AcquireTerm& command, WallTime now)
+{
+    bool hadHolder = !term.holder.isEmpty();
+    std::set<HostName> seekers = asSet(command.seekers);
+    // A host that the holder so far does not know joins only by a renewal of the new holder.
+    if (!term.seekers.empty())
+        std::erase_if(seekers, [&](const HostName& host) { return !term.seekers.contains(host); });
+    seekers.insert(command.host);
+    term.fencing = term.fencing.next();
+    term.holder = command.host;
+    term.attempt = command.attempt;
+    term.leaseEnd = later(now, m_lease);
+    term.seekers = std::move(seekers);
+    return { true, term.fencing, term.holder, m_lease, hadHolder ? m_lease : Duration::zero() };
+}
+
+TermAnswer TermTable::renew(const RenewTerm& command, WallTime now)
+{
+    Term& term = m_terms[command.dataCentre];
+    bool isHolder = !term.holder.isEmpty() && term.holder == command.host && term.fencing == command.fencing;
+    if (!isHolder)
+        return refusal(term, now);
+    term.leaseEnd = std::max(term.leaseEnd, later(now, m_lease));
+    term.seekers = asSet(command.seekers);
+    term.seekers.insert(command.host);
+    return { true, term.fencing, term.holder, m_lease, {} };
+}
+
+TermAnswer TermTable::release(const ReleaseTerm& command, WallTime now)
+{
+    Term& term = m_terms[command.dataCentre];
+    bool isHolder = !term.holder.isEmpty() && term.holder == command.host && term.fencing == command.fencing;
+    if (isHolder) {
+        FencingNumber fencing = term.fencing;
+        term = Term();
+        term.fencing = fencing;
+    }
+    return refusal(term, now);
+}
+
+TermAnswer TermTable::refusal(const Term& term, WallTime now) const
+{
+    return { false, term.fencing, term.holder, leaseLeft(term, now), {} };
+}
+
+const TermTable::Term& TermTable::term(const DataCentreName& dataCentre) const
+{
+    static const Term none;
+    auto found = m_terms.find(dataCentre);
+    return found == m_terms.end() ? none : found->second;
+}
+
+bool TermTable::isCurrent(const DataCentreName& dataCentre, FencingNumber fencing) const
+{
+    const Term& last = term(dataCentre);
+    return !last.holder.isEmpty() && last.fencing == fencing;
+}
+
+} // namespace hemlockchute
