Call peers over Cap'n Proto RPC, and build the keepers' client and the document's follower on it

Ruled out: leaving dropped connections in the client's table until the next call: their sockets stayed open (the mutation test hung on it). KeeperClient and DocumentFollower are compiled but not yet run: their tests wait for hc_state's and hc_document's codecs.

--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -22,6 +22,11 @@
     // 1300: state and document
 
     // 1400: peer
+    { EventId::PeerStrangerDropped, Warning, "peer.stranger_dropped", "A connection that did not prove the cluster's key was dropped." },
+    { EventId::PeerSilentDropped, Warning, "peer.silent_dropped", "A connection whose heartbeats were missed was dropped; the next call dials anew." },
+    { EventId::PeerFault, Debug, "peer.fault", "The RPC library met a fault on a connection." },
+    { EventId::DocumentInForce, Info, "document.in_force", "A newer document came into force in this process." },
+    { EventId::DocumentUnreadable, Error, "document.unreadable", "A document or delta that was handed on could not be taken in; the whole document is asked for." },
 
     // 1500: backend servers
 
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -28,6 +28,11 @@
     // 1300: state and document
 
     // 1400: peer
+    PeerStrangerDropped = 1400,
+    PeerSilentDropped = 1401,
+    PeerFault = 1402,
+    DocumentInForce = 1403,
+    DocumentUnreadable = 1404,
 
     // 1500: backend servers
 
--- /dev/null
+++ b/modules/hc_peer/peer/DocumentFollower.cpp
@@ -0,0 +1,155 @@
+#include "hemlockchute/peer/DocumentFollower.h"
+
+#include "hemlockchute/core/EventLog.h"
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <cassert>
+#include <mutex>
+
+namespace hemlockchute {
+namespace {
+
+/** Longer than a source holds a call. */
+constexpr Duration followTimeout = 2500ms;
+/** Pause after every source failed. */
+constexpr Duration pauseAfterFailure = 200ms;
+/** So often another source than the usual one is asked, in case the usual one is itself cut off. */
+constexpr unsigned roundsBetweenChecks = 5;
+
+} // namespace
+
+//==============================================================================
+struct DocumentFollower::Impl : std::enable_shared_from_this<DocumentFollower::Impl> {
+    Impl(boost::asio::io_context& context, PeerClient& peerClient, DocumentSource& documentSource, HostName host, std::vector<Endpoint> endpoints)
+        : timer(context)
+        , client(peerClient)
+        , target(documentSource)
+        , self(std::move(host))
+        , sources(std::move(endpoints))
+    {
+    }
+
+    void ask()
+    {
+        std::lock_guard guard(lock);
+        if (isStopped)
+            return;
+        ++round;
+        bool isCheck = round % roundsBetweenChecks == 0;
+        std::size_t index = isCheck ? (round / roundsBetweenChecks) % sources.size() : usual;
+        client.call(sources[index], PeerMethod::FollowDocument, request(), followTimeout, [impl = shared_from_this(), index, isCheck](const Result<ByteString, PeerErrorCode>& bytes) {
+            impl->take(bytes, index, isCheck);
+        });
+    }
+
+    ByteString request() const
+    {
+        FollowRequest request;
+        DocumentPointer current = target.current();
+        if (!wantsWhole) {
+            request.version = current->version;
+            request.digest = current->digest;
+        }
+        request.inForce = target.inForce();
+        auto [own, isNew] = request.inForce.emplace(self, current->version);
+        own->second = std::min(own->second, current->version);
+        return encodeFollowRequest(request);
+    }
+
+    void take(const Result<ByteString, PeerErrorCode>& bytes, std::size_t index, bool isCheck)
+    {
+        bool isAnswered = bytes && takeReply(*bytes);
+        {
+            std::lock_guard guard(lock);
+            if (isAnswered && (index < usual || !isCheck)) {
+                usual = index;
+                failures = 0;
+            } else if (!isAnswered && !isCheck) {
+                usual = (usual + 1) % sources.size();
+                ++failures;
+            }
+        }
+        bool mustPause = !isAnswered && failures > 0 && failures % sources.size() == 0;
+        if (mustPause)
+            askLater();
+        else
+            ask();
+    }
+
+    void askLater()
+    {
+        std::lock_guard guard(lock);
+        if (isStopped)
+            return;
+        timer.expires_after(pauseAfterFailure);
+        timer.async_wait([impl = shared_from_this()](const boost::system::error_code& error) {
+            if (!error)
+                impl->ask();
+        });
+    }
+
+    /** Returns false when the reply could not be made use of. */
+    bool takeReply(const ByteString& bytes)
+    {
+        auto reply = decodeFollowReply(bytes);
+        if (!reply)
+            return false;
+        if (!reply->delta && !reply->text)
+            return true;
+        auto document = makeDocument(*reply);
+        wantsWhole = !document;
+        if (!document) {
+            std::string what = document.error().empty() ? "no fault named" : document.error().front().text();
+            logEvent(EventId::DocumentUnreadable, { { "version", reply->version }, { "what", what } });
+            return false;
+        }
+        target.offer(std::make_shared<const Document>(std::move(*document)));
+        return true;
+    }
+
+    tl::expected<Document, DocumentFaults> makeDocument(const FollowReply& reply) const
+    {
+        if (reply.delta)
+            return applyDelta(*target.current(), *reply.delta);
+        return parseDocument(*reply.text, reply.version);
+    }
+
+    std::mutex lock;
+    boost::asio::steady_timer timer;
+    PeerClient& client;
+    DocumentSource& target;
+    const HostName self;
+    const std::vector<Endpoint> sources;
+    std::size_t usual = 0;
+    std::uint64_t round = 0;
+    std::size_t failures = 0;
+    std::atomic<bool> wantsWhole { false };
+    bool isStopped = false;
+};
+
+//==============================================================================
+DocumentFollower::DocumentFollower(boost::asio::io_context& context, PeerClient& client, DocumentSource& target, HostName self, std::vector<Endpoint> sources)
+    : m_impl(std::make_shared<Impl>(context, client, target, std::move(self), std::move(sources)))
+{
+    assert(!m_impl->sources.empty());
+}
+
+DocumentFollower::~DocumentFollower()
+{
+    stop();
+}
+
+void DocumentFollower::start()
+{
+    m_impl->ask();
+}
+
+void DocumentFollower::stop()
+{
+    std::lock_guard guard(m_impl->lock);
+    m_impl->isStopped = true;
+    m_impl->timer.cancel();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_peer/peer/DocumentSource.cpp
@@ -0,0 +1,190 @@
+#include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/peer/DocumentFollower.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+#include <mutex>
+
+namespace hemlockchute {
+namespace {
+
+/** How long a follower that is up to date is held. */
+constexpr Duration holdTime = 1s;
+/** How long a follower's word about the versions in force counts. */
+constexpr Duration inForceLifetime = 10s;
+/** Documents kept so that a follower a little behind gets a delta. */
+constexpr std::size_t keptDocuments = 8;
+
+/** The versions in force that one process told of. */
+struct FollowerWord {
+    std::map<HostName, DocumentVersion> versions;
+    Instant heardAt;
+};
+
+} // namespace
+
+//==============================================================================
+struct DocumentSource::Impl : std::enable_shared_from_this<DocumentSource::Impl> {
+    struct Waiter {
+        FollowRequest request;
+        PeerReply reply;
+        std::unique_ptr<boost::asio::steady_timer> timer;
+    };
+
+    explicit Impl(boost::asio::io_context& ioContext)
+        : context(ioContext)
+    {
+        documents.push_back(std::make_shared<Document>());
+    }
+
+    /** What a follower is to be told. Precondition: the lock is held. */
+    ByteString answerFor(const FollowRequest& request) const
+    {
+        const DocumentPointer& newest = documents.back();
+        FollowReply reply;
+        reply.version = newest->version;
+        if (isBehind(request)) {
+            if (DocumentPointer base = find(request.version, request.digest))
+                reply.delta = sectionDelta(*base, *newest);
+            else
+                reply.text = documentText(newest->sections);
+        }
+        return encodeFollowReply(reply);
+    }
+
+    bool isBehind(const FollowRequest& request) const
+    {
+        const DocumentPointer& newest = documents.back();
+        return request.version < newest->version || (request.version == newest->version && request.digest != newest->digest);
+    }
+
+    /** A kept document that is not the newest one. */
+    DocumentPointer find(DocumentVersion version, Digest digest) const
+    {
+        for (const DocumentPointer& document : documents) {
+            if (document->version == version && document->digest == digest && document != documents.back() && !version.isNone())
+                return document;
+        }
+        return nullptr;
+    }
+
+    void hold(PeerCall& call, FollowRequest request)
+    {
+        std::uint64_t id = ++lastWaiter;
+        auto timer = std::make_unique<boost::asio::steady_timer>(context, holdTime);
+        timer->async_wait([weak = weak_from_this(), id](const boost::system::error_code&) {
+            if (auto self = weak.lock())
+                self->release(id);
+        });
+        waiters.emplace(id, Waiter { std::move(request), std::move(call.reply), std::move(timer) });
+    }
+
+    void release(std::uint64_t id)
+    {
+        PeerReply reply;
+        ByteString answer;
+        {
+            std::lock_guard guard(lock);
+            auto found = waiters.find(id);
+            if (found == waiters.end())
+                return;
+            answer = answerFor(found->second.request);
+            reply = std::move(found->second.reply);
+            waiters.erase(found);
+        }
+        reply(std::move(answer));
+    }
+
+    boost::asio::io_context& context;
+    mutable std::mutex lock;
+    /** Oldest first; the last is the newest. */
+    std::deque<DocumentPointer> documents;
+    std::vector<std::function<void(DocumentPointer)>> listeners;
+    std::uint64_t lastWaiter = 0;
+    std::map<std::uint64_t, Waiter> waiters;
+    std::map<std::pair<HostName, std::string>, FollowerWord> heard;
+};
+
+//==============================================================================
+DocumentSource::DocumentSource(boost::asio::io_context& context)
+    : m_impl(std::make_shared<Impl>(context))
+{
+}
+
+DocumentSource::~DocumentSource() = default;
+
+bool DocumentSource::offer(DocumentPointer document)
+{
+    std::map<std::uint64_t, Impl::Waiter> waiters;
+    std::vector<std::function<void(DocumentPointer)>> listeners;
+    {
+        std::lock_guard guard(m_impl->lock);
+        if (document->version <= m_impl->documents.back()->version)
+            return false;
+        m_impl->documents.push_back(document);
+        if (m_impl->documents.size() > keptDocuments)
+            m_impl->documents.pop_front();
+        waiters.swap(m_impl->waiters);
+        listeners = m_impl->listeners;
+    }
+    logEvent(EventId::DocumentInForce, { { "version", document->version } });
+    for (auto& [id, waiter] : waiters) {
+        std::unique_lock guard(m_impl->lock);
+        ByteString answer = m_impl->answerFor(waiter.request);
+        guard.unlock();
+        waiter.reply(std::move(answer));
+    }
+    for (auto& listener : listeners)
+        boost::asio::post(m_impl->context, [listener, document] { listener(document); });
+    return true;
+}
+
+DocumentPointer DocumentSource::current() const
+{
+    std::lock_guard guard(m_impl->lock);
+    return m_impl->documents.back();
+}
+
+void DocumentSource::onChange(std::function<void(DocumentPointer)> listener)
+{
+    std::lock_guard guard(m_impl->lock);
+    m_impl->listeners.push_back(std::move(listener));
+}
+
+void DocumentSource::serve(PeerCall call)
+{
+    auto request = decodeFollowRequest(call.payload);
+    if (!request) {
+        call.reply(tl::unexpected(request.error()));
+        return;
+    }
+    ByteString answer;
+    {
+        std::lock_guard guard(m_impl->lock);
+        m_impl->heard[{ call.caller, call.callerRole }] = { request->inForce, std::chrono::steady_clock::now() };
+        if (!m_impl->isBehind(*request)) {
+            m_impl->hold(call, std::move(*request));
+            return;
+        }
+        answer = m_impl->answerFor(*request);
+    }
+    call.reply(std::move(answer));
+}
+
+std::map<HostName, DocumentVersion> DocumentSource::inForce() const
+{
+    std::lock_guard guard(m_impl->lock);
+    Instant now = std::chrono::steady_clock::now();
+    std::erase_if(m_impl->heard, [&](const auto& entry) { return now - entry.second.heardAt > inForceLifetime; });
+    std::map<HostName, DocumentVersion> versions;
+    for (const auto& [teller, word] : m_impl->heard) {
+        for (const auto& [host, version] : word.versions) {
+            auto [known, isNew] = versions.emplace(host, version);
+            known->second = isNew ? version : std::min(known->second, version);
+        }
+    }
+    return versions;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_peer/peer/KeeperClient.cpp
@@ -0,0 +1,190 @@
+#include "hemlockchute/peer/KeeperClient.h"
+
+#include "hemlockchute/state/CommandCodec.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <mutex>
+
+namespace hemlockchute {
+
+namespace asio = boost::asio;
+
+namespace {
+
+/** Longest wait for one keeper, so that a silent one leaves time for the others. */
+constexpr Duration longestAttempt = 1500ms;
+/** Pause after every keeper was asked in vain, as during an election. */
+constexpr Duration pauseBetweenRounds = 50ms;
+/** Below this, another attempt is not worth beginning. */
+constexpr Duration shortestAttempt = 5ms;
+
+/** What one attempt at one keeper came to. */
+enum class AttemptOutcome {
+    Answered,
+    NotTaken,
+    Unknown
+};
+
+bool isCertainlyNotTaken(PeerErrorCode code)
+{
+    return code == PeerErrorCode::Unreachable || code == PeerErrorCode::NotAuthentic || code == PeerErrorCode::Rejected;
+}
+
+} // namespace
+
+//==============================================================================
+struct KeeperClient::Impl {
+    Impl(PeerClient& peerClient, std::vector<KeeperAddress> addresses)
+        : client(peerClient)
+        , keepers(std::move(addresses))
+    {
+    }
+
+    std::size_t preferred() const
+    {
+        std::lock_guard guard(lock);
+        return preferredIndex;
+    }
+
+    /** Chooses whom to ask next: the leader when it is known, otherwise the next keeper in turn. */
+    void noteRedirect(std::size_t asked, KeeperId leader)
+    {
+        std::lock_guard guard(lock);
+        auto found = std::find_if(keepers.begin(), keepers.end(), [&](const KeeperAddress& keeper) { return keeper.id == leader; });
+        bool isElsewhere = found != keepers.end() && static_cast<std::size_t>(found - keepers.begin()) != asked;
+        preferredIndex = isElsewhere ? static_cast<std::size_t>(found - keepers.begin()) : (asked + 1) % keepers.size();
+    }
+
+    PeerClient& client;
+    const std::vector<KeeperAddress> keepers;
+    mutable std::mutex lock;
+    std::size_t preferredIndex = 0;
+};
+
+namespace {
+
+/** One call put to the keepers in turn until one answers. */
+template <typename Impl>
+class KeeperRound {
+public:
+    KeeperRound(std::shared_ptr<Impl> impl, PeerMethod method, ByteString payload, Duration timeout)
+        : m_impl(std::move(impl))
+        , m_method(method)
+        , m_payload(std::move(payload))
+        , m_deadline(std::chrono::steady_clock::now() + timeout)
+    {
+    }
+
+    asio::awaitable<Result<ByteString, KeeperClientErrorCode>> run()
+    {
+        for (std::size_t attempt = 0; remaining() > shortestAttempt; ++attempt) {
+            if (attempt > 0 && attempt % m_impl->keepers.size() == 0)
+                co_await pause();
+            AttemptOutcome outcome = co_await askOne(m_impl->preferred());
+            if (outcome == AttemptOutcome::Answered)
+                co_return std::move(m_answer);
+            m_mayBeTaken = m_mayBeTaken || outcome == AttemptOutcome::Unknown;
+        }
+        if (m_mayBeTaken)
+            co_return failure(KeeperClientErrorCode::Unknown, "a keeper may have taken the command in: " + m_lastDetail);
+        co_return failure(KeeperClientErrorCode::NotTaken, "no keeper took the command in: " + m_lastDetail);
+    }
+
+private:
+    Duration remaining() const { return m_deadline - std::chrono::steady_clock::now(); }
+
+    asio::awaitable<void> pause()
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        timer.expires_after(std::min(pauseBetweenRounds, remaining()));
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    asio::awaitable<AttemptOutcome> askOne(std::size_t index)
+    {
+        Duration timeout = std::clamp(remaining(), shortestAttempt, longestAttempt);
+        auto bytes = co_await m_impl->client.call(m_impl->keepers[index].peer, m_method, m_payload, timeout);
+        if (!bytes) {
+            m_lastDetail = bytes.error().detail;
+            m_impl->noteRedirect(index, KeeperId());
+            co_return isCertainlyNotTaken(bytes.error().code) ? AttemptOutcome::NotTaken : AttemptOutcome::Unknown;
+        }
+        auto reply = decodeKeeperReply(*bytes);
+        co_return takeReply(index, reply);
+    }
+
+    AttemptOutcome takeReply(std::size_t index, const Result<KeeperReply, PeerErrorCode>& reply)
+    {
+        if (!reply) {
+            m_lastDetail = reply.error().detail;
+            m_impl->noteRedirect(index, KeeperId());
+            return AttemptOutcome::Unknown;
+        }
+        if (reply->kind == KeeperReply::Kind::Answered) {
+            m_answer = reply->answer;
+            return AttemptOutcome::Answered;
+        }
+        m_lastDetail = "the keeper asked does not lead";
+        m_impl->noteRedirect(index, reply->leader);
+        return reply->kind == KeeperReply::Kind::NotLeader ? AttemptOutcome::NotTaken : AttemptOutcome::Unknown;
+    }
+
+    std::shared_ptr<Impl> m_impl;
+    PeerMethod m_method;
+    ByteString m_payload;
+    Instant m_deadline;
+    ByteString m_answer;
+    std::string m_lastDetail = "no time was left to ask";
+    bool m_mayBeTaken = false;
+};
+
+/** An answer that cannot be read came from a keeper that took the command in. */
+Result<Answer, KeeperClientErrorCode> readAnswer(const ByteString& bytes)
+{
+    auto answer = decodeAnswer(bytes);
+    if (!answer)
+        return failureBecause(KeeperClientErrorCode::Unknown, answer.error());
+    return *answer;
+}
+
+} // namespace
+
+//==============================================================================
+KeeperClient::KeeperClient(PeerClient& client, std::vector<KeeperAddress> keepers)
+    : m_impl(std::make_shared<Impl>(client, std::move(keepers)))
+{
+}
+
+KeeperClient::~KeeperClient() = default;
+
+asio::awaitable<Result<Answer, KeeperClientErrorCode>> KeeperClient::propose(CommandBody body, Duration timeout)
+{
+    Command command;
+    command.body = std::move(body);
+    KeeperRound<Impl> round(m_impl, PeerMethod::Propose, encodeCommand(command), timeout);
+    auto bytes = co_await round.run();
+    if (!bytes)
+        co_return tl::unexpected(bytes.error());
+    co_return readAnswer(*bytes);
+}
+
+asio::awaitable<Result<RunAnswer, KeeperClientErrorCode>> KeeperClient::readRun(IdempotencyKey key, Duration timeout)
+{
+    KeeperRound<Impl> round(m_impl, PeerMethod::ReadRun, key.text(), timeout);
+    auto bytes = co_await round.run();
+    if (!bytes)
+        co_return tl::unexpected(bytes.error());
+    auto answer = readAnswer(*bytes);
+    if (!answer)
+        co_return tl::unexpected(answer.error());
+    if (auto* run = std::get_if<RunAnswer>(&*answer))
+        co_return std::move(*run);
+    co_return failure(KeeperClientErrorCode::Unknown, "the keeper answered something else than a run");
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -0,0 +1,105 @@
+#include "peer/KjThread.h"
+
+#include "hemlockchute/core/EventLog.h"
+
+namespace hemlockchute {
+namespace {
+
+/** Turns what KJ would write to standard error into events. */
+class LoggingExceptionCallback : public kj::ExceptionCallback {
+public:
+    void logMessage(kj::LogSeverity, const char*, int, int, kj::String&& text) override
+    {
+        logEvent(EventId::PeerFault, { { "what", std::string(text.cStr()) } });
+    }
+};
+
+void logException(const kj::Exception& exception)
+{
+    logEvent(EventId::PeerFault, { { "what", std::string(exception.getDescription().cStr()) } });
+}
+
+} // namespace
+
+KjThread& KjThread::instance()
+{
+    static KjThread thread;
+    return thread;
+}
+
+KjThread::KjThread()
+{
+    std::promise<void> started;
+    m_thread = std::thread([this, &started] { serve(started); });
+    started.get_future().wait();
+}
+
+KjThread::~KjThread() noexcept(false)
+{
+    post([this] { m_stopping = true; });
+    m_thread.join();
+}
+
+bool KjThread::post(std::function<void()> function)
+{
+    std::lock_guard guard(m_lock);
+    if (m_hasEnded)
+        return false;
+    m_queue.push_back(std::move(function));
+    if (m_queue.size() == 1)
+        m_wake->fulfill();
+    return true;
+}
+
+void KjThread::run(const std::function<void()>& function)
+{
+    if (std::this_thread::get_id() == m_thread.get_id()) {
+        function();
+        return;
+    }
+    std::promise<void> ran;
+    bool isTaken = post([&] {
+        function();
+        ran.set_value();
+    });
+    if (isTaken)
+        ran.get_future().wait();
+}
+
+//==============================================================================
+void KjThread::serve(std::promise<void>& started)
+{
+    LoggingExceptionCallback callback;
+    kj::AsyncIoContext io = kj::setupAsyncIo();
+    kj::TaskSet tasks(*this);
+    m_io = &io;
+    m_tasks = &tasks;
+    auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
+    m_wake = kj::mv(pair.fulfiller);
+    started.set_value();
+    kj::Promise<void> awoken = kj::mv(pair.promise);
+    while (!m_stopping) {
+        awoken.wait(io.waitScope);
+        auto next = kj::newPromiseAndCrossThreadFulfiller<void>();
+        awoken = kj::mv(next.promise);
+        std::vector<std::function<void()>> work;
+        {
+            std::lock_guard guard(m_lock);
+            work.swap(m_queue);
+            m_wake = kj::mv(next.fulfiller);
+        }
+        for (std::function<void()>& function : work)
+            KJ_IF_MAYBE(exception, kj::runCatchingExceptions(function))
+                logException(*exception);
+    }
+    std::lock_guard guard(m_lock);
+    m_hasEnded = true;
+    m_wake = nullptr;
+}
+
+void KjThread::taskFailed(kj::Exception&& exception)
+{
+    logException(exception);
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_peer/peer/PeerSession.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "hemlockchute/peer/PeerServer.h"
+#include "peer/Handshake.h"
+#include "peer/KjThread.h"
+#include "peer/Peer.capnp.h"
+#include "peer/ReplyTable.h"
+
+#include <capnp/rpc-twoparty.h>
+#include <map>
+#include <optional>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    The calls a server has handed to its handlers and waits on.
+
+    Thread safety: add() and complete() only on the KJ thread; the replies it hands out, any.
+*/
+class PendingCalls : public std::enable_shared_from_this<PendingCalls> {
+public:
+    using Handlers = std::map<PeerMethod, PeerServer::Handler>;
+    using Reply = Result<ByteString, PeerErrorCode>;
+
+    PendingCalls(KjThread&, std::shared_ptr<ReplyTable>, Handlers);
+
+    /** Runs the method's handler; the promise ends with its reply, or is dropped by its owner. */
+    kj::Promise<Reply> add(PeerMethod, PeerCall);
+
+private:
+    void complete(std::uint64_t id, Reply);
+
+    KjThread& m_thread;
+    std::shared_ptr<ReplyTable> m_replies;
+    Handlers m_handlers;
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, kj::Own<kj::PromiseFulfiller<Reply>>> m_waiting;
+};
+
+//==============================================================================
+/**
+    One accepted connection: proves the key, then hands calls to the handlers.
+
+    Thread safety: only on the KJ thread; destroy it with KjThread::destroyLater().
+
+    @see PeerServer
+*/
+class AcceptedConnection {
+public:
+    AcceptedConnection(KjThread&, const PeerIdentity&, std::shared_ptr<PendingCalls>, kj::Own<kj::AsyncIoStream>);
+
+    /** Ends when the connection is of no more use. */
+    kj::Promise<void> onEnd();
+
+private:
+    class GateServer;
+    class SessionServer;
+    struct Liveness;
+
+    kj::Promise<void> watch();
+
+    KjThread& m_thread;
+    std::shared_ptr<Liveness> m_liveness;
+    kj::Own<kj::AsyncIoStream> m_stream;
+    capnp::TwoPartyVatNetwork m_network;
+    capnp::RpcSystem<capnp::rpc::twoparty::VatId> m_rpc;
+};
+
+} // namespace hemlockchute
