--- a/modules/hc_storage/include/hemlockchute/storage/FileSystem.h
+++ b/modules/hc_storage/include/hemlockchute/storage/FileSystem.h
@@ -36,6 +36,7 @@
     virtual StorageResult<ByteString> read(const std::filesystem::path&) = 0;
     /** Opens for appending, creating the file if need be. */
     virtual StorageResult<std::unique_ptr<AppendFile>> openAppend(const std::filesystem::path&) = 0;
+    /** Cuts a file to a size, durably. */
     virtual StorageResult<void> truncate(const std::filesystem::path&, std::uint64_t size) = 0;
     virtual StorageResult<void> rename(const std::filesystem::path& from, const std::filesystem::path& to) = 0;
     virtual StorageResult<void> remove(const std::filesystem::path&) = 0;
--- a/modules/hc_storage/include/hemlockchute/storage/SnapshotStore.h
+++ b/modules/hc_storage/include/hemlockchute/storage/SnapshotStore.h
@@ -22,9 +22,9 @@
 public:
     SnapshotStore(FileSystem&, std::filesystem::path folder);
 
-    /** Replaces a value; on an error the old one stays. */
+    /** Replaces a value; on an error the value is the old one or the new one, whole. */
     StorageResult<void> write(std::string_view name, std::string_view bytes);
-    /** A value, or nothing when it was never written; damage is an error. */
+    /** A value, durable once it was read, or nothing when it was never written; damage is an error. */
     StorageResult<std::optional<ByteString>> read(std::string_view name) const;
 
 private:
