--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -43,6 +43,11 @@
 
     // 1800: keeper
 
+    // 1850: operators
+    { EventId::OperatorSubmitted, Info, "operator.submitted", "An operator submitted a document; the answer's status is given." },
+    { EventId::OperatorRefused, Warning, "operator.refused", "A request on the operators' port carried no known token." },
+    { EventId::OperatorChangedMembers, Info, "operator.changed-members", "An administrator changed the keepers; the outcome is given." },
+
     // 1900: report
 
 };
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -49,6 +49,11 @@
 
     // 1800: keeper
 
+    // 1850: operators
+    OperatorSubmitted = 1850,
+    OperatorRefused = 1851,
+    OperatorChangedMembers = 1852,
+
     // 1900: report
 
 };
