--- a/modules/hc_peer/peer/KjThread.cpp
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -89,7 +89,7 @@
             m_wake = kj::mv(next.fulfiller);
         }
         for (std::function<void()>& function : work)
-            KJ_IF_MAYBE(exception, kj::runCatchingExceptions(function))
+            KJ_IF_MAYBE (exception, kj::runCatchingExceptions(function))
                 logException(*exception);
     }
     std::lock_guard guard(m_lock);
--- a/modules/hc_peer/peer/PeerConnection.cpp
+++ b/modules/hc_peer/peer/PeerConnection.cpp
@@ -155,12 +155,15 @@
         return *isSent ? Reply(failure(PeerErrorCode::TimedOut, "no answer in time")) : Reply(failure(PeerErrorCode::Unreachable, "not connected in time"));
     });
     return answered.catch_([this, isSent](kj::Exception&& exception) {
-        if (*isSent)
-            return Reply(failure(codeOfLostCall(exception), describe(exception)));
-        if (m_failure)
-            return Reply(tl::unexpected(*m_failure));
-        return Reply(failure(PeerErrorCode::Unreachable, describe(exception)));
-    }).exclusiveJoin(kj::mv(dropped)).exclusiveJoin(kj::mv(timedOut)).attach(shared_from_this());
+                       if (*isSent)
+                           return Reply(failure(codeOfLostCall(exception), describe(exception)));
+                       if (m_failure)
+                           return Reply(tl::unexpected(*m_failure));
+                       return Reply(failure(PeerErrorCode::Unreachable, describe(exception)));
+                   })
+        .exclusiveJoin(kj::mv(dropped))
+        .exclusiveJoin(kj::mv(timedOut))
+        .attach(shared_from_this());
 }
 
 kj::Promise<PeerConnection::Reply> PeerConnection::send(PeerMethod method, const ByteString& payload, Duration timeout)
--- a/modules/hc_peer/tests/PeerCallTests.cpp
+++ b/modules/hc_peer/tests/PeerCallTests.cpp
@@ -75,7 +75,7 @@
 {
     RunningContext running;
     PeerServer server(running.context, identity("b"));
-    server.handle(PeerMethod::Propose, [](PeerCall) { });
+    server.handle(PeerMethod::Propose, [](PeerCall) {});
     Endpoint endpoint = *server.listen(anyLoopbackPort);
     PeerClient client(running.context, identity("a"), {});
     Reply reply = callAndWait(client, endpoint, PeerMethod::Propose, "x", 300ms);
--- a/modules/hc_peer/tests/PeerConnectionTests.cpp
+++ b/modules/hc_peer/tests/PeerConnectionTests.cpp
@@ -52,7 +52,7 @@
     asio::io_context context;
     tcp::acceptor acceptor(context, anyLoopbackPort);
     PeerClient client(running.context, identity("a"), {});
-    client.call(acceptor.local_endpoint(), PeerMethod::Propose, "x", 200ms, [](const Reply&) { });
+    client.call(acceptor.local_endpoint(), PeerMethod::Propose, "x", 200ms, [](const Reply&) {});
     tcp::socket socket = acceptor.accept();
     ByteString bytes;
     std::vector<char> buffer(4096);
--- a/tests/harness/Process.h
+++ b/tests/harness/Process.h
@@ -22,6 +22,7 @@
     Process& operator=(const Process&) = delete;
 
     void signal(int number);
+    pid_t id() const { return m_pid; }
     /** The exit code once it has ended, 128 + the signal if it was killed; nothing while it runs. */
     std::optional<int> exitCode();
     /** Waits for the end, at most for so long. */
