--- a/modules/hc_policy/include/hemlockchute/policy/RateShare.h
+++ b/modules/hc_policy/include/hemlockchute/policy/RateShare.h
@@ -33,8 +33,8 @@
 
     Each data centre owns an equal share. It always keeps half of that; the other half it lends to
     data centres that want more, for one lease at a time. The borrower counts the lease from when it
-    sent the report that the loan answers, the lender from when it answers, so that the borrower
-    stops first without a common clock. In a cut all loans run out and each has its own share again.
+    sent the report that the loan answers, the lender from when it received that, so that the
+    borrower stops first without a common clock. In a cut all loans run out and each has its own share again.
 
     A new object may follow a process that had lent: it uses no more than the half that is never
     lent until one lease has passed.
@@ -93,6 +93,7 @@
     struct Peer {
         unsigned demand = 0;
         ShareReportNumber lastReceived;
+        Instant receivedAt {};
         std::deque<std::pair<ShareReportNumber, Instant>> sent;
         /** Loans to it that may still be used; amounts fall and ends rise towards the back. */
         std::deque<Loan> lent;
--- a/modules/hc_policy/include/hemlockchute/policy/RequestQueue.h
+++ b/modules/hc_policy/include/hemlockchute/policy/RequestQueue.h
@@ -76,7 +76,10 @@
     virtual std::vector<Refusal> setRanks(const std::map<RankName, RankSpec>&) = 0;
     /** Adds a request, or says at once why not. Precondition: the ticket is not in the queue. */
     virtual std::optional<Refusal> add(const QueuedRequest&, Instant now) = 0;
-    /** The request to serve next among models that `canServe` accepts, taken out of the queue. */
+    /**
+        The request to serve next among those that `canServe` accepts, taken out of the queue.
+        Precondition: expire(now) was called, or requests behind one whose deadline has come are passed over.
+    */
     virtual std::optional<QueuedRequest> take(const std::function<bool(const QueuedRequest&)>& canServe, Instant now) = 0;
     /** Tells what a request taken earlier really cost. */
     virtual void charge(const QueuedRequest&, Duration cost, Instant now) = 0;
--- a/modules/hc_policy/policy/RateShare.cpp
+++ b/modules/hc_policy/policy/RateShare.cpp
@@ -93,6 +93,7 @@
     if (report.number <= peer.lastReceived)
         return;
     peer.lastReceived = report.number;
+    peer.receivedAt = now;
     peer.demand = report.demand;
     auto answered = std::find_if(peer.sent.begin(), peer.sent.end(), [&](const auto& sent) { return sent.first == report.answers; });
     if (answered == peer.sent.end())
@@ -116,9 +117,10 @@
     report.demand = m_demand;
     report.number = m_lastSent;
     report.answers = peer.lastReceived;
-    if (!report.answers.isNone()) {
+    Instant loanEnd = peer.receivedAt + m_options.lease;
+    if (!report.answers.isNone() && now < loanEnd) {
         report.lent = amountToLend(peer, now);
-        noteLoan(peer, { report.lent, now + m_options.lease }, now);
+        noteLoan(peer, { report.lent, loanEnd }, now);
     }
     report.taken = allowed(now);
     return report;
--- /dev/null
+++ b/modules/hc_policy/tests/RateShareFuzz.cpp
@@ -0,0 +1,225 @@
+#include "Property.h"
+#include "hemlockchute/policy/RateShare.h"
+
+#include <algorithm>
+#include <array>
+
+using namespace hemlockchute;
+
+namespace {
+
+constexpr std::size_t dataCentreCount = 3;
+constexpr Duration lease = 5s;
+constexpr std::array<int, dataCentreCount> clockDriftPerMille { 0, 20, -20 };
+
+struct Step {
+    enum class Kind {
+        Send,
+        Deliver,
+        DeliverAgain,
+        Drop,
+        Advance,
+        Restart,
+        SetDemand,
+        SetLimit
+    };
+
+    Kind kind = Kind::Send;
+    unsigned first = 0;
+    unsigned second = 0;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Step& step)
+{
+    static constexpr std::array names { "send", "deliver", "again", "drop", "advance", "restart", "demand", "limit" };
+    return stream << names.at(static_cast<std::size_t>(step.kind)) << '(' << step.first << ',' << step.second << ')';
+}
+
+rc::Gen<Step> anyStep()
+{
+    using Kind = Step::Kind;
+    auto kind = rc::gen::weightedElement<Kind>({ { 12, Kind::Send }, { 10, Kind::Deliver }, { 2, Kind::DeliverAgain },
+        { 2, Kind::Drop }, { 8, Kind::Advance }, { 1, Kind::Restart }, { 4, Kind::SetDemand }, { 1, Kind::SetLimit } });
+    auto number = rc::gen::inRange(0U, 1000U);
+    return rc::gen::build<Step>(rc::gen::set(&Step::kind, kind), rc::gen::set(&Step::first, number), rc::gen::set(&Step::second, number));
+}
+
+std::vector<DataCentreName> dataCentres()
+{
+    return { DataCentreName("a"), DataCentreName("b"), DataCentreName("c") };
+}
+
+/** Three data centres with clocks of their own, and a network that does what it likes. */
+class ShareWorld {
+public:
+    ShareWorld(std::uint64_t limit, std::uint64_t granularity)
+        : m_granularity(granularity)
+    {
+        m_limits.fill(limit);
+        m_highLimits.emplace_back(m_now, limit);
+        for (std::size_t index = 0; index < dataCentreCount; ++index)
+            start(index);
+    }
+
+    void run(const Step& step)
+    {
+        std::size_t index = step.first % dataCentreCount;
+        switch (step.kind) {
+        case Step::Kind::Send:
+            return send(index, (index + 1 + step.second % (dataCentreCount - 1)) % dataCentreCount);
+        case Step::Kind::Deliver:
+            return deliver(step.first, true);
+        case Step::Kind::DeliverAgain:
+            return deliver(step.first, false);
+        case Step::Kind::Drop:
+            return drop(step.first);
+        case Step::Kind::Advance:
+            m_now += std::chrono::milliseconds(step.first * 2);
+            return;
+        case Step::Kind::Restart:
+            return start(index);
+        case Step::Kind::SetDemand:
+            return m_shares.at(index).setDemand(step.second % 12);
+        case Step::Kind::SetLimit:
+            return setLimit(index, 1000 * (1 + step.second % 15));
+        }
+    }
+
+    void checkSum() const
+    {
+        std::uint64_t sum = 0;
+        for (std::size_t index = 0; index < dataCentreCount; ++index)
+            sum += m_shares.at(index).allowed(localNow(index));
+        RC_ASSERT(sum <= highestLimit());
+    }
+
+    std::uint64_t allowed(std::size_t index) const { return m_shares.at(index).allowed(localNow(index)); }
+
+private:
+    struct Message {
+        std::size_t from = 0;
+        std::size_t to = 0;
+        ShareReport report;
+    };
+
+    Instant localNow(std::size_t index) const
+    {
+        Duration drifted = m_now.time_since_epoch() * (1000 + clockDriftPerMille.at(index)) / 1000;
+        return Instant(drifted + 17min * static_cast<int>(index));
+    }
+
+    void start(std::size_t index)
+    {
+        m_lives += 1;
+        auto options = RateShare::Options().withLease(lease).withGranularity(m_granularity).withReportsAfter(ShareReportNumber(m_lives * 100'000));
+        m_shares.insert_or_assign(index, RateShare(m_limits.at(index), dataCentres().at(index), dataCentres(), options));
+    }
+
+    void send(std::size_t from, std::size_t to)
+    {
+        m_network.push_back({ from, to, m_shares.at(from).report(dataCentres().at(to), localNow(from)) });
+    }
+
+    void deliver(unsigned number, bool once)
+    {
+        if (m_network.empty())
+            return;
+        // Mostly in order, sometimes not.
+        std::size_t place = number % 4 == 0 ? number % m_network.size() : 0;
+        Message message = m_network[place];
+        if (once)
+            m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(place));
+        m_shares.at(message.to).receive(dataCentres().at(message.from), message.report, localNow(message.to));
+    }
+
+    void drop(unsigned number)
+    {
+        if (!m_network.empty())
+            m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(number % m_network.size()));
+    }
+
+    void setLimit(std::size_t index, std::uint64_t limit)
+    {
+        m_highLimits.emplace_back(m_now, highestNow());
+        m_limits.at(index) = limit;
+        m_highLimits.emplace_back(m_now, highestNow());
+        m_shares.at(index).setLimit(limit);
+    }
+
+    std::uint64_t highestNow() const { return *std::max_element(m_limits.begin(), m_limits.end()); }
+
+    /** The highest limit that any data centre had in the last two leases. */
+    std::uint64_t highestLimit() const
+    {
+        std::uint64_t highest = highestNow();
+        for (const auto& [when, limit] : m_highLimits) {
+            if (when + 2 * lease >= m_now)
+                highest = std::max(highest, limit);
+        }
+        return highest;
+    }
+
+    Instant m_now { 1h };
+    std::uint64_t m_granularity;
+    std::uint64_t m_lives = 0;
+    std::array<std::uint64_t, dataCentreCount> m_limits {};
+    std::vector<std::pair<Instant, std::uint64_t>> m_highLimits;
+    std::map<std::size_t, RateShare> m_shares;
+    std::vector<Message> m_network;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RateShareFuzz)
+
+BOOST_AUTO_TEST_CASE(theSumNeverExceedsTheLimit)
+{
+    checkProperty([] {
+        auto limit = *rc::gen::inRange<std::uint64_t>(0, 12'000);
+        auto granularity = *rc::gen::element<std::uint64_t>(1, 1000);
+        auto steps = *rc::gen::scale(4.0, rc::gen::container<std::vector<Step>>(anyStep()));
+        ShareWorld world(limit, granularity);
+        for (const Step& step : steps) {
+            world.run(step);
+            world.checkSum();
+        }
+    },
+        1000);
+}
+
+BOOST_AUTO_TEST_CASE(shareFollowsDemandAndComesBackInACut)
+{
+    ShareWorld world(9000, 1);
+    world.run({ Step::Kind::SetDemand, 0, 9 });
+    auto exchange = [&](bool isCut) {
+        for (unsigned from = 0; from < dataCentreCount; ++from) {
+            for (unsigned to = 0; to < dataCentreCount - 1; ++to)
+                world.run({ Step::Kind::Send, from, to });
+        }
+        for (unsigned message = 0; message < dataCentreCount * (dataCentreCount - 1); ++message)
+            world.run({ isCut ? Step::Kind::Drop : Step::Kind::Deliver, 1, 0 });
+        world.run({ Step::Kind::Advance, 500, 0 });
+    };
+    exchange(false);
+    BOOST_TEST(world.allowed(0) == 1500U);
+    for (int round = 0; round < 8; ++round)
+        exchange(false);
+    BOOST_TEST(world.allowed(0) == 6000U);
+    BOOST_TEST(world.allowed(1) == 1500U);
+    for (int round = 0; round < 6; ++round)
+        exchange(true);
+    for (std::size_t index = 0; index < dataCentreCount; ++index)
+        BOOST_TEST(world.allowed(index) == 3000U);
+}
+
+BOOST_AUTO_TEST_CASE(aLimitThatCountsThingsIsSplitInWholes)
+{
+    auto allowedOf = [](const char* name) {
+        return RateShare(4000, DataCentreName(name), dataCentres(), RateShare::Options().withGranularity(1000)).allowed();
+    };
+    BOOST_TEST(allowedOf("a") == 1000U);
+    BOOST_TEST(allowedOf("b") == 1000U);
+    BOOST_TEST(allowedOf("c") == 1000U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
