--- a/modules/hc_backend/backend/EngineMessages.cpp
+++ b/modules/hc_backend/backend/EngineMessages.cpp
@@ -1,6 +1,7 @@
 #include "backend/EngineMessages.h"
 
-#include "backend/JsonFields.h"
+#include "hemlockchute/backend/JsonFields.h"
+#include "backend/JsonText.h"
 
 #include <boost/json/serialize.hpp>
 
--- a/modules/hc_backend/backend/HostList.cpp
+++ b/modules/hc_backend/backend/HostList.cpp
@@ -1,6 +1,7 @@
 #include "hemlockchute/backend/HostListClient.h"
 
-#include "backend/JsonFields.h"
+#include "hemlockchute/backend/JsonFields.h"
+#include "backend/JsonText.h"
 #include "hemlockchute/settings/SettingsFile.h"
 
 namespace hemlockchute {
--- a/modules/hc_backend/backend/JsonFields.cpp
+++ b/modules/hc_backend/backend/JsonFields.cpp
@@ -1,4 +1,5 @@
-#include "backend/JsonFields.h"
+#include "hemlockchute/backend/JsonFields.h"
+#include "backend/JsonText.h"
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
--- a/modules/hc_backend/backend/JsonFields.h
+++ b/modules/hc_backend/include/hemlockchute/backend/JsonFields.h
@@ -2,9 +2,8 @@
 
 #include "hemlockchute/core/Errors.h"
 
-#include <boost/json/value.hpp>
+#include <boost/json/fwd.hpp>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -51,7 +50,7 @@
     std::string& m_fault;
 };
 
-/** Parses a text of JSON; nothing when it is none. Depth and size are bounded. Thread safety: any thread. */
-std::optional<boost::json::value> parseJson(std::string_view text);
+
+
 
 } // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_router/router/ModelHandler.cpp
@@ -0,0 +1,299 @@
+#include "hemlockchute/core/EventLog.h"
+#include "router/AnswerWriter.h"
+#include "router/RouterCore.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace hemlockchute {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned statusTooMany = 429;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusTimeout = 504;
+/** An attempt gets at least so long for its first token, and otherwise half the time left. */
+constexpr Duration shortestPatience = 250ms;
+/** A stream that pauses for so many times its target is resumed elsewhere. */
+constexpr int silentPauses = 20;
+constexpr Duration shortestSilence = 1s;
+/** How long a broken stream may wait for a place to be resumed at. */
+constexpr Duration resumePatience = 10s;
+constexpr Duration probeTimeout = 500ms;
+
+Instant currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+AttemptEnd endFor(BackendErrorCode code)
+{
+    switch (code) {
+    case BackendErrorCode::Refused:
+    case BackendErrorCode::Busy:
+        return AttemptEnd::Refused;
+    case BackendErrorCode::TimedOut:
+        return AttemptEnd::Silent;
+    default:
+        return AttemptEnd::Failed;
+    }
+}
+
+unsigned statusFor(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::QueueFull:
+    case RefusalReason::TooLateExpected:
+        return statusTooMany;
+    case RefusalReason::DeadlinePassed:
+        return statusTimeout;
+    case RefusalReason::UnknownRank:
+        break;
+    }
+    return statusUnavailable;
+}
+
+std::string detailFor(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::QueueFull:
+        return "the queue is full";
+    case RefusalReason::TooLateExpected:
+        return "it would not be served by its deadline";
+    case RefusalReason::DeadlinePassed:
+        return "no backend server was free by the deadline";
+    case RefusalReason::UnknownRank:
+        break;
+    }
+    return "the rank is no longer declared";
+}
+
+//==============================================================================
+/** One request for a model, from its place in the queue to the end of its answer. */
+class ModelCall {
+public:
+    ModelCall(std::shared_ptr<RouterCore> core, HttpExchange& exchange, ModelRequest request)
+        : m_core(std::move(core))
+        , m_request(std::move(request))
+        , m_watch(exchange)
+        , m_writer(exchange, m_request)
+        , m_life(RequestLifecycle::Options().withDeadline(m_request.terms.deadline))
+    {
+        m_queued.rank = m_request.terms.rank.name;
+        m_queued.model = m_request.model;
+        m_queued.adapter = m_request.adapter;
+        m_queued.arrival = m_request.terms.received;
+    }
+
+    asio::awaitable<void> run()
+    {
+        LifecycleVerdict verdict { LifecycleVerdict::Kind::Retry };
+        while (verdict.kind == LifecycleVerdict::Kind::Retry) {
+            std::optional<BackendServer> server = co_await findServer();
+            if (m_watch.hasLeft())
+                verdict = m_life.leave();
+            else if (!server)
+                verdict = m_life.refuse(m_refusedStatus);
+            else
+                verdict = co_await attemptAt(*server);
+        }
+        co_await conclude(verdict);
+    }
+
+private:
+    asio::awaitable<std::optional<BackendServer>> findServer()
+    {
+        if (m_life.mayHaveRun()) {
+            auto again = m_core->dispatcher().with([&, random = m_core->dispatcher().random()](DispatchTable& table) { return table.assignAgain(m_queued, m_tried, currentTime(), random); });
+            if (again)
+                co_return again;
+        }
+        m_queued.ticket = m_core->dispatcher().nextTicket();
+        m_queued.deadline = m_life.tokenCount() == 0 ? m_request.terms.deadline : currentTime() + resumePatience;
+        Placing placing = co_await m_core->dispatcher().place(m_queued, m_watch);
+        if (placing.refusal) {
+            m_refusedStatus = statusFor(placing.refusal->reason);
+            m_retryAfter = placing.refusal->retryAfter;
+            m_detail = detailFor(placing.refusal->reason);
+        }
+        co_return placing.server;
+    }
+
+    asio::awaitable<LifecycleVerdict> attemptAt(BackendServer server)
+    {
+        AttemptId attempt = m_core->makeAttemptId();
+        auto protocol = m_core->protocol(server.protocol);
+        Instant began = currentTime();
+        bool mayBegin = protocol && m_life.begin(attempt, began);
+        if (!mayBegin) {
+            noteEnd(server, AttemptEnd::Unused);
+            m_detail = "no attempt is left";
+            co_return m_life.refuse(m_life.mayHaveRun() ? 502 : statusUnavailable);
+        }
+        ++m_core->counters().attempts;
+        if (m_life.tokenCount() > 0)
+            ++m_core->counters().streamsResumed;
+        Result<void, BackendErrorCode> read = co_await readAnswer(*protocol, server, attempt);
+        if (m_watch.hasLeft()) {
+            noteEnd(server, AttemptEnd::Unused);
+            co_return m_life.leave();
+        }
+        if (!read)
+            co_return co_await noteFailure(server, attempt, read.error());
+        m_core->dispatcher().change([&](DispatchTable& table) {
+            table.noteEnd(server.name, AttemptEnd::Answered, currentTime());
+            table.noteDuration(m_queued, currentTime() - began, currentTime());
+        });
+        co_return m_life.complete(attempt);
+    }
+
+    /** Reads one attempt's answer to its end and passes its tokens on. */
+    asio::awaitable<Result<void, BackendErrorCode>> readAnswer(BackendProtocol& protocol, BackendServer server, AttemptId attempt)
+    {
+        InferRequest infer { attempt, m_request.model, m_request.adapter, m_request.terms.rank.order, m_request.body, m_writer.tokens() };
+        auto opened = co_await m_watch.run(protocol.infer(server, std::move(infer), tokenDeadline()));
+        if (!opened)
+            co_return failure(BackendErrorCode::Lost, "the caller has left");
+        if (!*opened)
+            co_return tl::unexpected(opened->error());
+        std::unique_ptr<AnswerStream> stream = std::move(**opened);
+        while (true) {
+            m_watch.whenLeft([&] { stream->close(); });
+            auto token = co_await stream->next(tokenDeadline());
+            m_watch.clear();
+            if (m_watch.hasLeft())
+                co_return failure(BackendErrorCode::Lost, "the caller has left");
+            if (!token)
+                co_return giveUp(std::move(stream), token.error());
+            if (!*token)
+                co_return Result<void, BackendErrorCode> {};
+            bool isNext = m_life.takeToken(attempt, (*token)->index);
+            if (!isNext)
+                co_return failure(BackendErrorCode::Malformed, "a token out of turn");
+            bool written = co_await m_writer.token(std::move((*token)->text));
+            if (!written)
+                co_return failure(BackendErrorCode::Lost, "the caller has left");
+        }
+    }
+
+    /** Tells an engine that fell silent to stop, on another connection, since closing this one may not reach it. */
+    tl::unexpected<Error<BackendErrorCode>> giveUp(std::unique_ptr<AnswerStream> stream, Error<BackendErrorCode> error)
+    {
+        if (error.code == BackendErrorCode::TimedOut) {
+            std::shared_ptr<AnswerStream> shared = std::move(stream);
+            m_core->spawn([shared] { return shared->cancel(); });
+        }
+        return tl::unexpected(std::move(error));
+    }
+
+    /** By when the next token must come from the current attempt. */
+    Instant tokenDeadline() const
+    {
+        Instant now = currentTime();
+        if (m_life.tokenCount() > 0)
+            return now + std::max<Duration>(shortestSilence, m_request.terms.rank.betweenTokensTarget * silentPauses);
+        Duration left = m_request.terms.deadline - now;
+        return now + std::min(left, std::max<Duration>(shortestPatience, left / 2));
+    }
+
+    asio::awaitable<LifecycleVerdict> noteFailure(BackendServer server, AttemptId attempt, Error<BackendErrorCode> error)
+    {
+        ++m_core->counters().attemptsFailed;
+        logEvent(EventId::RouterAttemptFailed, { { "request", m_request.terms.request.text() }, { "server", server.name.text() }, { "reason", error.detail } });
+        m_tried.insert(server.name);
+        m_detail = error.detail;
+        std::optional<Duration> pause = Duration::zero();
+        std::uint64_t random = m_core->dispatcher().random();
+        bool mayHaveRun = !hasCertainlyNotRun(error.code);
+        m_core->dispatcher().change([&](DispatchTable& table) {
+            table.noteEnd(server.name, endFor(error.code), currentTime());
+            bool isResumed = m_life.tokenCount() > 0;
+            if (mayHaveRun && !isResumed)
+                pause = table.takeRetry(server.name, m_life.attemptCount(), random);
+        });
+        if (error.code == BackendErrorCode::TimedOut)
+            probe(server);
+        LifecycleVerdict verdict = m_life.fail(attempt, error.code, pause.has_value(), currentTime());
+        bool mustPause = verdict.kind == LifecycleVerdict::Kind::Retry && pause && *pause > Duration::zero();
+        if (mustPause)
+            co_await sleep(*pause);
+        co_return verdict;
+    }
+
+    asio::awaitable<void> sleep(Duration duration)
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+        boost::system::error_code ignored;
+        m_watch.whenLeft([&] { timer.cancel(); });
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        m_watch.clear();
+    }
+
+    /** Tells a dead server from a dead connection: the client has dropped the idle ones, so this one is fresh. */
+    void probe(const BackendServer& server)
+    {
+        m_core->spawn([core = m_core, server]() -> asio::awaitable<void> {
+            auto protocol = core->protocol(server.protocol);
+            auto state = co_await protocol->readState(server, currentTime() + probeTimeout);
+            core->dispatcher().with([&](DispatchTable& table) { table.noteProbe(server.name, state.has_value(), currentTime()); });
+        });
+    }
+
+    void noteEnd(const BackendServer& server, AttemptEnd end)
+    {
+        m_core->dispatcher().change([&](DispatchTable& table) { table.noteEnd(server.name, end, currentTime()); });
+    }
+
+    asio::awaitable<void> conclude(LifecycleVerdict verdict)
+    {
+        RouterCounters& counters = m_core->counters();
+        if (verdict.kind == LifecycleVerdict::Kind::Complete) {
+            ++counters.answered;
+            co_await m_writer.complete();
+        } else if (verdict.kind == LifecycleVerdict::Kind::Refuse) {
+            ++(verdict.outcome == RefusalOutcome::NotRun ? counters.refusedNotRun : counters.refusedUnknown);
+            Problem problem = problemFor(verdict, m_detail);
+            problem.retryAfter = m_retryAfter;
+            co_await m_writer.refuse(problem);
+        } else {
+            ++counters.callersLeft;
+        }
+    }
+
+    std::shared_ptr<RouterCore> m_core;
+    ModelRequest m_request;
+    CallerWatch m_watch;
+    AnswerWriter m_writer;
+    RequestLifecycle m_life;
+    QueuedRequest m_queued;
+    std::set<BackendServerName> m_tried;
+    unsigned m_refusedStatus = statusUnavailable;
+    Duration m_retryAfter = 1s;
+    std::string m_detail;
+};
+
+} // namespace
+
+//==============================================================================
+asio::awaitable<void> handleModelRequest(std::shared_ptr<RouterCore> core, HttpExchange& exchange)
+{
+    RequestId id = requestIdOf(exchange.request(), core->makeRequestId());
+    DocumentPointer document = core->document();
+    auto terms = readTerms(exchange.request(), id, *document, currentTime());
+    tl::expected<ModelRequest, Problem> request = tl::unexpected(Problem());
+    if (terms)
+        request = readModelRequest(exchange.request(), std::move(*terms), *document);
+    else
+        request = tl::unexpected(terms.error());
+    if (!request) {
+        ++core->counters().refusedNotRun;
+        co_await exchange.respond(problemResponse(request.error(), id));
+        co_return;
+    }
+    ModelCall call(core, exchange, std::move(*request));
+    co_await call.run();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_router/router/RouterCore.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "hemlockchute/backend/BackendProtocol.h"
+#include "hemlockchute/router/RunRegistry.h"
+#include "router/Dispatcher.h"
+#include "router/RouterCounters.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <mutex>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    What the handlers of callers' requests share.
+
+    Thread safety: every method may be called from any thread.
+*/
+class RouterCore : public std::enable_shared_from_this<RouterCore> {
+public:
+    RouterCore(boost::asio::io_context&, DispatchTable::Options, std::string idPrefix, RunRegistry&, std::uint64_t seed);
+
+    DocumentPointer document() const { return m_document.load(); }
+    void setDocument(DocumentPointer);
+    Dispatcher& dispatcher() { return m_dispatcher; }
+    RunRegistry& runs() { return m_runs; }
+    RouterCounters& counters() { return m_counters; }
+    boost::asio::io_context& context() { return m_context; }
+
+    /** The plug-in of that name, or null when there is none. */
+    std::shared_ptr<BackendProtocol> protocol(const std::string& name);
+    RequestId makeRequestId();
+    AttemptId makeAttemptId();
+
+    /** Begins work that goes on after its caller is answered; a graceful stop waits for it. */
+    void spawn(std::function<boost::asio::awaitable<void>()>);
+    /** Calls back once no spawned work is left. */
+    void whenIdle(std::function<void()> done);
+    bool isStopping() const { return m_stopping; }
+    /** Makes repeated background attempts end soon. */
+    void beginStopping() { m_stopping = true; }
+
+private:
+    void noteSpawnedEnd();
+
+    boost::asio::io_context& m_context;
+    Dispatcher m_dispatcher;
+    std::string m_idPrefix;
+    RunRegistry& m_runs;
+    RouterCounters m_counters;
+    std::atomic<DocumentPointer> m_document { std::make_shared<const Document>() };
+    std::atomic<std::uint64_t> m_lastId { 0 };
+    std::atomic<bool> m_stopping { false };
+    std::mutex m_lock;
+    std::map<std::string, std::shared_ptr<BackendProtocol>> m_protocols;
+    std::size_t m_spawned = 0;
+    std::function<void()> m_idle;
+};
+
+/** Handles POST /v1/chat/completions. */
+boost::asio::awaitable<void> handleModelRequest(std::shared_ptr<RouterCore>, HttpExchange&);
+/** Handles ANY /services/NAME/REST. */
+boost::asio::awaitable<void> handleServiceCall(std::shared_ptr<RouterCore>, HttpExchange&);
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_router/router/RouterCounters.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <string>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    What a router counts about itself.
+
+    Thread safety: every member may be used from any thread.
+*/
+struct RouterCounters {
+    std::atomic<std::uint64_t> requests { 0 };
+    std::atomic<std::uint64_t> answered { 0 };
+    std::atomic<std::uint64_t> refusedNotRun { 0 };
+    std::atomic<std::uint64_t> refusedUnknown { 0 };
+    std::atomic<std::uint64_t> callersLeft { 0 };
+    std::atomic<std::uint64_t> attempts { 0 };
+    std::atomic<std::uint64_t> attemptsFailed { 0 };
+    std::atomic<std::uint64_t> streamsResumed { 0 };
+    std::atomic<std::uint64_t> runsRecorded { 0 };
+
+    /** As Prometheus text. */
+    std::string text() const;
+};
+
+} // namespace hemlockchute
