Give operators hemlockctl

Cause: operators drive the system by submitting documents and need to see what came of it.

A thin main over the library hc_control: docopt, one table of member pointers each for commands with and without a keeper. A submission is repeated over all keepers under one submit id; a change of members only while it certainly was not sent. log verify reads through a file system that changes nothing.

Applies to tools.

--- a/modules/hc_keeper/tests/OperatorApiTests.cpp
+++ b/modules/hc_keeper/tests/OperatorApiTests.cpp
@@ -61,8 +61,8 @@
     asio::awaitable<Result<void, AgreementErrorCode>> changeMembers(std::optional<KeeperId> remove, std::optional<KeeperAddress> add, Duration) override
     {
         std::lock_guard guard(m_lock);
-        m_removed = remove;
-        m_added = add;
+        removed = remove;
+        added = add;
         if (remove == KeeperId(9))
             co_return failure(AgreementErrorCode::ChangeRefused, "there is no keeper 9");
         co_return Result<void, AgreementErrorCode>();
@@ -80,8 +80,8 @@
     /** A host that is heard of but stays behind. */
     void lag(const std::string& host) { m_status.inForce[HostName(host)] = DocumentVersion(); }
 
-    std::optional<KeeperId> m_removed;
-    std::optional<KeeperAddress> m_added;
+    std::optional<KeeperId> removed;
+    std::optional<KeeperAddress> added;
 
 private:
     mutable std::mutex m_lock;
@@ -216,10 +216,10 @@
 BOOST_AUTO_TEST_CASE(membersAreAddedRemovedAndReplaced)
 {
     BOOST_TEST(send("POST", "/v1/members", "{\"action\":\"replace\",\"keeper\":4,\"peer\":\"127.0.3.1:7103\",\"host\":\"t2\"}").status == 200U);
-    BOOST_TEST((operations.m_removed == KeeperId(4) && operations.m_added->id == KeeperId(4)));
-    BOOST_TEST(operations.m_added->host == HostName("t2"));
+    BOOST_TEST((operations.removed == KeeperId(4) && operations.added->id == KeeperId(4)));
+    BOOST_TEST(operations.added->host == HostName("t2"));
     BOOST_TEST(send("POST", "/v1/members", "{\"action\":\"remove\",\"keeper\":9}").status == 409U);
-    BOOST_TEST(!operations.m_added.has_value());
+    BOOST_TEST(!operations.added.has_value());
 }
 
 BOOST_AUTO_TEST_CASE(runRecordsAndStatusAreShown)
--- /dev/null
+++ b/tools/hemlockctl/ControlClient.cpp
@@ -0,0 +1,102 @@
+#include "ControlClient.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration pauseBetweenRounds = 200ms;
+constexpr Duration progressInterval = 1s;
+/** Longer than a keeper takes to agree on a document and wait for it to be in force. */
+constexpr Duration longestAnswer = 20s;
+constexpr unsigned serviceUnavailable = 503;
+
+std::string describe(const Result<HttpResponse, HttpClientErrorCode>& result)
+{
+    if (!result)
+        return result.error().detail;
+    return std::to_string(result->status) + " " + result->body;
+}
+
+} // namespace
+
+ControlClient::ControlClient(ControlSettings settings, Duration timeout, std::ostream& progress)
+    : m_settings(std::move(settings))
+    , m_timeout(timeout)
+    , m_progress(progress)
+{
+}
+
+Result<HttpResponse, ControlErrorCode> ControlClient::send(HttpRequest request, Repeat repeat)
+{
+    request.headers.set("Authorization", "Bearer " + m_settings.token);
+    m_deadline = std::chrono::steady_clock::now() + m_timeout;
+    m_answer.reset();
+    m_failures.assign(m_settings.keepers.size(), "was not asked");
+    asio::io_context context;
+    HttpClient client { HttpClient::Options() };
+    m_client = &client;
+    asio::co_spawn(context, reportProgress(), asio::detached);
+    asio::co_spawn(context, askInTurn(std::move(request), repeat), [&](const std::exception_ptr&) { context.stop(); });
+    context.run();
+    m_client = nullptr;
+    if (m_answer)
+        return std::move(*m_answer);
+    return failure(ControlErrorCode::Unreachable, failures());
+}
+
+asio::awaitable<void> ControlClient::askInTurn(HttpRequest request, Repeat repeat)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (std::chrono::steady_clock::now() < m_deadline) {
+        for (m_asked = 0; m_asked < m_settings.keepers.size(); ++m_asked) {
+            bool isSettled = co_await ask(m_settings.keepers[m_asked], request, repeat);
+            if (isSettled)
+                co_return;
+        }
+        timer.expires_after(pauseBetweenRounds);
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+asio::awaitable<bool> ControlClient::ask(const Endpoint& keeper, const HttpRequest& request, Repeat repeat)
+{
+    Instant deadline = std::min(m_deadline, std::chrono::steady_clock::now() + longestAnswer);
+    Result<HttpResponse, HttpClientErrorCode> result = co_await m_client->send(keeper, request, deadline, HttpClient::ConnectionUse::Fresh);
+    if (result && result->status != serviceUnavailable) {
+        m_answer = std::move(*result);
+        co_return true;
+    }
+    m_failures[m_asked] = describe(result);
+    bool mayHaveActed = result.has_value() || !isCertainlyNotSent(result.error().code);
+    co_return repeat == Repeat::IfNotSent&& mayHaveActed;
+}
+
+asio::awaitable<void> ControlClient::reportProgress()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    for (unsigned seconds = 1;; ++seconds) {
+        timer.expires_after(progressInterval);
+        co_await timer.async_wait(asio::use_awaitable);
+        std::size_t asked = std::min(m_asked, m_settings.keepers.size() - 1);
+        m_progress << "waiting for " << formatEndpoint(m_settings.keepers[asked]) << " (" << seconds << " s)\n"
+                   << std::flush;
+    }
+}
+
+std::string ControlClient::failures() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < m_failures.size(); ++i)
+        text += (i ? "\n" : "") + formatEndpoint(m_settings.keepers[i]) + ": " + m_failures[i];
+    return text;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/tools/hemlockctl/ControlSettings.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "hemlockchute/settings/SettingsFile.h"
+
+#include <tl/expected.hpp>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    Where the keepers answer operators, and the operator's token.
+
+    @code
+    keepers = ["127.0.1.1:7104", "127.0.2.1:7104", "127.0.3.1:7104"]
+    token_file = "token"
+    @endcode
+*/
+struct ControlSettings {
+    std::vector<Endpoint> keepers;
+    std::string token;
+
+    /** Reads a file, or gives every fault found. Thread safety: any thread. */
+    static tl::expected<ControlSettings, std::vector<std::string>> load(const std::filesystem::path&);
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/tools/hemlockctl/OfflineCommands.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "Arguments.h"
+#include "Console.h"
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    The commands of hemlockctl that need no keeper.
+
+    Thread safety: one thread at a time.
+
+    @see ControlCommands
+*/
+class OfflineCommands {
+public:
+    OfflineCommands(const Arguments&, Console&);
+
+    bool knows(std::string_view command) const;
+    /** Runs the command. Precondition: knows() it. */
+    ExitCode run();
+
+private:
+    struct Entry {
+        std::string_view command;
+        ExitCode (OfflineCommands::*run)();
+    };
+
+    static const Entry entries[];
+
+    ExitCode validate();
+    ExitCode hashToken();
+    ExitCode verifyLog();
+
+    const Arguments& m_arguments;
+    Console& m_console;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/tools/hemlockctl/ReadOnlyFileSystem.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hemlockchute/storage/FileSystem.h"
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    Reads through to another file system and changes nothing in it; it only notes where a file
+    would have been cut.
+
+    Thread safety: one thread at a time.
+*/
+class ReadOnlyFileSystem : public FileSystem {
+public:
+    /** A file that would have been cut to a size. */
+    struct Cut {
+        std::filesystem::path path;
+        std::uint64_t size = 0;
+    };
+
+    explicit ReadOnlyFileSystem(FileSystem&);
+
+    const std::vector<Cut>& cuts() const { return m_cuts; }
+
+    StorageResult<void> createFolder(const std::filesystem::path&) override;
+    StorageResult<std::vector<std::string>> list(const std::filesystem::path& folder) override;
+    StorageResult<ByteString> read(const std::filesystem::path&) override;
+    StorageResult<std::unique_ptr<AppendFile>> openAppend(const std::filesystem::path&) override;
+    StorageResult<void> truncate(const std::filesystem::path&, std::uint64_t size) override;
+    StorageResult<void> rename(const std::filesystem::path& from, const std::filesystem::path& to) override;
+    StorageResult<void> remove(const std::filesystem::path&) override;
+    StorageResult<void> syncFolder(const std::filesystem::path&) override;
+
+private:
+    FileSystem& m_files;
+    std::vector<Cut> m_cuts;
+};
+
+} // namespace hemlockchute
