--- a/modules/hc_peer/include/hemlockchute/peer/DocumentFollower.h
+++ b/modules/hc_peer/include/hemlockchute/peer/DocumentFollower.h
@@ -14,6 +14,8 @@
     Digest digest;
     /** The version in force at each host that this follower speaks for, itself included. */
     std::map<HostName, DocumentVersion> inForce;
+    /** True when the answer is wanted at once, also when there is nothing new. */
+    bool isCheck = false;
 };
 
 /** What a follower is told: nothing new, a delta, or a whole document. */
@@ -65,7 +67,8 @@
 
     The endpoints are tried in order: the data centre's relay first, then the keepers. Each call
     is held open by the other side until there is something new, at most a second, so that it is
-    heartbeat and anti-entropy at once. Thread safety: every method may be called from any thread.
+    heartbeat and anti-entropy at once. Now and then another endpoint is asked too, in case the
+    usual one is itself cut off. Thread safety: every method may be called from any thread.
 
     @see DocumentSource
 */
--- a/modules/hc_peer/peer/DocumentFollower.cpp
+++ b/modules/hc_peer/peer/DocumentFollower.cpp
@@ -15,7 +15,7 @@
 /** Pause after every source failed. */
 constexpr Duration pauseAfterFailure = 200ms;
 /** So often another source than the usual one is asked, in case the usual one is itself cut off. */
-constexpr unsigned roundsBetweenChecks = 5;
+constexpr unsigned roundsBetweenChecks = 3;
 
 } // namespace
 
@@ -38,25 +38,33 @@
         ++round;
         bool isCheck = round % roundsBetweenChecks == 0;
         std::size_t index = isCheck ? (round / roundsBetweenChecks) % sources.size() : usual;
-        client.call(sources[index], PeerMethod::FollowDocument, request(), followTimeout, [impl = shared_from_this(), index, isCheck](const Result<ByteString, PeerErrorCode>& bytes) {
+        client.call(sources[index], PeerMethod::FollowDocument, request(isCheck), followTimeout, [impl = shared_from_this(), index, isCheck](const Result<ByteString, PeerErrorCode>& bytes) {
             impl->take(bytes, index, isCheck);
         });
     }
 
-    ByteString request() const
+    ByteString request(bool isCheck) const
     {
         FollowRequest request;
+        request.isCheck = isCheck;
         DocumentPointer current = target.current();
         if (!wantsWhole) {
             request.version = current->version;
             request.digest = current->digest;
         }
-        request.inForce = target.inForce();
-        auto [own, isNew] = request.inForce.emplace(self, current->version);
-        own->second = std::min(own->second, current->version);
+        if (!isCheck)
+            request.inForce = versionsInForce(current->version);
         return encodeFollowRequest(request);
     }
 
+    std::map<HostName, DocumentVersion> versionsInForce(DocumentVersion ownVersion) const
+    {
+        std::map<HostName, DocumentVersion> versions = target.inForce();
+        auto [own, isNew] = versions.emplace(self, ownVersion);
+        own->second = std::min(own->second, ownVersion);
+        return versions;
+    }
+
     void take(const Result<ByteString, PeerErrorCode>& bytes, std::size_t index, bool isCheck)
     {
         bool isAnswered = bytes && takeReply(*bytes);
--- a/modules/hc_peer/peer/DocumentSource.cpp
+++ b/modules/hc_peer/peer/DocumentSource.cpp
@@ -11,6 +11,9 @@
 
 /** How long a follower that is up to date is held. */
 constexpr Duration holdTime = 1s;
+/** The same shortly after a new document, so that word of where it is in force travels quickly. */
+constexpr Duration holdTimeAfterChange = 100ms;
+constexpr Duration changePeriod = 2s;
 /** How long a follower's word about the versions in force counts. */
 constexpr Duration inForceLifetime = 10s;
 /** Documents kept so that a follower a little behind gets a delta. */
@@ -72,7 +75,7 @@
     void hold(PeerCall& call, FollowRequest request)
     {
         std::uint64_t id = ++lastWaiter;
-        auto timer = std::make_unique<boost::asio::steady_timer>(context, holdTime);
+        auto timer = std::make_unique<boost::asio::steady_timer>(context, currentHoldTime());
         timer->async_wait([weak = weak_from_this(), id](const boost::system::error_code&) {
             if (auto self = weak.lock())
                 self->release(id);
@@ -80,6 +83,11 @@
         waiters.emplace(id, Waiter { std::move(request), std::move(call.reply), std::move(timer) });
     }
 
+    Duration currentHoldTime() const
+    {
+        return std::chrono::steady_clock::now() - changedAt < changePeriod ? holdTimeAfterChange : holdTime;
+    }
+
     void release(std::uint64_t id)
     {
         PeerReply reply;
@@ -100,6 +108,7 @@
     mutable std::mutex lock;
     /** Oldest first; the last is the newest. */
     std::deque<DocumentPointer> documents;
+    Instant changedAt {};
     std::vector<std::function<void(DocumentPointer)>> listeners;
     std::uint64_t lastWaiter = 0;
     std::map<std::uint64_t, Waiter> waiters;
@@ -123,6 +132,7 @@
         if (document->version <= m_impl->documents.back()->version)
             return false;
         m_impl->documents.push_back(document);
+        m_impl->changedAt = std::chrono::steady_clock::now();
         if (m_impl->documents.size() > keptDocuments)
             m_impl->documents.pop_front();
         waiters.swap(m_impl->waiters);
@@ -162,8 +172,9 @@
     ByteString answer;
     {
         std::lock_guard guard(m_impl->lock);
-        m_impl->heard[{ call.caller, call.callerRole }] = { request->inForce, std::chrono::steady_clock::now() };
-        if (!m_impl->isBehind(*request)) {
+        if (!request->isCheck)
+            m_impl->heard[{ call.caller, call.callerRole }] = { request->inForce, std::chrono::steady_clock::now() };
+        if (!request->isCheck && !m_impl->isBehind(*request)) {
             m_impl->hold(call, std::move(*request));
             return;
         }
--- a/modules/hc_peer/peer/FollowMessages.cpp
+++ b/modules/hc_peer/peer/FollowMessages.cpp
@@ -44,6 +44,7 @@
     request.digest = Digest(root.getDigestHigh(), root.getDigestLow());
     for (auto host : root.getInForce())
         request.inForce[HostName(textOf(host.getHost()))] = DocumentVersion(host.getVersion());
+    request.isCheck = root.getIsCheck();
     return request;
 }
 
@@ -67,6 +68,7 @@
     root.setVersion(request.version.value());
     root.setDigestHigh(request.digest.high());
     root.setDigestLow(request.digest.low());
+    root.setIsCheck(request.isCheck);
     auto hosts = root.initInForce(static_cast<unsigned>(request.inForce.size()));
     unsigned index = 0;
     for (const auto& [host, version] : request.inForce) {
--- a/modules/hc_peer/peer/Peer.capnp
+++ b/modules/hc_peer/peer/Peer.capnp
@@ -35,6 +35,7 @@
   digestHigh @1 :UInt64;
   digestLow @2 :UInt64;
   inForce @3 :List(HostVersion);
+  isCheck @4 :Bool;
 }
 
 struct SectionChange {
--- a/modules/hc_peer/peer/Peer.capnp.h
+++ b/modules/hc_peer/peer/Peer.capnp.h
@@ -247,7 +247,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a7296a92c76fe1cb, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(a7296a92c76fe1cb, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1336,6 +1336,8 @@
   inline bool hasInForce() const;
   inline  ::capnp::List< ::hemlockchute::wire::HostVersion,  ::capnp::Kind::STRUCT>::Reader getInForce() const;
 
+  inline bool getIsCheck() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1380,6 +1382,9 @@
   inline void adoptInForce(::capnp::Orphan< ::capnp::List< ::hemlockchute::wire::HostVersion,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::wire::HostVersion,  ::capnp::Kind::STRUCT>> disownInForce();
 
+  inline bool getIsCheck();
+  inline void setIsCheck(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2478,6 +2483,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FollowRequest::Reader::getIsCheck() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowRequest::Builder::getIsCheck() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setIsCheck(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<192>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::hemlockchute::wire::SectionChange::Which SectionChange::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
