--- /dev/null
+++ b/modules/hc_agreement/agreement/ReplicaElection.cpp
@@ -0,0 +1,190 @@
+#include "agreement/ReplicaCore.h"
+
+namespace hemlockchute {
+namespace {
+
+bool isFromLeader(const AgreementBody& body)
+{
+    return std::holds_alternative<AppendRequest>(body) || std::holds_alternative<SnapshotChunk>(body);
+}
+
+/** True for a vote's answer that carries the term asked for instead of the voter's own. */
+bool isPreVoteGrant(const AgreementBody& body)
+{
+    const auto* reply = std::get_if<VoteReply>(&body);
+    return reply != nullptr && reply->isPreVote && reply->granted;
+}
+
+} // namespace
+
+void Replica::Impl::receive(const AgreementMessage& message)
+{
+    if (message.to != self || !settleTerm(message))
+        return;
+    std::visit([&](const auto& body) { handle(message, body); }, message.body);
+}
+
+bool Replica::Impl::settleTerm(const AgreementMessage& message)
+{
+    const auto* voteRequest = std::get_if<VoteRequest>(&message.body);
+    if (voteRequest != nullptr && voteRequest->isPreVote)
+        return true;
+    if (isPreVoteGrant(message.body))
+        return message.term == hardState.term.next();
+    if (message.term < hardState.term) {
+        answerStale(message);
+        return false;
+    }
+    if (message.term > hardState.term) {
+        if (voteRequest != nullptr && !mayVote())
+            return false;
+        becomeFollower(message.term, std::nullopt);
+    }
+    if (isFromLeader(message.body))
+        noteLeader(message.from);
+    return true;
+}
+
+/** Tells a former leader or a late candidate of the newer term. */
+void Replica::Impl::answerStale(const AgreementMessage& message)
+{
+    if (std::holds_alternative<VoteRequest>(message.body))
+        send(message.from, hardState.term, VoteReply {});
+    else if (isFromLeader(message.body))
+        send(message.from, hardState.term, AppendReply {});
+}
+
+void Replica::Impl::noteLeader(const ReplicaId& from)
+{
+    if (role != Role::Follower)
+        becomeFollower(hardState.term, from);
+    leader = from;
+    leaderContact = now;
+    resetElectionDeadline();
+}
+
+void Replica::Impl::becomeFollower(AgreementTerm term, std::optional<ReplicaId> newLeader)
+{
+    if (term > hardState.term) {
+        hardState = { term, std::nullopt };
+        effects.hardState = hardState;
+    }
+    role = Role::Follower;
+    leader = newLeader;
+    votes.clear();
+    progress.clear();
+    needsBroadcast = false;
+    failReads();
+    resetElectionDeadline();
+}
+
+void Replica::Impl::resetElectionDeadline()
+{
+    auto spread = static_cast<std::uint64_t>(options.electionTimeout.count());
+    electionDeadline = now + options.electionTimeout + Duration(random() % spread);
+}
+
+//==============================================================================
+void Replica::Impl::startPreVote()
+{
+    role = Role::PreCandidate;
+    leader.reset();
+    votes = { self };
+    resetElectionDeadline();
+    if (hasVoteQuorum())
+        startElection();
+    else
+        askForVotes(hardState.term.next(), true);
+}
+
+void Replica::Impl::startElection()
+{
+    role = Role::Candidate;
+    hardState = { hardState.term.next(), self };
+    effects.hardState = hardState;
+    votes = { self };
+    resetElectionDeadline();
+    if (hasVoteQuorum())
+        becomeLeader();
+    else
+        askForVotes(hardState.term, false);
+}
+
+void Replica::Impl::askForVotes(AgreementTerm term, bool isPreVote)
+{
+    for (const ReplicaId& voter : log.membership().voters) {
+        if (voter != self)
+            send(voter, term, VoteRequest { isPreVote, log.lastIndex(), log.lastTerm() });
+    }
+}
+
+bool Replica::Impl::hasVoteQuorum() const
+{
+    std::size_t count = 0;
+    for (const ReplicaId& voter : log.membership().voters)
+        count += votes.contains(voter) ? 1 : 0;
+    return count >= quorum();
+}
+
+/** The first leader of a cluster writes down the membership, so that it stands in the log. */
+void Replica::Impl::becomeLeader()
+{
+    role = Role::Leader;
+    leader = self;
+    votes.clear();
+    leaderSince = now;
+    progress.clear();
+    bool isFirst = log.lastIndex().isNone();
+    firstOfTerm = log.lastIndex().next();
+    appendEntry({ firstOfTerm, hardState.term, LogEntry::Kind::Empty, {} });
+    if (isFirst)
+        appendEntry({ firstOfTerm.next(), hardState.term, LogEntry::Kind::Membership, encodeMembership(log.membership()) });
+    refreshProgress();
+    needsBroadcast = true;
+}
+
+//==============================================================================
+bool Replica::Impl::mayVote() const
+{
+    return now >= leaderContact + options.electionTimeout && role != Role::Leader;
+}
+
+bool Replica::Impl::isUpToDate(const VoteRequest& request) const
+{
+    if (request.lastTerm != log.lastTerm())
+        return request.lastTerm > log.lastTerm();
+    return request.lastIndex >= log.lastIndex();
+}
+
+void Replica::Impl::handle(const AgreementMessage& message, const VoteRequest& request)
+{
+    if (request.isPreVote) {
+        bool granted = message.term > hardState.term && mayVote() && isUpToDate(request);
+        send(message.from, granted ? message.term : hardState.term, VoteReply { true, granted });
+        return;
+    }
+    bool isFree = !hardState.votedFor || *hardState.votedFor == message.from;
+    bool granted = isFree && mayVote() && isUpToDate(request);
+    if (granted && !hardState.votedFor) {
+        hardState.votedFor = message.from;
+        effects.hardState = hardState;
+        resetElectionDeadline();
+    }
+    send(message.from, hardState.term, VoteReply { false, granted });
+}
+
+void Replica::Impl::handle(const AgreementMessage& message, const VoteReply& reply)
+{
+    bool isAwaited = role == (reply.isPreVote ? Role::PreCandidate : Role::Candidate);
+    if (!isAwaited || !reply.granted)
+        return;
+    votes.insert(message.from);
+    if (!hasVoteQuorum())
+        return;
+    if (reply.isPreVote)
+        startElection();
+    else
+        becomeLeader();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_agreement/agreement/ReplicaSnapshots.cpp
@@ -0,0 +1,74 @@
+#include "agreement/ReplicaCore.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+
+/** One piece is on its way at a time; the next goes out with the answer, and the same again with each heartbeat. */
+void Replica::Impl::sendSnapshot(const ReplicaId& to, PeerProgress& peer)
+{
+    const ReplicaSnapshot& snapshot = log.snapshot();
+    if (peer.snapshotIndex != snapshot.lastIndex) {
+        peer.snapshotIndex = snapshot.lastIndex;
+        peer.snapshotOffset = 0;
+    }
+    peer.snapshotSent = now;
+    ByteString bytes = snapshot.state.substr(peer.snapshotOffset, options.snapshotChunkBytes);
+    bool isLast = peer.snapshotOffset + bytes.size() == snapshot.state.size();
+    send(to, hardState.term,
+        SnapshotChunk { snapshot.lastIndex, snapshot.lastTerm, snapshot.membership, peer.snapshotOffset, std::move(bytes), isLast,
+            static_cast<std::uint64_t>(now.time_since_epoch().count()) });
+}
+
+void Replica::Impl::handle(const AgreementMessage& message, const SnapshotReply& reply)
+{
+    auto found = progress.find(message.from);
+    if (role != Role::Leader || found == progress.end())
+        return;
+    PeerProgress& peer = found->second;
+    noteAnswer(peer, reply.round);
+    if (peer.next > log.baseIndex() || reply.lastIndex != log.baseIndex() || peer.snapshotIndex != reply.lastIndex)
+        return;
+    peer.snapshotOffset = std::min<std::uint64_t>(reply.received, log.snapshot().state.size());
+    sendSnapshot(message.from, peer);
+}
+
+//==============================================================================
+void Replica::Impl::handle(const AgreementMessage& message, const SnapshotChunk& chunk)
+{
+    if (chunk.lastIndex <= committed) {
+        send(message.from, hardState.term, AppendReply { true, committed, chunk.round });
+        return;
+    }
+    bool isSame = arriving.lastIndex == chunk.lastIndex && arrivingTerm == message.term;
+    if (!isSame)
+        arriving = { chunk.lastIndex, chunk.lastTerm, chunk.membership, {} };
+    arrivingTerm = message.term;
+    bool isNext = chunk.offset == arriving.state.size();
+    if (isNext)
+        arriving.state += chunk.bytes;
+    if (!isNext || !chunk.isLast) {
+        send(message.from, hardState.term, SnapshotReply { chunk.lastIndex, arriving.state.size(), chunk.round });
+        return;
+    }
+    install(std::exchange(arriving, {}));
+    send(message.from, hardState.term, AppendReply { true, committed, chunk.round });
+}
+
+/** What follows the snapshot in the log stays only when the log holds the snapshot's last entry. */
+void Replica::Impl::install(ReplicaSnapshot snapshot)
+{
+    LogIndex through = snapshot.lastIndex;
+    bool keepsTail = log.termAt(through) == snapshot.lastTerm;
+    log.install(snapshot);
+    std::erase_if(effects.append, [&](const LogEntry& entry) { return !keepsTail || entry.index <= through; });
+    std::erase_if(effects.committed, [&](const LogEntry& entry) { return entry.index <= through; });
+    if (!keepsTail)
+        effects.truncateFrom = std::min(through.next(), effects.truncateFrom.value_or(through.next()));
+    committed = through;
+    durable = keepsTail ? std::max(durable, through) : through;
+    handedOut = keepsTail ? std::max(handedOut, through) : through;
+    effects.install = std::move(snapshot);
+}
+
+} // namespace hemlockchute
--- a/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
@@ -60,7 +60,7 @@
     AgreementTerm previousTerm;
     std::vector<LogEntry> entries;
     LogIndex committed;
-    /** Counts the leader's rounds, to confirm leadership for reads. */
+    /** When the leader sent this, on its own clock; comes back in the reply and confirms leadership since then. */
     std::uint64_t round = 0;
 };
 
@@ -78,11 +78,14 @@
     std::uint64_t offset = 0;
     ByteString bytes;
     bool isLast = false;
+    /** As AppendRequest's. */
+    std::uint64_t round = 0;
 };
 
 struct SnapshotReply {
     LogIndex lastIndex;
     std::uint64_t received = 0;
+    std::uint64_t round = 0;
 };
 
 using AgreementBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply>;
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -72,12 +72,16 @@
         /** By how much clocks may run apart within an election timeout, in thousandths. */
         unsigned clockDriftPerMille = 100;
         std::size_t maximumEntriesPerMessage = 256;
+        /** Entries of one message, together; a single longer one still goes. */
+        std::size_t maximumBytesPerMessage = 1U << 20U;
         std::size_t snapshotChunkBytes = 256U << 10U;
         std::uint64_t seed = 1;
 
         Options withHeartbeatInterval(Duration) const;
         Options withElectionTimeout(Duration) const;
         Options withSeed(std::uint64_t) const;
+        Options withSnapshotChunkBytes(std::size_t) const;
+        Options withMaximumEntriesPerMessage(std::size_t) const;
     };
 
     Replica(ReplicaId self, Options, RecoveredState, Instant now);
@@ -95,12 +99,16 @@
     void read(std::uint64_t token, Instant now);
     /** Changes the membership by one step: add a learner, promote one that has caught up, or remove a member. */
     Result<LogIndex, AgreementErrorCode> changeMembership(const Membership&, Instant now);
-    /** Takes a snapshot of the state up to an applied index, and forgets the log up to there. */
-    void compact(LogIndex appliedIndex, ByteString state);
+    /**
+        Takes a snapshot of the state up to an applied index, and forgets the log up to there. The
+        caller makes the result durable before it drops its own log. Precondition: the index was
+        handed out as committed.
+    */
+    ReplicaSnapshot compact(LogIndex appliedIndex, ByteString state);
 
     /** All that is to be done since the last call. */
     Effects takeEffects();
-    /** Says that the hard state and entries of the last effects are synced. */
+    /** Says that everything in the last effects taken is synced. */
     void persisted(Instant now);
 
     //==============================================================================
@@ -111,6 +119,8 @@
     LogIndex committed() const;
     LogIndex lastIndex() const;
     const Membership& membership() const;
+    /** True when a membership change is in the log and not committed yet. */
+    bool isChangingMembership() const;
     /** For each learner and voter, how far its log is known to match; only at the leader. */
     std::vector<std::pair<ReplicaId, LogIndex>> progress() const;
 
--- /dev/null
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -0,0 +1,337 @@
+#include "SimulatedCluster.h"
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace hemlockchute {
+namespace {
+
+constexpr Duration stepLength = 2ms;
+constexpr int largestDriftPerMille = 40;
+constexpr Duration settleTime = 5s;
+constexpr std::size_t chunkBytes = 16;
+
+Replica::Options optionsFor(std::uint64_t seed)
+{
+    return Replica::Options().withElectionTimeout(100ms).withHeartbeatInterval(20ms).withSeed(seed).withSnapshotChunkBytes(chunkBytes).withMaximumEntriesPerMessage(4);
+}
+
+void require(bool holds, const std::string& what)
+{
+    if (!holds)
+        throw std::logic_error(what);
+}
+
+} // namespace
+
+//==============================================================================
+void SimulatedDisk::store(const Effects& effects)
+{
+    if (effects.hardState)
+        hardState = *effects.hardState;
+    if (effects.install) {
+        snapshot = *effects.install;
+        std::erase_if(entries, [&](const LogEntry& entry) { return entry.index <= snapshot->lastIndex; });
+    }
+    if (effects.truncateFrom)
+        std::erase_if(entries, [&](const LogEntry& entry) { return entry.index >= *effects.truncateFrom; });
+    for (const LogEntry& entry : effects.append) {
+        require(entries.empty() || entry.index == entries.back().index.next(), "the log has a gap");
+        entries.push_back(entry);
+    }
+}
+
+//==============================================================================
+SimulatedCluster::SimulatedCluster(unsigned keepers, std::uint64_t seed)
+    : m_random(seed)
+{
+    Membership initial;
+    for (unsigned i = 1; i <= keepers; ++i) {
+        Node& node = m_nodes[KeeperId(i)];
+        node.disk.incarnation = IncarnationId(m_nextIncarnation++);
+        initial.voters.insert(idOf(KeeperId(i), node));
+    }
+    for (auto& [id, node] : m_nodes) {
+        node.disk.initialMembership = initial;
+        node.drift = static_cast<int>(m_random() % (2 * largestDriftPerMille + 1)) - largestDriftPerMille;
+        node.offset = Duration(m_random() % 1'000'000'000);
+        start(id);
+    }
+}
+
+ReplicaId SimulatedCluster::idOf(KeeperId keeper, const Node& node) const
+{
+    return { keeper, node.disk.incarnation };
+}
+
+Instant SimulatedCluster::localTime(const Node& node) const
+{
+    return m_now + node.offset + (m_now.time_since_epoch() / 1000) * node.drift;
+}
+
+void SimulatedCluster::advance(Duration duration)
+{
+    for (Instant end = m_now + duration; m_now < end; m_now += stepLength)
+        step();
+}
+
+void SimulatedCluster::step()
+{
+    deliver();
+    for (auto& [id, node] : m_nodes) {
+        if (node.replica && m_now >= node.pausedUntil)
+            stepNode(id, node);
+    }
+}
+
+void SimulatedCluster::stepNode(KeeperId id, Node& node)
+{
+    if (node.writing && m_now >= node.written)
+        carryOut(id, node);
+    node.replica->tick(localTime(node));
+    checkLeader(node);
+    if (node.writing)
+        return;
+    node.writing = node.replica->takeEffects();
+    node.written = m_now + Duration(m_random() % 6) * 1'000'000;
+}
+
+void SimulatedCluster::carryOut(KeeperId, Node& node)
+{
+    Effects effects = *std::exchange(node.writing, std::nullopt);
+    node.disk.store(effects);
+    if (effects.install) {
+        node.applied = effects.install->lastIndex;
+        node.state = effects.install->state;
+        ++m_installs;
+    }
+    for (const AgreementMessage& message : effects.messages)
+        post(message);
+    for (const LogEntry& entry : effects.committed)
+        apply(node, entry);
+    checkReads(node, effects);
+    node.replica->persisted(localTime(node));
+}
+
+//==============================================================================
+void SimulatedCluster::post(const AgreementMessage& message)
+{
+    unsigned lossPercent = m_chaotic ? 20 : 1;
+    unsigned doublePercent = m_chaotic ? 20 : 1;
+    unsigned longestDelay = m_chaotic ? 150 : 6;
+    bool isCut = m_isolated == message.from.keeper || m_isolated == message.to.keeper;
+    if (isCut || m_random() % 100 < lossPercent)
+        return;
+    unsigned copies = m_random() % 100 < doublePercent ? 2 : 1;
+    auto decoded = decodeMessage(encodeMessage(message)).value();
+    for (unsigned i = 0; i < copies; ++i)
+        m_network.push_back({ m_now + Duration(m_random() % longestDelay) * 1'000'000, decoded });
+}
+
+void SimulatedCluster::deliver()
+{
+    std::vector<Flight> waiting;
+    std::vector<Flight> due;
+    for (Flight& flight : m_network) {
+        auto to = m_nodes.find(flight.message.to.keeper);
+        bool isDue = flight.due <= m_now && m_now >= to->second.pausedUntil;
+        (isDue ? due : waiting).push_back(std::move(flight));
+    }
+    m_network = std::move(waiting);
+    for (const Flight& flight : due) {
+        Node& node = m_nodes.at(flight.message.to.keeper);
+        if (!node.replica)
+            continue;
+        node.replica->receive(flight.message, localTime(node));
+        checkLeader(node);
+    }
+}
+
+//==============================================================================
+void SimulatedCluster::crash(KeeperId id)
+{
+    Node& node = m_nodes.at(id);
+    node.replica.reset();
+    node.writing.reset();
+}
+
+void SimulatedCluster::start(KeeperId id)
+{
+    Node& node = m_nodes.at(id);
+    if (node.replica)
+        return;
+    node.applied = node.disk.snapshot ? node.disk.snapshot->lastIndex : LogIndex();
+    node.state = node.disk.snapshot ? node.disk.snapshot->state : std::string();
+    RecoveredState recovered { node.disk.hardState, node.disk.snapshot, node.disk.entries, node.disk.initialMembership };
+    node.replica = std::make_unique<Replica>(idOf(id, node), optionsFor(m_random()), recovered, localTime(node));
+    node.pausedUntil = m_now;
+}
+
+void SimulatedCluster::pause(KeeperId id, Duration duration)
+{
+    m_nodes.at(id).pausedUntil = m_now + duration;
+}
+
+void SimulatedCluster::loseDisk(KeeperId id)
+{
+    crash(id);
+    Node& node = m_nodes.at(id);
+    node.disk = {};
+    node.disk.incarnation = IncarnationId(m_nextIncarnation++);
+    start(id);
+}
+
+//==============================================================================
+SimulatedCluster::Node* SimulatedCluster::leaderNode()
+{
+    Node* best = nullptr;
+    for (auto& [id, node] : m_nodes) {
+        bool leads = node.replica && node.replica->isLeader() && m_now >= node.pausedUntil;
+        if (leads && (best == nullptr || node.replica->term() > best->replica->term()))
+            best = &node;
+    }
+    return best;
+}
+
+bool SimulatedCluster::change(Node& leader, const Membership& wanted)
+{
+    return leader.replica->changeMembership(wanted, localTime(leader)).has_value();
+}
+
+void SimulatedCluster::repairStep()
+{
+    Node* leader = leaderNode();
+    if (leader == nullptr)
+        return;
+    const Membership current = leader->replica->membership();
+    for (const auto& [id, node] : m_nodes) {
+        ReplicaId replica = idOf(id, node);
+        if (current.voters.contains(replica))
+            continue;
+        Membership wanted = current;
+        if (!current.learners.contains(replica)) {
+            wanted.learners.insert(replica);
+        } else if (auto former = std::find_if(current.voters.begin(), current.voters.end(), [&](const ReplicaId& voter) { return voter.keeper == id; }); former != current.voters.end()) {
+            wanted.voters.erase(*former);
+        } else {
+            wanted.learners.erase(replica);
+            wanted.voters.insert(replica);
+        }
+        change(*leader, wanted);
+        return;
+    }
+}
+
+void SimulatedCluster::removeVoter(unsigned number)
+{
+    Node* leader = leaderNode();
+    if (leader == nullptr)
+        return;
+    Membership wanted = leader->replica->membership();
+    if (wanted.voters.size() < 3)
+        return;
+    wanted.voters.erase(std::next(wanted.voters.begin(), number % static_cast<unsigned>(wanted.voters.size())));
+    change(*leader, wanted);
+}
+
+void SimulatedCluster::propose(KeeperId id)
+{
+    Node& node = m_nodes.at(id);
+    if (node.replica && m_now >= node.pausedUntil)
+        (void)node.replica->propose("c" + std::to_string(m_nextCommand++), localTime(node));
+}
+
+void SimulatedCluster::read(KeeperId id)
+{
+    Node& node = m_nodes.at(id);
+    if (!node.replica || m_now < node.pausedUntil)
+        return;
+    m_readFloor[m_nextToken] = m_history.size();
+    node.replica->read(m_nextToken++, localTime(node));
+}
+
+void SimulatedCluster::compact(KeeperId id)
+{
+    Node& node = m_nodes.at(id);
+    bool isNewer = node.replica && (!node.disk.snapshot || node.applied > node.disk.snapshot->lastIndex);
+    if (!isNewer || node.writing)
+        return;
+    node.disk.snapshot = node.replica->compact(node.applied, node.state);
+    std::erase_if(node.disk.entries, [&](const LogEntry& entry) { return entry.index <= node.applied; });
+}
+
+//==============================================================================
+void SimulatedCluster::apply(Node& node, const LogEntry& entry)
+{
+    require(entry.index == node.applied.next(), "a committed entry was skipped or repeated");
+    node.applied = entry.index;
+    node.state += entry.payload.substr(0, entry.kind == LogEntry::Kind::Command ? entry.payload.size() : 0);
+    std::size_t place = entry.index.value() - 1;
+    if (place < m_history.size()) {
+        require(m_history[place] == entry, "a committed entry was lost or changed");
+        return;
+    }
+    require(place == m_history.size(), "a committed entry is missing");
+    m_history.push_back(entry);
+}
+
+void SimulatedCluster::checkLeader(const Node& node)
+{
+    if (!node.replica->isLeader())
+        return;
+    ReplicaId id = *node.replica->leader();
+    auto [known, isNew] = m_leaders.emplace(node.replica->term(), id);
+    require(known->second == id, "two leaders in one term");
+}
+
+void SimulatedCluster::checkReads(const Node& node, const Effects& effects)
+{
+    for (std::uint64_t token : effects.readsReady) {
+        require(node.applied.value() >= m_readFloor.at(token), "a read missed what was committed before it");
+        ++m_readsAnswered;
+    }
+}
+
+//==============================================================================
+bool SimulatedCluster::hasLivingQuorums() const
+{
+    std::set<ReplicaId> living;
+    for (const auto& [id, node] : m_nodes)
+        living.insert(idOf(id, node));
+    auto hasQuorum = [&](const Membership& membership) {
+        auto isLiving = [&](const ReplicaId& voter) { return living.contains(voter); };
+        auto count = static_cast<std::size_t>(std::count_if(membership.voters.begin(), membership.voters.end(), isLiving));
+        return count >= membership.voters.size() / 2 + 1;
+    };
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& item) {
+        const Membership& membership = item.second.replica->membership();
+        return membership.voters.empty() || hasQuorum(membership);
+    });
+}
+
+bool SimulatedCluster::settles()
+{
+    setChaotic(false);
+    isolate(KeeperId());
+    for (auto& [id, node] : m_nodes) {
+        start(id);
+        node.pausedUntil = m_now;
+    }
+    if (!hasLivingQuorums())
+        return true;
+    advance(settleTime);
+    Node* leader = leaderNode();
+    if (leader == nullptr)
+        return false;
+    std::size_t before = m_history.size();
+    (void)leader->replica->propose("last", localTime(*leader));
+    advance(settleTime);
+    const Membership& membership = leader->replica->membership();
+    return m_history.size() > before && std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& item) {
+        ReplicaId id = idOf(item.first, item.second);
+        bool belongs = membership.voters.contains(id) || membership.learners.contains(id);
+        return !belongs || item.second.applied.value() == m_history.size();
+    });
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_agreement/tests/SimulatedCluster.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "hemlockchute/agreement/agreement.h"
+
+#include <deque>
+#include <map>
+#include <random>
+#include <string>
+
+namespace hemlockchute {
+
+/** What a keeper's disk holds. */
+struct SimulatedDisk {
+    IncarnationId incarnation;
+    HardState hardState;
+    std::optional<ReplicaSnapshot> snapshot;
+    std::vector<LogEntry> entries;
+    Membership initialMembership;
+
+    void store(const Effects&);
+};
+
+//==============================================================================
+/**
+    Keepers in virtual time over a network that loses, delays, doubles and reorders messages.
+
+    Each keeper has a clock of its own that drifts, and a disk whose writes take time and are lost
+    in a crash. After every event an oracle checks that a term has one leader, that what was
+    committed once stays at its place, and that reads see what was committed before them. A
+    violation throws std::logic_error. Thread safety: one thread at a time.
+*/
+class SimulatedCluster {
+public:
+    SimulatedCluster(unsigned keepers, std::uint64_t seed);
+
+    /** Lets time pass. */
+    void advance(Duration);
+    /** The network loses and delays many messages, or few. */
+    void setChaotic(bool chaotic) { m_chaotic = chaotic; }
+    /** Cuts one keeper off, or heals the network when it is 0. */
+    void isolate(KeeperId keeper) { m_isolated = keeper; }
+    /** Ends a process; its unsynced writes are lost. */
+    void crash(KeeperId);
+    void start(KeeperId);
+    /** Stops a process for a while; its messages wait. */
+    void pause(KeeperId, Duration);
+    /** Empties the disk of a keeper and starts it as a new incarnation. */
+    void loseDisk(KeeperId);
+    /** Takes the next step that brings new incarnations back in as voters. */
+    void repairStep();
+    /** Asks a leader to remove a voter, chosen by number. */
+    void removeVoter(unsigned);
+    void propose(KeeperId);
+    void read(KeeperId);
+    void compact(KeeperId);
+
+    /** Starts every keeper, heals the network and waits; true when a new command commits everywhere it should. */
+    bool settles();
+    /** True when every living keeper's idea of the membership has a living quorum. */
+    bool hasLivingQuorums() const;
+    std::size_t committedCount() const { return m_history.size(); }
+    std::size_t readCount() const { return m_readsAnswered; }
+    std::size_t installCount() const { return m_installs; }
+    std::size_t leaderCount() const { return m_leaders.size(); }
+
+private:
+    struct Node {
+        SimulatedDisk disk;
+        std::unique_ptr<Replica> replica;
+        std::optional<Effects> writing;
+        Instant written;
+        Instant pausedUntil;
+        /** Parts per thousand by which the clock runs fast or slow. */
+        int drift = 0;
+        Duration offset {};
+        LogIndex applied;
+        std::string state;
+    };
+
+    struct Flight {
+        Instant due;
+        AgreementMessage message;
+    };
+
+    Instant localTime(const Node&) const;
+    void step();
+    void stepNode(KeeperId, Node&);
+    void deliver();
+    void post(const AgreementMessage&);
+    void carryOut(KeeperId, Node&);
+    void apply(Node&, const LogEntry&);
+    void checkLeader(const Node&);
+    void checkReads(const Node&, const Effects&);
+    Node* leaderNode();
+    bool change(Node& leader, const Membership&);
+    ReplicaId idOf(KeeperId, const Node&) const;
+
+    std::mt19937_64 m_random;
+    std::map<KeeperId, Node> m_nodes;
+    std::vector<Flight> m_network;
+    Instant m_now { 1h };
+    bool m_chaotic = false;
+    KeeperId m_isolated;
+    std::uint64_t m_nextIncarnation = 1;
+    std::uint64_t m_nextCommand = 1;
+    std::uint64_t m_nextToken = 1;
+
+    std::map<AgreementTerm, ReplicaId> m_leaders;
+    std::vector<LogEntry> m_history;
+    std::map<std::uint64_t, std::size_t> m_readFloor;
+    std::size_t m_readsAnswered = 0;
+    std::size_t m_installs = 0;
+};
+
+} // namespace hemlockchute
