--- a/modules/hc_backend/backend/EngineMessages.cpp
+++ b/modules/hc_backend/backend/EngineMessages.cpp
@@ -1,7 +1,7 @@
 #include "backend/EngineMessages.h"
 
-#include "hemlockchute/backend/JsonFields.h"
 #include "backend/JsonText.h"
+#include "hemlockchute/backend/JsonFields.h"
 
 #include <boost/json/serialize.hpp>
 
--- a/modules/hc_backend/backend/HostList.cpp
+++ b/modules/hc_backend/backend/HostList.cpp
@@ -1,7 +1,7 @@
 #include "hemlockchute/backend/HostListClient.h"
 
-#include "hemlockchute/backend/JsonFields.h"
 #include "backend/JsonText.h"
+#include "hemlockchute/backend/JsonFields.h"
 #include "hemlockchute/settings/SettingsFile.h"
 
 namespace hemlockchute {
--- a/modules/hc_backend/include/hemlockchute/backend/JsonFields.h
+++ b/modules/hc_backend/include/hemlockchute/backend/JsonFields.h
@@ -50,7 +50,4 @@
     std::string& m_fault;
 };
 
-
-
-
 } // namespace hemlockchute
--- a/modules/hc_router/router/OnceCall.cpp
+++ b/modules/hc_router/router/OnceCall.cpp
@@ -19,6 +19,8 @@
 constexpr Duration voidTimeout = 1s;
 constexpr Duration recordTimeout = 2s;
 constexpr Duration readTimeout = 1s;
+/** How long after its service's timeout a call's outcome may still be recorded. */
+constexpr Duration recordMargin = 2min;
 constexpr Duration firstPause = 10ms;
 constexpr Duration longestPause = 200ms;
 constexpr Duration longestBackgroundPause = 5s;
@@ -44,6 +46,7 @@
     claim.attempt = attempt;
     claim.service = call.service.name;
     claim.request = digestOf(call.request);
+    claim.longestRun = call.service.timeout + recordMargin;
     return claim;
 }
 
@@ -282,9 +285,9 @@
 asio::awaitable<void> OnceCall::proposeUntilTaken(CommandBody command)
 {
     Duration wait = firstPause;
-    for (unsigned i = 0; i < mostBackgroundTries && !m_core->isStopping(); ++i) {
+    for (unsigned i = 0; i < mostBackgroundTries; ++i) {
         auto taken = co_await m_core->runs().propose(command, recordTimeout);
-        if (taken)
+        if (taken || m_core->isStopping())
             co_return;
         if (i == 0)
             logEvent(EventId::RouterClaimNotVoided, { { "key", m_call.key->text() }, { "reason", taken.error().detail } });
--- a/modules/hc_router/router/Router.cpp
+++ b/modules/hc_router/router/Router.cpp
@@ -1,8 +1,8 @@
 #include "hemlockchute/router/Router.h"
 
 #include "hemlockchute/core/EventLog.h"
-#include "router/Problem.h"
 #include "router/CallerRequest.h"
+#include "router/Problem.h"
 #include "router/RouterCore.h"
 
 #include <boost/asio/detached.hpp>
