--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -4,7 +4,6 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <csignal>
 #include <fstream>
-#include <openssl/evp.h>
 #include <stdexcept>
 #include <unistd.h>
 
@@ -24,6 +23,10 @@
 constexpr int firstRelayPort = 10000;
 constexpr int firstNetwork = 20;
 constexpr int networkCount = 200;
+/** The administrator's token, and its salt and hash as "hemlockctl token hash" makes them. */
+constexpr const char* adminToken = "demo-admin-token";
+constexpr const char* adminSalt = "00112233445566778899aabbccddeeff";
+constexpr const char* adminHash = "0438890589e2d2c577a6dda9c28376e87a8e9521b6d0512732f09aa73c2a5912";
 constexpr auto longestStop = std::chrono::seconds(20);
 
 std::string joined(const std::string& address, int port)
@@ -110,10 +113,9 @@
     return text;
 }
 
-/** The operators' table with the administrator's token: salt and PBKDF2 hash, both in hexadecimal. */
-std::string Deployment::operatorSettings() const
+std::string Deployment::operatorSettings()
 {
-    return "[operators]\nadmin_salt = \"" + m_adminSalt + "\"\nadmin_hash = \"" + m_adminHash + "\"\n";
+    return std::string("[operators]\nadmin_salt = \"") + adminSalt + "\"\nadmin_hash = \"" + adminHash + "\"\n";
 }
 
 void Deployment::writeFile(const std::string& name, const std::string& text) const
@@ -150,7 +152,7 @@
         addCommand(host.name + " controller", "hemlock-controller", { "--settings=" + (m_folder / controllerFile).string() });
         addCommand(host.name + " router", "hemlock-router", { "--settings=" + (m_folder / routerFile).string() });
     }
-    writeFile("admin.token", "demo-admin-token\n");
+    writeFile("admin.token", std::string(adminToken) + "\n");
     writeFile("hemlockctl.toml", "keepers = [" + keepers + "]\ntoken_file = \"admin.token\"\n");
 }
 
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -93,7 +93,7 @@
     std::string backendAddress(const std::string& name) const;
     std::string addressSeenFrom(const std::string& dataCentre, const std::string& targetDataCentre, const std::string& address);
     std::string commonSettings(const Host&);
-    std::string operatorSettings() const;
+    static std::string operatorSettings();
     void writeSettings();
     void writeHostLists();
     boost::json::array hostList(const std::string& dataCentre);
@@ -104,8 +104,6 @@
     std::filesystem::path m_programs;
     std::filesystem::path m_folder;
     std::string m_network;
-    std::string m_adminSalt;
-    std::string m_adminHash;
     Duration m_delay {};
     std::vector<DataCentreShape> m_dataCentres;
     std::vector<Host> m_hosts;
