--- a/modules/hc_state/state/RunTable.cpp
+++ b/modules/hc_state/state/RunTable.cpp
@@ -83,7 +83,7 @@
 
 RunAnswer RunTable::recordOutcome(const RecordOutcome& command, WallTime now)
 {
-    Record* record = find(command.key);
+    Record* record = findFor(command.key, command.attempt);
     if (!record)
         return {};
     if (!isHeldBy(*record, command.attempt) || record->claim->answer.state == State::Done)
@@ -114,7 +114,7 @@
 
 RunAnswer RunTable::abandon(const AbandonRun& command, WallTime now)
 {
-    Record* record = find(command.key);
+    Record* record = findFor(command.key, command.attempt);
     if (!record)
         return {};
     if (isHeldBy(*record, command.attempt) && record->claim->answer.state == State::InProgress) {
@@ -131,10 +131,14 @@
 }
 
 //==============================================================================
-RunTable::Record* RunTable::find(const IdempotencyKey& key)
+RunTable::Record* RunTable::findFor(const IdempotencyKey& key, const AttemptId& attempt)
 {
     auto found = m_records.find(key);
-    return found == m_records.end() ? nullptr : &found->second;
+    if (found == m_records.end())
+        return nullptr;
+    // Where only other attempts' voids are left, nothing is known of this one.
+    bool isKnown = found->second.claim || found->second.voided.contains(attempt);
+    return isKnown ? &found->second : nullptr;
 }
 
 RunAnswer RunTable::answer(const Record& record, WallTime now) const
--- a/modules/hc_state/state/RunTable.h
+++ b/modules/hc_state/state/RunTable.h
@@ -54,7 +54,8 @@
     void restore(std::map<IdempotencyKey, Record>);
 
 private:
-    Record* find(const IdempotencyKey&);
+    /** The record of a key as far as it says something about an attempt. */
+    Record* findFor(const IdempotencyKey&, const AttemptId&);
     RunAnswer answer(const Record&, WallTime now) const;
     void extend(const IdempotencyKey&, Claim&, WallTime now, Duration atLeast);
     void expire(const IdempotencyKey&, WallTime now);
--- /dev/null
+++ b/modules/hc_state/tests/FuzzSteps.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "hemlockchute/state/state.h"
+
+#include <ostream>
+#include <rapidcheck.h>
+
+namespace hemlockchute {
+
+/** One step of a random run; each run gives the numbers its own meaning. */
+struct FuzzStep {
+    unsigned kind = 0;
+    unsigned who = 0;
+    unsigned what = 0;
+    unsigned how = 0;
+
+    friend std::ostream& operator<<(std::ostream& stream, const FuzzStep& step)
+    {
+        return stream << step.kind << "/" << step.who << "/" << step.what << "/" << step.how;
+    }
+};
+
+/** A state machine whose time only the fuzz moves, and which is rebuilt from its snapshot now and then. */
+class FuzzedMachine {
+public:
+    explicit FuzzedMachine(StateMachine::Options options = {})
+        : m_options(options)
+        , m_state(options)
+    {
+    }
+
+    template <typename Expected>
+    Expected apply(CommandBody body)
+    {
+        return std::get<Expected>(applyAny(std::move(body)));
+    }
+
+    Answer applyAny(CommandBody body) { return m_state.apply(m_state.lastApplied().next(), { time, std::move(body) }); }
+
+    void restart()
+    {
+        auto restored = StateMachine::restore(m_state.snapshot(), m_options);
+        RC_ASSERT(restored.has_value());
+        m_state = std::move(*restored);
+    }
+
+    const StateMachine& state() const { return m_state; }
+
+    WallTime time { 1h };
+
+private:
+    StateMachine::Options m_options;
+    StateMachine m_state;
+};
+
+} // namespace hemlockchute
+
+template <>
+struct rc::Arbitrary<hemlockchute::FuzzStep> {
+    static Gen<hemlockchute::FuzzStep> arbitrary()
+    {
+        auto number = gen::inRange(0U, 1000U);
+        using Step = hemlockchute::FuzzStep;
+        return gen::resize(100, gen::build<Step>(gen::set(&Step::kind, number), gen::set(&Step::who, number), gen::set(&Step::what, number), gen::set(&Step::how, number)));
+    }
+};
+
+namespace hemlockchute {
+
+/** Runs of up to a few hundred steps, which shrink to the shortest that still fails. */
+inline rc::Gen<std::vector<FuzzStep>> fuzzSteps()
+{
+    constexpr int longestRun = 300;
+    return rc::gen::resize(longestRun, rc::gen::container<std::vector<FuzzStep>>(rc::gen::arbitrary<FuzzStep>()));
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_state/tests/RunFuzzTests.cpp
@@ -0,0 +1,161 @@
+#include "FuzzSteps.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hemlockchute;
+
+namespace {
+
+const IdempotencyKey key("k");
+constexpr std::chrono::milliseconds retention = 100s;
+constexpr std::chrono::milliseconds longestRun = 20s;
+constexpr std::size_t longestBody = 16;
+
+/** One router's attempt at the call that the key stands for. */
+struct Attempt {
+    AttemptId id;
+    unsigned request = 0;
+    WallTime startedAt;
+    /** False once the router gave up before it knew of its claim: it will never run. */
+    bool mayRun = true;
+    bool hasRun = false;
+    bool wasToldVoid = false;
+
+    ByteString body() const { return ByteString(request == 0 ? 20 : 8, 'a') + id.text(); }
+};
+
+/** Routers claim, run, record, void and abandon while commands cross, repeat and get lost. */
+class RunRecordRun {
+public:
+    void take(const FuzzStep& step)
+    {
+        switch (step.kind % 12) {
+        case 0:
+        case 1:
+            start(step.what % 3);
+            break;
+        case 2:
+        case 3:
+        case 4:
+        case 5:
+        case 6:
+            deliver(step.what, step.how);
+            break;
+        case 7:
+        case 8:
+            end(step.who, step.how);
+            break;
+        case 9:
+            m_machine.time += std::chrono::milliseconds(step.what * 8);
+            break;
+        case 10:
+            m_machine.time += std::chrono::milliseconds(step.how % 10 == 0 ? step.what * 200 : 0);
+            break;
+        default:
+            m_machine.restart();
+        }
+    }
+
+private:
+    struct InFlight {
+        std::size_t attempt;
+        CommandBody body;
+    };
+
+    void start(unsigned request)
+    {
+        Attempt attempt;
+        attempt.id = AttemptId(std::to_string(m_attempts.size()));
+        attempt.request = request;
+        attempt.startedAt = m_machine.time;
+        m_network.push_back({ m_attempts.size(), ClaimRun { key, attempt.id, ServiceName("s"), digestOf(request), retention, longestRun } });
+        m_attempts.push_back(attempt);
+    }
+
+    static Digest digestOf(unsigned request) { return Digest::of(std::to_string(request / 2)); }
+
+    /** The router learns what came of its run, loses sight of it, or gives up before it began. */
+    void end(unsigned who, unsigned how)
+    {
+        if (m_attempts.empty())
+            return;
+        std::size_t at = who % m_attempts.size();
+        Attempt& attempt = m_attempts[at];
+        if (!attempt.hasRun) {
+            attempt.mayRun = false;
+            m_network.push_back({ at, VoidRun { key, attempt.id } });
+        } else if (how % 3 == 0) {
+            m_network.push_back({ at, AbandonRun { key, attempt.id } });
+        } else {
+            m_network.push_back({ at, RecordOutcome { key, attempt.id, 200, "text/plain", attempt.body(), false } });
+        }
+    }
+
+    void deliver(unsigned which, unsigned how)
+    {
+        if (m_network.empty())
+            return;
+        std::size_t at = which % m_network.size();
+        InFlight message = m_network[at];
+        bool isRepeated = how % 4 == 0;
+        if (!isRepeated)
+            m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(at));
+        auto answer = m_machine.apply<RunAnswer>(message.body);
+        bool isLost = how % 5 == 1;
+        if (!isLost)
+            receive(m_attempts[message.attempt], message.body, answer);
+        checkAnswer(m_attempts[message.attempt], message.body, answer);
+    }
+
+    void receive(Attempt& attempt, const CommandBody& body, const RunAnswer& answer)
+    {
+        if (answer.state == RunAnswer::State::Void)
+            attempt.wasToldVoid = true;
+        RC_ASSERT(!(attempt.wasToldVoid && attempt.hasRun));
+        bool isClaim = std::holds_alternative<ClaimRun>(body);
+        bool isInTime = m_machine.time < attempt.startedAt + longestRun;
+        bool runs = isClaim && answer.state == RunAnswer::State::Claimed && attempt.mayRun && isInTime && !attempt.hasRun;
+        if (!runs)
+            return;
+        // The one run that the key stands for: no other within the retention.
+        RC_ASSERT(!m_lastRun || m_machine.time >= m_lastRunAt + retention - longestRun);
+        attempt.hasRun = true;
+        m_lastRun = &attempt - m_attempts.data();
+        m_lastRunAt = m_machine.time;
+    }
+
+    void checkAnswer(const Attempt& asking, const CommandBody& body, const RunAnswer& answer) const
+    {
+        if (answer.state != RunAnswer::State::Done)
+            return;
+        RC_ASSERT(m_lastRun.has_value());
+        const Attempt& ran = m_attempts[static_cast<std::size_t>(*m_lastRun)];
+        RC_ASSERT(ran.hasRun);
+        bool isTooLong = ran.body().size() > longestBody;
+        RC_ASSERT(answer.bodyTooLong == isTooLong);
+        RC_ASSERT(answer.body == (isTooLong ? ByteString() : ran.body()));
+        bool isClaim = std::holds_alternative<ClaimRun>(body);
+        RC_ASSERT(!isClaim || digestOf(asking.request) == digestOf(ran.request));
+    }
+
+    FuzzedMachine m_machine { StateMachine::Options().withLongestRunBody(longestBody) };
+    std::vector<Attempt> m_attempts;
+    std::vector<InFlight> m_network;
+    std::optional<std::ptrdiff_t> m_lastRun;
+    WallTime m_lastRunAt;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RunFuzzTests)
+
+BOOST_AUTO_TEST_CASE(aKeyRunsAtMostOnceAndVoidIsTrue)
+{
+    BOOST_TEST(rc::check("run records with crossing resends", [] {
+        RunRecordRun run;
+        for (const FuzzStep& step : *fuzzSteps())
+            run.take(step);
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/modules/hc_state/tests/TermFuzzTests.cpp
@@ -0,0 +1,231 @@
+#include "FuzzSteps.h"
+
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+using namespace hemlockchute;
+
+namespace {
+
+const DataCentreName dataCentre("tallinn");
+constexpr unsigned hostCount = 4;
+constexpr Duration lease = 5s;
+
+/** A controller host by the rules of docs/design-notes/terms.md, on true time. */
+struct Host {
+    HostName name;
+    Duration promisedUntil {};
+    Duration quietUntil {};
+    /** The attempt whose answer is awaited. */
+    std::string seek;
+    FencingNumber fencing;
+    Duration actsFrom {};
+    Duration leaseUntil {};
+    /** Every host listed as a seeker in this term. */
+    std::set<HostName> listed;
+
+    bool leads(Duration now) const { return !fencing.isNone() && now < leaseUntil; }
+    bool acts(Duration now) const { return leads(now) && actsFrom <= now; }
+};
+
+/**
+    Hosts seek, renew, promise, release, forget and pause, while commands are delayed, repeated and
+    lost, and the keepers' wall clock runs ahead by jumps.
+*/
+class TermRun {
+public:
+    TermRun()
+    {
+        for (unsigned i = 0; i < hostCount; ++i)
+            m_hosts[i].name = HostName(std::string(1, static_cast<char>('a' + i)));
+        m_known = { m_hosts[0].name, m_hosts[1].name };
+    }
+
+    void take(const FuzzStep& step)
+    {
+        Host& host = m_hosts[step.who % hostCount];
+        switch (step.kind % 16) {
+        case 0:
+        case 1:
+            seek(host);
+            break;
+        case 2:
+            host.seek.clear();
+            break;
+        case 3:
+        case 4:
+        case 5:
+        case 6:
+            deliver(step.what, step.how);
+            break;
+        case 7:
+            renew(host);
+            break;
+        case 8:
+        case 9:
+            askPromises(host);
+            break;
+        case 10:
+        case 11:
+            m_now += std::chrono::milliseconds(step.what * 6);
+            break;
+        case 12:
+            m_skew += std::chrono::milliseconds(step.what * 10);
+            break;
+        case 13:
+            restart(host, step.how % 3 == 0);
+            break;
+        case 14:
+            m_known.insert(host.name);
+            break;
+        default:
+            release(host, step.how % 4 == 0);
+        }
+        check();
+    }
+
+private:
+    struct InFlight {
+        unsigned host;
+        Duration sentAt;
+        CommandBody body;
+    };
+
+    void send(Host& host, CommandBody body)
+    {
+        m_network.push_back({ static_cast<unsigned>(&host - m_hosts), m_now, std::move(body) });
+    }
+
+    std::vector<HostName> seekers(const Host& host) const
+    {
+        std::set<HostName> all = m_known;
+        all.insert(host.name);
+        return { all.begin(), all.end() };
+    }
+
+    void seek(Host& host)
+    {
+        bool mayNot = host.leads(m_now) || !host.seek.empty() || m_now < host.promisedUntil || m_now < host.quietUntil;
+        if (mayNot)
+            return;
+        host.seek = "attempt-" + std::to_string(++m_attempts);
+        send(host, AcquireTerm { dataCentre, host.name, host.seek, seekers(host) });
+    }
+
+    void renew(Host& host)
+    {
+        if (!host.leads(m_now))
+            return;
+        auto listed = seekers(host);
+        host.listed.insert(listed.begin(), listed.end());
+        send(host, RenewTerm { dataCentre, host.name, host.fencing, listed });
+    }
+
+    void askPromises(Host& host)
+    {
+        if (!host.leads(m_now))
+            return;
+        bool allPromised = true;
+        for (Host& other : m_hosts) {
+            if (&other == &host || !host.listed.contains(other.name))
+                continue;
+            bool promises = other.seek.empty() && !other.leads(m_now);
+            allPromised = allPromised && promises;
+            if (promises)
+                other.promisedUntil = std::max(other.promisedUntil, m_now + lease);
+        }
+        if (allPromised)
+            host.leaseUntil = std::max(host.leaseUntil, m_now + lease);
+    }
+
+    void restart(Host& host, bool isKeeper)
+    {
+        if (isKeeper) {
+            m_machine.restart();
+            return;
+        }
+        HostName name = host.name;
+        host = Host();
+        host.name = name;
+        host.quietUntil = m_now + lease;
+    }
+
+    void release(Host& host, bool isWanted)
+    {
+        if (!isWanted || !host.acts(m_now))
+            return;
+        send(host, ReleaseTerm { dataCentre, host.name, host.fencing });
+        host.fencing = FencingNumber();
+    }
+
+    void deliver(unsigned which, unsigned how)
+    {
+        if (m_network.empty())
+            return;
+        std::size_t at = which % m_network.size();
+        InFlight message = m_network[at];
+        bool isRepeated = how % 4 == 0;
+        if (!isRepeated)
+            m_network.erase(m_network.begin() + static_cast<std::ptrdiff_t>(at));
+        m_machine.time = WallTime(std::chrono::duration_cast<std::chrono::milliseconds>(1h + m_now + m_skew));
+        auto answer = m_machine.apply<TermAnswer>(message.body);
+        bool isLost = how % 5 == 1;
+        Host& host = m_hosts[message.host];
+        if (const auto* acquire = std::get_if<AcquireTerm>(&message.body))
+            takeGrant(host, *acquire, answer, message.sentAt, isLost);
+        const auto* renewal = std::get_if<RenewTerm>(&message.body);
+        if (renewal && !isLost && answer.granted && host.fencing == renewal->fencing)
+            host.leaseUntil = std::max(host.leaseUntil, message.sentAt + answer.lease);
+    }
+
+    void takeGrant(Host& host, const AcquireTerm& acquire, const TermAnswer& answer, Duration sentAt, bool isLost)
+    {
+        if (answer.granted && m_granted.insert(acquire.attempt).second) {
+            RC_ASSERT(answer.fencing > m_lastFencing);
+            m_lastFencing = answer.fencing;
+        }
+        if (isLost || host.seek != acquire.attempt)
+            return;
+        host.seek.clear();
+        if (!answer.granted)
+            return;
+        host.fencing = answer.fencing;
+        host.leaseUntil = sentAt + answer.lease;
+        host.actsFrom = m_now + answer.wait;
+        host.listed = { acquire.seekers.begin(), acquire.seekers.end() };
+    }
+
+    void check() const
+    {
+        unsigned acting = 0;
+        for (const Host& host : m_hosts)
+            acting += host.acts(m_now) ? 1 : 0;
+        RC_ASSERT(acting <= 1U);
+    }
+
+    FuzzedMachine m_machine { StateMachine::Options().withTermLease(lease) };
+    Host m_hosts[hostCount];
+    /** The hosts that everyone takes for members of the data centre. */
+    std::set<HostName> m_known;
+    std::vector<InFlight> m_network;
+    Duration m_now {};
+    Duration m_skew {};
+    std::set<std::string> m_granted;
+    FencingNumber m_lastFencing;
+    unsigned m_attempts = 0;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(TermFuzzTests)
+
+BOOST_AUTO_TEST_CASE(neverDoTwoHostsGiveOrdersAtOnce)
+{
+    BOOST_TEST(rc::check("terms under cuts, pauses and forgetful restarts", [] {
+        TermRun run;
+        for (const FuzzStep& step : *fuzzSteps())
+            run.take(step);
+    }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
