--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -40,6 +40,12 @@
     { EventId::RouterDocumentInForce, Info, "router.document-in-force", "The router works by a newer document." },
 
     // 1700: controller
+    { EventId::ControllerTermGained, Info, "controller.term_gained", "This host leads its data centre's placement." },
+    { EventId::ControllerTermEnded, Warning, "controller.term_ended", "This host no longer leads its data centre's placement and gives no more orders." },
+    { EventId::ControllerOrderSent, Info, "controller.order_sent", "An order was sent to an engine; the outcome says whether it was taken in." },
+    { EventId::ControllerOrderUncertain, Warning, "controller.order_uncertain", "An order may have reached its engine; its memory and permit stay reserved and it is sent again." },
+    { EventId::ControllerOrderUnrecorded, Warning, "controller.order_unrecorded", "An entry host of the data centre could not record the orders; it is left out for a while." },
+    { EventId::ControllerTakenOver, Info, "controller.taken_over", "The orders of earlier leaders are known or over, and orders may be given." },
 
     // 1800: keeper
 
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -46,6 +46,12 @@
     RouterDocumentInForce = 1604,
 
     // 1700: controller
+    ControllerTermGained = 1700,
+    ControllerTermEnded = 1701,
+    ControllerOrderSent = 1702,
+    ControllerOrderUncertain = 1703,
+    ControllerOrderUnrecorded = 1704,
+    ControllerTakenOver = 1705,
 
     // 1800: keeper
 
--- a/modules/hc_peer/peer/KjThread.cpp
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -2,6 +2,8 @@
 
 #include "hemlockchute/core/EventLog.h"
 
+#include <openssl/crypto.h>
+
 namespace hemlockchute {
 namespace {
 
@@ -29,6 +31,8 @@
 
 KjThread::KjThread()
 {
+    // Its exit handler must come after this object's end, since the thread holds state of OpenSSL.
+    OPENSSL_init_crypto(0, nullptr);
     std::promise<void> started;
     m_thread = std::thread([this, &started] { serve(started); });
     started.get_future().wait();
