--- a/modules/hc_peer/tests/KeeperClientTests.cpp
+++ b/modules/hc_peer/tests/KeeperClientTests.cpp
@@ -121,7 +121,7 @@
 {
     RunningContext running;
     FakeKeeper lost(running.context, [](const PeerCall& call) { replyWith(call, { KeeperReply::Kind::Unknown, KeeperId(), {} }); });
-    FakeKeeper silent(running.context, [](const PeerCall&) { });
+    FakeKeeper silent(running.context, [](const PeerCall&) {});
     FakeKeeper unreadable(running.context, [](const PeerCall& call) { call.reply(ByteString("?")); });
     FakeKeeper redirecting(running.context, redirectTo(0));
     for (const Endpoint& first : { lost.endpoint, silent.endpoint, unreadable.endpoint }) {
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -336,6 +336,11 @@
     return names;
 }
 
+std::pair<int, std::string> Deployment::keeperOf(const std::string& hostName) const
+{
+    return { host(hostName).keeperId, joined(host(hostName).address, keeperPort) };
+}
+
 std::vector<std::string> Deployment::processNames() const
 {
     return m_order;
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -70,6 +70,8 @@
     std::string dataCentreOf(const std::string& backendOrHost) const;
     std::vector<std::string> hostNames() const;
     std::vector<std::string> processNames() const;
+    /** Number and peer address of a host's keeper. */
+    std::pair<int, std::string> keeperOf(const std::string& host) const;
     /** Settings for hemlockctl; `host` puts that host's keeper first when it has one. */
     std::filesystem::path controlSettings() const { return m_folder / "hemlockctl.toml"; }
     const std::filesystem::path& folder() const { return m_folder; }
--- a/tests/harness/ScenarioRunner.cpp
+++ b/tests/harness/ScenarioRunner.cpp
@@ -81,6 +81,7 @@
         { "loads MODEL:text are COUNT:number", &ScenarioRunner::checkLoads },
         { "submit-many FILE:text COUNT:number", &ScenarioRunner::manyDocuments },
         { "control ARGUMENTS:text exits CODE:number", &ScenarioRunner::control },
+        { "replace-keeper HOST:name", &ScenarioRunner::replaceKeeper },
         { "stop-all", &ScenarioRunner::stopAll },
     };
     return table;
@@ -181,9 +182,7 @@
 
 void ScenarioRunner::submit(const Statement& statement)
 {
-    std::vector<std::string> arguments { "submit", (m_documents / statement.at("FILE")).string(), "--json" };
-    if (statement.has("BASE"))
-        arguments.push_back("--base=" + statement.at("BASE"));
+    std::vector<std::string> arguments { "submit", (m_documents / statement.at("FILE")).string(), "--json", "--base=" + statement.valueOr("BASE", "0") };
     if (statement.has("ID"))
         arguments.push_back("--submit-id=" + statement.at("ID"));
     m_submissions[statement.at("LABEL")] = std::async(std::launch::async, [this, arguments] { return runControl(arguments); });
@@ -203,7 +202,7 @@
     for (int i = 0; i < statement.number("COUNT", 0); ++i) {
         std::filesystem::path file = m_deployment.folder() / "many.toml";
         std::ofstream(file) << text << "# change " << i << '\n';
-        auto [code, output] = runControl({ "submit", file.string(), "--json", "--no-wait" });
+        auto [code, output] = runControl({ "submit", file.string(), "--json", "--base=current" });
         if (code != 0)
             throw std::runtime_error("document " + std::to_string(i) + ": " + output);
     }
@@ -221,6 +220,15 @@
         throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
 }
 
+void ScenarioRunner::replaceKeeper(const Statement& statement)
+{
+    auto [id, peer] = m_deployment.keeperOf(statement.at("HOST"));
+    auto [code, output] = runControl({ "members", "replace", std::to_string(id), peer });
+    narrate(output);
+    if (code != 0)
+        throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
+}
+
 //==============================================================================
 void ScenarioRunner::ask(const Statement& statement)
 {
@@ -425,14 +433,12 @@
         if (!seen)
             return false;
         last = boost::json::serialize(*seen);
-        const boost::json::value* hosts = seen->if_contains("in_force");
-        for (const std::string& host : m_deployment.hostNames()) {
-            if (statement.has("PLACE") && m_deployment.dataCentreOf(host) != statement.at("PLACE"))
-                continue;
-            if (!hosts || !hosts->is_object() || numberIn(hosts->as_object(), host) < statement.number("VERSION", 0))
-                return false;
-        }
-        return true;
+        const boost::json::array& hosts = seen->at("hosts").as_array();
+        return std::all_of(hosts.begin(), hosts.end(), [&](const boost::json::value& value) {
+            const boost::json::object& host = value.as_object();
+            bool isAsked = !statement.has("PLACE") || host.at("data_centre").as_string() == statement.at("PLACE");
+            return !isAsked || numberIn(host, "version") >= statement.number("VERSION", 0);
+        });
     };
     eventually(statement, inForce, [&] { return last; });
 }
--- a/tests/harness/ScenarioRunner.h
+++ b/tests/harness/ScenarioRunner.h
@@ -81,6 +81,7 @@
     void checkLoads(const Statement&);
     void manyDocuments(const Statement&);
     void control(const Statement&);
+    void replaceKeeper(const Statement&);
     void stopAll(const Statement&);
 
     //==============================================================================
