Write the keeper: data folder, agreement group, beginning of a cluster, members

A new folder draws an incarnation of its own and begins only with a membership that names it, so that an emptied keeper cannot vote as its former self.

--- a/modules/hc_agreement/agreement/Replica.cpp
+++ b/modules/hc_agreement/agreement/Replica.cpp
@@ -6,6 +6,17 @@
 
 namespace hemlockchute {
 
+bool Effects::isEmpty() const
+{
+    return !needsSync() && messages.empty() && committed.empty() && readsReady.empty() && readsFailed.empty();
+}
+
+bool Effects::needsSync() const
+{
+    return hardState || truncateFrom || install || !append.empty();
+}
+
+//==============================================================================
 Replica::Options Replica::Options::withHeartbeatInterval(Duration value) const
 {
     Options copy = *this;
@@ -50,6 +61,11 @@
 Replica::~Replica() = default;
 Replica::Replica(Replica&&) noexcept = default;
 
+void Replica::begin(const Membership& initial)
+{
+    m_impl->log.begin(initial);
+}
+
 void Replica::tick(Instant now)
 {
     m_impl->now = std::max(m_impl->now, now);
@@ -80,9 +96,11 @@
     return m_impl->changeMembership(membership);
 }
 
-ReplicaSnapshot Replica::compact(LogIndex appliedIndex, ByteString state)
+std::optional<ReplicaSnapshot> Replica::compact(LogIndex appliedIndex, ByteString state)
 {
     assert(appliedIndex <= m_impl->committed);
+    if (appliedIndex <= m_impl->log.baseIndex())
+        return std::nullopt;
     return m_impl->log.compact(appliedIndex, std::move(state));
 }
 
--- a/modules/hc_agreement/agreement/ReplicatedLog.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedLog.cpp
@@ -54,6 +54,15 @@
     return index;
 }
 
+void ReplicatedLog::begin(const Membership& initial)
+{
+    bool isBlank = lastIndex().isNone() && m_membership == Membership();
+    if (!isBlank)
+        return;
+    m_snapshot.membership = initial;
+    findMembership();
+}
+
 void ReplicatedLog::append(LogEntry entry)
 {
     assert(entry.index == lastIndex().next());
--- a/modules/hc_agreement/agreement/ReplicatedLog.h
+++ b/modules/hc_agreement/agreement/ReplicatedLog.h
@@ -37,6 +37,8 @@
     /** Where that membership stands; 0 when the log does not hold it. */
     LogIndex membershipIndex() const { return m_membershipIndex; }
 
+    /** Sets the first membership; does nothing once there is one, or an entry. */
+    void begin(const Membership&);
     void append(LogEntry);
     void truncateFrom(LogIndex);
     /** Lets a snapshot of the state cover the log up to an index that is in it. */
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -50,6 +50,10 @@
     std::vector<std::uint64_t> readsReady;
     /** Reads that must be asked of another keeper. */
     std::vector<std::uint64_t> readsFailed;
+
+    bool isEmpty() const;
+    /** True when something must be durable before the messages leave. */
+    bool needsSync() const;
 };
 
 //==============================================================================
@@ -89,6 +93,8 @@
     Replica(Replica&&) noexcept;
 
     //==============================================================================
+    /** Sets the members that the cluster begins with; does nothing once the log or the membership is not empty. */
+    void begin(const Membership& initial);
     /** Lets time pass. Call at least every heartbeat interval. */
     void tick(Instant now);
     /** Takes in a message. */
@@ -101,10 +107,11 @@
     Result<LogIndex, AgreementErrorCode> changeMembership(const Membership&, Instant now);
     /**
         Takes a snapshot of the state up to an applied index, and forgets the log up to there. The
-        caller makes the result durable before it drops its own log. Precondition: the index was
+        caller makes the result durable before it drops its own log. Nothing when a snapshot that
+        is as new is there already, as while one is being installed. Precondition: the index was
         handed out as committed.
     */
-    ReplicaSnapshot compact(LogIndex appliedIndex, ByteString state);
+    std::optional<ReplicaSnapshot> compact(LogIndex appliedIndex, ByteString state);
 
     /** All that is to be done since the last call. */
     Effects takeEffects();
--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -287,10 +287,13 @@
 void SimulatedCluster::compact(KeeperId id)
 {
     Node& node = m_nodes.at(id);
-    bool isNewer = node.replica && (!node.disk.snapshot || node.applied > node.disk.snapshot->lastIndex);
-    if (!isNewer || (node.writing && node.writing->install))
+    bool installs = node.writing && node.writing->install;
+    if (!node.replica || installs)
         return;
-    node.disk.snapshot = node.replica->compact(node.applied, node.state);
+    auto snapshot = node.replica->compact(node.applied, node.state);
+    if (!snapshot)
+        return;
+    node.disk.snapshot = std::move(*snapshot);
     std::erase_if(node.disk.entries, [&](const LogEntry& entry) { return entry.index <= node.applied; });
 }
 
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -42,6 +42,15 @@
     // 1700: controller
 
     // 1800: keeper
+    { EventId::KeeperStarted, Info, "keeper.started", "The keeper has read its data folder; incarnation, last index and membership are given." },
+    { EventId::KeeperBegan, Info, "keeper.began", "The keeper heard from every other keeper and begins with the members given." },
+    { EventId::KeeperAwaitsMembership, Warning, "keeper.awaits_membership", "The data folder is new and the cluster has begun: the keeper votes only once an operator has replaced or added it." },
+    { EventId::KeeperLeads, Info, "keeper.leads", "The keeper leads the agreement in the term given." },
+    { EventId::KeeperFollows, Info, "keeper.follows", "The keeper does not lead any more." },
+    { EventId::KeeperStorageFailed, Error, "keeper.storage_failed", "The data folder failed, with the reason given; the process stops, since nothing written after may be trusted." },
+    { EventId::KeeperCompacted, Info, "keeper.compacted", "A snapshot took the place of the log up to the index given." },
+    { EventId::KeeperInstalled, Info, "keeper.installed", "A snapshot of the leader's took the place of the state." },
+    { EventId::KeeperEntryUnreadable, Error, "keeper.entry_unreadable", "A committed command cannot be read by this version; the process stops." },
 
     // 1850: operators
     { EventId::OperatorSubmitted, Info, "operator.submitted", "An operator submitted a document; the answer's status is given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -48,6 +48,15 @@
     // 1700: controller
 
     // 1800: keeper
+    KeeperStarted = 1800,
+    KeeperBegan = 1801,
+    KeeperAwaitsMembership = 1802,
+    KeeperLeads = 1803,
+    KeeperFollows = 1804,
+    KeeperStorageFailed = 1805,
+    KeeperCompacted = 1806,
+    KeeperInstalled = 1807,
+    KeeperEntryUnreadable = 1808,
 
     // 1850: operators
     OperatorSubmitted = 1850,
--- /dev/null
+++ b/modules/hc_keeper/keeper/Keeper.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include "hemlockchute/http/HttpServer.h"
+#include "hemlockchute/core/RoleService.h"
+#include "keeper/AgreementGroup.h"
+#include "keeper/KeeperPeers.h"
+#include "keeper/KeeperSettings.h"
+#include "keeper/MemberChanger.h"
+#include "keeper/OperatorApi.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    A running keeper: its part in the agreement, the calls of the other processes and the
+    operators' interface.
+
+    Thread safety: every method may be called from any thread.
+
+    @see KeeperOperations
+*/
+class Keeper : public KeeperOperations {
+public:
+    Keeper(boost::asio::io_context&, const KeeperSettings&, std::unique_ptr<KeeperDisk>);
+    ~Keeper() override;
+
+    Result<void, RoleErrorCode> start();
+    /** Takes addresses and tokens from settings that were read again. */
+    void reload(const KeeperSettings&);
+    /** Ends every call and the agreement here; `done` is called once. */
+    void stop(std::function<void()> done);
+
+    //==============================================================================
+    boost::asio::awaitable<Result<Answer, KeeperClientErrorCode>> propose(CommandBody, Duration timeout) override;
+    boost::asio::awaitable<Result<RunAnswer, KeeperClientErrorCode>> readRun(IdempotencyKey, Duration timeout) override;
+    DocumentSource& documents() override { return m_documents; }
+    SystemStatus status() const override;
+    boost::asio::awaitable<Result<void, AgreementErrorCode>> changeMembers(std::optional<KeeperId> remove, std::optional<KeeperAddress> add, Duration timeout) override;
+
+private:
+    void serveCalls();
+    void serveAgreement(PeerCall);
+    void servePropose(PeerCall);
+    void serveReadRun(PeerCall);
+    void serveStatus(PeerCall);
+    void serveChangeMembers(PeerCall);
+    Result<void, RoleErrorCode> listen();
+    void tick();
+    void beginIfPossible();
+    AgreementGroupHooks hooks();
+
+    boost::asio::io_context& m_context;
+    KeeperSettings m_settings;
+    SystemClock m_clock;
+    PeerIdentity m_identity;
+    PeerClient m_client;
+    PeerServer m_server;
+    KeeperClient m_keepers;
+    KeeperPeers m_peers;
+    DocumentSource m_documents;
+    AgreementGroup m_group;
+    MemberChanger m_changer;
+    OperatorApi m_api;
+    HttpServer m_operators;
+    boost::asio::strand<boost::asio::io_context::executor_type> m_strand;
+    boost::asio::steady_timer m_timer;
+    Instant m_nextPoll;
+    bool m_hasWarned = false;
+    std::atomic<bool> m_isStopping { false };
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_keeper/keeper/KeeperDisk.cpp
@@ -0,0 +1,169 @@
+#include "keeper/KeeperDisk.h"
+
+namespace hemlockchute {
+namespace {
+
+constexpr std::string_view identityName = "identity";
+constexpr std::string_view hardStateName = "hard-state";
+constexpr std::string_view snapshotName = "state";
+constexpr ByteCount segmentSize = ByteCount::mebibytes(1);
+
+tl::unexpected<Error<StorageErrorCode>> unreadable(std::string_view name, const Error<AgreementErrorCode>& error)
+{
+    return failure(StorageErrorCode::Damaged, std::string(name) + ": " + error.detail);
+}
+
+/** Reads one value with its decoder; nothing when it was never written. */
+template <typename Value>
+StorageResult<std::optional<Value>> readValue(const SnapshotStore& values, std::string_view name, Result<Value, AgreementErrorCode> (*decode)(std::string_view))
+{
+    auto bytes = values.read(name);
+    if (!bytes)
+        return tl::unexpected(bytes.error());
+    if (!*bytes)
+        return std::nullopt;
+    auto value = decode(**bytes);
+    if (!value)
+        return unreadable(name, value.error());
+    return *value;
+}
+
+} // namespace
+
+//==============================================================================
+KeeperDisk::KeeperDisk(FileSystem& fileSystem, const std::filesystem::path& folder)
+    : m_values(fileSystem, folder)
+{
+}
+
+StorageResult<std::unique_ptr<KeeperDisk>> KeeperDisk::open(FileSystem& fileSystem, const std::filesystem::path& folder, IncarnationId newIncarnation)
+{
+    std::unique_ptr<KeeperDisk> disk(new KeeperDisk(fileSystem, folder));
+    if (auto created = fileSystem.createFolder(folder); !created)
+        return tl::unexpected(created.error());
+    auto names = fileSystem.list(folder);
+    if (!names)
+        return tl::unexpected(names.error());
+    if (auto read = disk->readIdentity(newIncarnation, names->empty()); !read)
+        return tl::unexpected(read.error());
+    auto log = WriteAheadLog::open(fileSystem, folder / "log", WriteAheadLog::Options().withSegmentSize(segmentSize));
+    if (!log)
+        return tl::unexpected(log.error());
+    disk->m_log = std::move(*log);
+    if (auto recovered = disk->recover(); !recovered)
+        return tl::unexpected(recovered.error());
+    return disk;
+}
+
+/** An identity that was being written when the process first ended is no identity yet. */
+StorageResult<void> KeeperDisk::readIdentity(IncarnationId newIncarnation, bool isEmptyFolder)
+{
+    auto identity = readValue(m_values, identityName, decodeIdentity);
+    if (!identity)
+        return tl::unexpected(identity.error());
+    if (*identity) {
+        m_identity = **identity;
+        return {};
+    }
+    auto hardState = m_values.read(hardStateName);
+    bool isNew = isEmptyFolder || (hardState && !*hardState);
+    if (!isNew)
+        return failure(StorageErrorCode::Damaged, "the data folder holds a state but no identity; empty it and have the keeper replaced");
+    m_identity.incarnation = newIncarnation;
+    return m_values.write(identityName, encodeIdentity(m_identity));
+}
+
+StorageResult<void> KeeperDisk::begin(const Membership& membership)
+{
+    KeeperIdentity begun { m_identity.incarnation, membership };
+    if (auto written = m_values.write(identityName, encodeIdentity(begun)); !written)
+        return written;
+    m_identity = begun;
+    return {};
+}
+
+//==============================================================================
+StorageResult<void> KeeperDisk::recover()
+{
+    auto hardState = readValue(m_values, hardStateName, decodeHardState);
+    if (!hardState)
+        return tl::unexpected(hardState.error());
+    auto snapshot = readValue(m_values, snapshotName, decodeSnapshot);
+    if (!snapshot)
+        return tl::unexpected(snapshot.error());
+    m_recovered.hardState = hardState->value_or(HardState());
+    m_recovered.snapshot = std::move(*snapshot);
+    if (m_identity.initialMembership)
+        m_recovered.initialMembership = *m_identity.initialMembership;
+    return recoverEntries();
+}
+
+/** Entries behind the snapshot count only when the log reaches back to it and agrees with it. */
+StorageResult<void> KeeperDisk::recoverEntries()
+{
+    LogIndex base = m_recovered.snapshot ? m_recovered.snapshot->lastIndex : LogIndex();
+    AgreementTerm baseTerm = m_recovered.snapshot ? m_recovered.snapshot->lastTerm : AgreementTerm();
+    bool fits = m_log->records().empty() || m_log->records().front().index <= base.next();
+    for (const LogRecord& record : m_log->records()) {
+        auto entry = decodeEntry(record.payload);
+        if (!entry)
+            return unreadable("log entry " + std::to_string(record.index.value()), entry.error());
+        if (entry->index == base && entry->term != baseTerm)
+            fits = false;
+        if (entry->index > base)
+            m_recovered.entries.push_back(std::move(*entry));
+    }
+    bool reaches = !m_log->records().empty() && m_log->records().back().index >= base;
+    if (fits && reaches)
+        return {};
+    m_recovered.entries.clear();
+    if (m_log->records().empty())
+        return {};
+    if (auto cut = m_log->truncateFrom(m_log->records().front().index); !cut)
+        return cut;
+    return m_log->sync();
+}
+
+//==============================================================================
+/** A snapshot is durable before the log it replaces is touched. */
+StorageResult<void> KeeperDisk::store(const Effects& effects)
+{
+    if (effects.hardState) {
+        if (auto written = m_values.write(hardStateName, encodeHardState(*effects.hardState)); !written)
+            return written;
+    }
+    if (effects.install) {
+        if (auto written = m_values.write(snapshotName, encodeSnapshot(*effects.install)); !written)
+            return written;
+    }
+    return storeEntries(effects);
+}
+
+StorageResult<void> KeeperDisk::storeEntries(const Effects& effects)
+{
+    LogIndex last = m_log->records().empty() ? LogIndex() : m_log->records().back().index;
+    std::optional<LogIndex> cut = effects.truncateFrom;
+    bool leavesGap = effects.install && last < effects.install->lastIndex;
+    if (leavesGap)
+        cut = LogIndex();
+    if (cut) {
+        if (auto done = m_log->truncateFrom(*cut); !done)
+            return done;
+    }
+    for (const LogEntry& entry : effects.append) {
+        if (auto done = m_log->append({ entry.index, encodeEntry(entry) }); !done)
+            return done;
+    }
+    if (auto synced = m_log->sync(); !synced)
+        return synced;
+    return effects.install ? m_log->dropThrough(effects.install->lastIndex) : StorageResult<void>();
+}
+
+StorageResult<void> KeeperDisk::compact(const ReplicaSnapshot& snapshot)
+{
+    if (auto written = m_values.write(snapshotName, encodeSnapshot(snapshot)); !written)
+        return written;
+    return m_log->dropThrough(snapshot.lastIndex);
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_keeper/keeper/KeeperService.cpp
@@ -0,0 +1,63 @@
+#include "hemlockchute/core/PluginRegistry.h"
+#include "hemlockchute/core/RoleService.h"
+#include "keeper/Keeper.h"
+
+#include <random>
+
+namespace hemlockchute {
+namespace {
+
+/** Unlike that of any other life of any keeper. */
+IncarnationId drawIncarnation()
+{
+    std::random_device device;
+    constexpr unsigned halfBits = 32;
+    return IncarnationId((std::uint64_t(device()) << halfBits) | device() | 1U);
+}
+
+//==============================================================================
+/** The role "keeper". */
+class KeeperService : public RoleService {
+public:
+    std::vector<std::string> configure(const std::filesystem::path& settingsFile) override
+    {
+        std::vector<std::string> faults;
+        m_settings = KeeperSettings::read(settingsFile, faults);
+        return faults;
+    }
+
+    LogOptions logOptions() const override { return m_settings.host.log; }
+    unsigned threadCount() const override { return m_settings.threads; }
+
+    Result<void, RoleErrorCode> start(boost::asio::io_context& context) override
+    {
+        auto disk = KeeperDisk::open(FileSystem::system(), m_settings.dataFolder, drawIncarnation());
+        if (!disk)
+            return failureBecause(RoleErrorCode::StateUnusable, disk.error());
+        m_keeper = std::make_unique<Keeper>(context, m_settings, std::move(*disk));
+        return m_keeper->start();
+    }
+
+    /** Addresses of keepers, tokens and the log can change while the keeper runs. */
+    std::vector<std::string> reload(const std::filesystem::path& settingsFile) override
+    {
+        std::vector<std::string> faults;
+        KeeperSettings settings = KeeperSettings::read(settingsFile, faults);
+        if (!faults.empty())
+            return faults;
+        configureLog(settings.host.log);
+        m_keeper->reload(settings);
+        return {};
+    }
+
+    void stop(std::function<void()> done) override { m_keeper->stop(std::move(done)); }
+
+private:
+    KeeperSettings m_settings;
+    std::unique_ptr<Keeper> m_keeper;
+};
+
+const ScopedPluginRegistration<RoleService, KeeperService> registration("keeper");
+
+} // namespace
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_keeper/keeper/MemberChanger.cpp
@@ -0,0 +1,172 @@
+#include "keeper/MemberChanger.h"
+
+#include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration pollInterval = 20ms;
+constexpr Duration statusTimeout = 1s;
+
+std::vector<ReplicaId> livesOf(KeeperId keeper, const Membership& membership)
+{
+    std::vector<ReplicaId> lives;
+    auto take = [&](const ReplicaId& id) {
+        if (id.keeper == keeper)
+            lives.push_back(id);
+    };
+    std::for_each(membership.voters.begin(), membership.voters.end(), take);
+    std::for_each(membership.learners.begin(), membership.learners.end(), take);
+    return lives;
+}
+
+} // namespace
+
+MemberChanger::MemberChanger(AgreementGroup& group, KeeperPeers& peers, PeerClient& client, const Clock& clock)
+    : m_group(group)
+    , m_peers(peers)
+    , m_client(client)
+    , m_clock(clock)
+{
+}
+
+asio::awaitable<Result<void, AgreementErrorCode>> MemberChanger::change(ForwardedMemberChange wanted)
+{
+    Instant deadline = m_clock.now() + wanted.timeout;
+    std::optional<ReplicaId> added;
+    if (wanted.add) {
+        std::vector<KeeperAddress> addresses(1, *wanted.add);
+        m_peers.setAddresses(addresses);
+        auto found = co_await findNew(*wanted.add, deadline);
+        if (!found)
+            co_return tl::unexpected(found.error());
+        added = *found;
+        Done learns = co_await addLearner(*added, deadline);
+        if (!learns)
+            co_return learns;
+    }
+    if (wanted.remove) {
+        Done removed = co_await removeAll(*wanted.remove, added, deadline);
+        if (!removed)
+            co_return removed;
+    }
+    if (added)
+        co_return co_await promote(*added, deadline);
+    co_return Done();
+}
+
+//==============================================================================
+asio::awaitable<Result<ReplicaId, AgreementErrorCode>> MemberChanger::findNew(const KeeperAddress& keeper, Instant deadline)
+{
+    if (keeper.id == m_group.status().self)
+        co_return ReplicaId { keeper.id, m_group.identity().incarnation };
+    std::string detail = "no time was left to ask";
+    while (m_clock.now() < deadline) {
+        auto bytes = co_await m_client.call(keeper.peer, PeerMethod::ReadStatus, ByteString(), statusTimeout);
+        if (bytes) {
+            auto report = decodeKeeperReport(*bytes);
+            if (!report)
+                co_return tl::unexpected(report.error());
+            if (report->status.self != keeper.id)
+                co_return failure(AgreementErrorCode::ChangeRefused, "the keeper at " + formatEndpoint(keeper.peer) + " has another id");
+            co_return ReplicaId { keeper.id, report->identity.incarnation };
+        }
+        detail = bytes.error().detail;
+        co_await pause();
+    }
+    co_return failure(AgreementErrorCode::ChangeRefused, "the keeper at " + formatEndpoint(keeper.peer) + " does not answer: " + detail);
+}
+
+asio::awaitable<MemberChanger::Done> MemberChanger::addLearner(const ReplicaId& id, Instant deadline)
+{
+    Membership membership = m_group.membership();
+    if (membership.voters.contains(id))
+        co_return Done();
+    if (!membership.learners.contains(id)) {
+        membership.learners.insert(id);
+        Done added = co_await step(membership, deadline);
+        if (!added)
+            co_return added;
+    }
+    while (!m_group.isCaughtUp(id)) {
+        if (!m_group.isLeader())
+            co_return failure(AgreementErrorCode::NotLeader, "leadership was lost while the new keeper caught up");
+        if (m_clock.now() >= deadline)
+            co_return late("the new keeper to catch up");
+        co_await pause();
+    }
+    co_return Done();
+}
+
+asio::awaitable<MemberChanger::Done> MemberChanger::removeAll(KeeperId keeper, std::optional<ReplicaId> except, Instant deadline)
+{
+    for (const ReplicaId& life : livesOf(keeper, m_group.membership())) {
+        if (life == except)
+            continue;
+        Membership membership = m_group.membership();
+        membership.voters.erase(life);
+        membership.learners.erase(life);
+        Done removed = co_await step(membership, deadline);
+        if (!removed)
+            co_return removed;
+    }
+    co_return Done();
+}
+
+/** The log goes on while the learner is asked for, so that it may be a few entries behind at any one moment. */
+asio::awaitable<MemberChanger::Done> MemberChanger::promote(const ReplicaId& id, Instant deadline)
+{
+    Done promoted = late("the new keeper to be promoted");
+    while (m_clock.now() < deadline) {
+        Membership membership = m_group.membership();
+        if (membership.voters.contains(id))
+            co_return Done();
+        membership.learners.erase(id);
+        membership.voters.insert(id);
+        promoted = co_await step(membership, deadline);
+        if (promoted || promoted.error().code != AgreementErrorCode::ChangeRefused)
+            co_return promoted;
+        co_await pause();
+    }
+    co_return promoted;
+}
+
+//==============================================================================
+asio::awaitable<MemberChanger::Done> MemberChanger::step(Membership membership, Instant deadline)
+{
+    auto index = m_group.changeMembership(membership);
+    if (!index)
+        co_return tl::unexpected(index.error());
+    while (m_group.status().committed < *index) {
+        bool leads = m_group.isLeader();
+        if (!leads && !m_group.isMembershipSettled())
+            co_return failure(AgreementErrorCode::NotLeader, "leadership was lost before the change was agreed on");
+        if (m_clock.now() >= deadline)
+            co_return late("the change to be agreed on");
+        co_await pause();
+    }
+    if (m_group.membership() != membership)
+        co_return failure(AgreementErrorCode::NotLeader, "another leader's change was agreed on instead");
+    co_return Done();
+}
+
+asio::awaitable<void> MemberChanger::pause()
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    timer.expires_after(pollInterval);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+MemberChanger::Done MemberChanger::late(const char* waitedFor) const
+{
+    return failure(AgreementErrorCode::ChangeRefused, std::string("no time is left to wait for ") + waitedFor);
+}
+
+} // namespace hemlockchute
