--- a/tests/harness/ScenarioLanguage.cpp
+++ b/tests/harness/ScenarioLanguage.cpp
@@ -42,7 +42,7 @@
                 m_words.push_back({ kind, std::string(range.begin(), range.end()), static_cast<std::size_t>(range.begin() - m_line.begin()) + (kind == WordKind::Text ? 0 : 1) });
             };
         };
-        const auto nameCharacter = x3::alnum | x3::char_("-._/<>=");
+        const auto nameCharacter = x3::alnum | x3::char_("-._/<>=@");
         const auto number = x3::raw[x3::lexeme[+x3::digit >> !nameCharacter]];
         const auto name = x3::raw[x3::lexeme[+nameCharacter]];
         const auto text = x3::lexeme['"' >> x3::raw[*(x3::char_ - '"')] >> '"'];
