--- a/modules/hc_peer/peer/KjThread.cpp
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -86,19 +86,45 @@
         awoken.wait(io.waitScope);
         auto next = kj::newPromiseAndCrossThreadFulfiller<void>();
         awoken = kj::mv(next.promise);
-        std::vector<std::function<void()>> work;
+        runQueue(kj::mv(next.fulfiller));
+    }
+    finishTurns();
+    std::lock_guard guard(m_lock);
+    m_hasEnded = true;
+    m_wake = nullptr;
+}
+
+/** Runs what was posted; what is posted from now on wakes the given fulfiller. */
+void KjThread::runQueue(kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake)
+{
+    std::vector<std::function<void()>> work;
+    {
+        std::lock_guard guard(m_lock);
+        work.swap(m_queue);
+        m_wake = kj::mv(wake);
+    }
+    for (std::function<void()>& function : work) {
+        KJ_IF_MAYBE (exception, kj::runCatchingExceptions(function))
+            logException(*exception);
+    }
+}
+
+/** Lets everything that is being closed end: an event loop may not go while events are due. */
+void KjThread::finishTurns()
+{
+    std::vector<std::function<void()>> work;
+    do {
         {
             std::lock_guard guard(m_lock);
+            work.clear();
             work.swap(m_queue);
-            m_wake = kj::mv(next.fulfiller);
         }
-        for (std::function<void()>& function : work)
+        for (std::function<void()>& function : work) {
             KJ_IF_MAYBE (exception, kj::runCatchingExceptions(function))
                 logException(*exception);
-    }
-    std::lock_guard guard(m_lock);
-    m_hasEnded = true;
-    m_wake = nullptr;
+        }
+        m_io->waitScope.poll();
+    } while (!work.empty());
 }
 
 void KjThread::taskFailed(kj::Exception&& exception)
--- a/modules/hc_peer/peer/KjThread.h
+++ b/modules/hc_peer/peer/KjThread.h
@@ -51,6 +51,8 @@
 
 private:
     void serve(std::promise<void>& started);
+    void runQueue(kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake);
+    void finishTurns();
     void taskFailed(kj::Exception&&) override;
 
     kj::AsyncIoContext* m_io = nullptr;
