--- a/modules/hc_controller/controller/OrderBook.cpp
+++ b/modules/hc_controller/controller/OrderBook.cpp
@@ -60,8 +60,10 @@
         auto [entry, isNew] = m_engines.try_emplace(server.name);
         entry->second.server = server;
         entry->second.isListed = true;
-        if (isNew)
+        if (isNew) {
             entry->second.lastHeard = now;
+            entry->second.firstListed = now;
+        }
     }
     settle(now);
 }
@@ -332,10 +334,16 @@
 {
     unsigned count = 0;
     for (const auto& [name, engine] : m_engines)
-        count += possibleOn(engine).contains(model) ? 1 : 0;
+        count += mayHoldAnything(engine) || possibleOn(engine).contains(model) ? 1 : 0;
     return count;
 }
 
+bool OrderBook::mayHoldAnything(const Engine& engine) const
+{
+    bool isRead = engine.state && engine.readBegun >= m_trustFrom;
+    return m_fencing > FencingNumber(1) && engine.firstListed <= m_trustFrom && !isRead;
+}
+
 std::set<ModelName> OrderBook::possibleModels() const
 {
     std::set<ModelName> models;
--- a/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
+++ b/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
@@ -125,7 +125,10 @@
     OrderRecord record();
 
     //==============================================================================
-    /** Replicas of a model that may be loaded, are loading or unloading. */
+    /**
+        Replicas of a model that may be loaded, are loading or unloading. An engine that an earlier
+        leader may have used, and whose state has not been read since, counts as holding one.
+    */
     unsigned possibleReplicas(const ModelName&) const;
     /** Models of which possibleReplicas() is above zero. */
     std::set<ModelName> possibleModels() const;
@@ -159,6 +162,7 @@
         std::optional<EngineState> state;
         Instant readBegun {};
         Instant lastHeard {};
+        Instant firstListed {};
         bool isListed = false;
     };
 
@@ -182,6 +186,7 @@
         std::vector<AdapterName> adapters;
     };
 
+    bool mayHoldAnything(const Engine&) const;
     const Engine* find(const BackendServerName&) const;
     std::map<ModelName, PossibleModel> possibleOn(const Engine&) const;
     void addOrder(const Order&, std::map<ModelName, PossibleModel>&) const;
