Test the router as a whole against in-process fakes

Engines that die, fall silent, answer as another attempt or refuse; callers that leave; a full queue; oversized, broken and random input; bookings with and without a key, without a quorum, with lost and late claims. The keepers' part is played by the real state machine.

--- /dev/null
+++ b/modules/hc_router/tests/RouterFixture.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "hemlockchute/backend/BackendServer.h"
+#include "hemlockchute/document/Document.h"
+#include "hemlockchute/http/http.h"
+#include "hemlockchute/router/Router.h"
+#include "hemlockchute/state/StateMachine.h"
+
+#include <atomic>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace hemlockchute::testing {
+
+/** How a fake backend server behaves next. */
+struct FakeBehaviour {
+    unsigned tokens = 3;
+    /** Closes the connection after so many tokens. */
+    std::optional<unsigned> dieAfter;
+    /** Falls silent after so many tokens. */
+    std::optional<unsigned> silentAfter;
+    /** Answers under this attempt id instead of the one asked for. */
+    std::string echo;
+    /** Refuses with this status. */
+    unsigned status = 200;
+};
+
+//==============================================================================
+/** An engine and a plain service in one, which notes what was asked of it. Thread safety: any thread. */
+class FakeBackend {
+public:
+    FakeBackend(boost::asio::io_context&, std::string name);
+
+    BackendServer server(ServiceName service = {}) const;
+    PlacedEngine placed(const ModelName&, unsigned slots = 8) const;
+    /** The next request behaves so, the ones after as usual. */
+    void once(FakeBehaviour);
+    /** Every request without one of its own behaves so. */
+    void always(FakeBehaviour);
+    /** Holds every token back while true. */
+    void hold(bool);
+    std::vector<HttpRequest> requests() const;
+    unsigned running() const { return m_running; }
+
+private:
+    boost::asio::awaitable<void> answer(HttpExchange&);
+    boost::asio::awaitable<void> stream(HttpExchange&, FakeBehaviour);
+    boost::asio::awaitable<void> beSilent(HttpExchange&);
+    boost::asio::awaitable<void> waitWhileHeld(HttpExchange&);
+    FakeBehaviour nextBehaviour();
+
+    std::string m_name;
+    mutable std::mutex m_lock;
+    std::vector<FakeBehaviour> m_next;
+    FakeBehaviour m_usual;
+    std::vector<HttpRequest> m_requests;
+    std::atomic<bool> m_held { false };
+    std::atomic<unsigned> m_running { 0 };
+    HttpServer m_server;
+    boost::asio::ip::tcp::endpoint m_endpoint;
+};
+
+//==============================================================================
+/** Keepers in one place, on the real state machine; they can be cut off. Thread safety: any thread. */
+class FakeRuns : public RunRegistry {
+public:
+    boost::asio::awaitable<Result<RunAnswer, KeeperClientErrorCode>> propose(CommandBody, Duration) override;
+    boost::asio::awaitable<Result<RunAnswer, KeeperClientErrorCode>> readRun(IdempotencyKey, Duration) override;
+
+    enum class Mode {
+        Reached,
+        /** Commands are not taken in. */
+        Cut,
+        /** Commands are applied, but their answers are lost. */
+        AnswersLost,
+        /** Commands are applied only once this mode ends, and their answers are lost. */
+        Late
+    };
+    void setMode(Mode);
+    RunAnswer run(const std::string& key) const;
+
+private:
+    RunAnswer apply(const CommandBody&);
+
+    mutable std::mutex m_lock;
+    Mode m_mode = Mode::Reached;
+    StateMachine m_state { StateMachine::Options() };
+    std::vector<CommandBody> m_late;
+};
+
+//==============================================================================
+/** A router with its fakes, and threads to run them. */
+struct RouterFixture {
+    RouterFixture();
+    ~RouterFixture();
+
+    /** Sends a request to the router and reads the whole answer. */
+    Result<HttpResponse, HttpClientErrorCode> send(HttpRequest, Duration timeout = 20s);
+    HttpResponse ask(const std::string& body, HttpHeaders = {});
+    HttpResponse book(const std::string& key, const std::string& body = "one", HttpHeaders = {});
+    /** Sends raw bytes and reads until the router closes. */
+    std::string exchangeRaw(const std::string& bytes, bool closeAfterwards = false);
+    /** Engines with the model "m" loaded. */
+    void place(std::vector<PlacedEngine>);
+
+    boost::asio::io_context context;
+    FakeRuns runs;
+    FakeBackend first;
+    FakeBackend second;
+    Router router;
+    HttpClient client;
+    boost::asio::ip::tcp::endpoint callers;
+    boost::asio::ip::tcp::endpoint operators;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+    std::vector<std::thread> threads;
+};
+
+/** Waits for a condition, at most ten seconds. */
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    for (int i = 0; i < 1000 && !condition(); ++i)
+        std::this_thread::sleep_for(10ms);
+    return condition();
+}
+
+} // namespace hemlockchute::testing
--- /dev/null
+++ b/modules/hc_router/tests/RouterTests.cpp
@@ -0,0 +1,359 @@
+#include "RouterFixture.h"
+
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <random>
+
+using namespace hemlockchute;
+using namespace hemlockchute::testing;
+
+namespace {
+
+const std::string streamed = R"({"model":"m","prompt":"x","stream":true})";
+const std::string whole = R"({"model":"m","prompt":"x"})";
+
+const HttpHeaders shortDeadline { { "X-Deadline-Ms", "400" } };
+
+/** A body of server-sent events is complete: tokens 0 to 2 once each, then the end marker. */
+bool isWholeStream(const std::string& body)
+{
+    std::size_t at = 0;
+    for (const char* part : { "\"index\":0,\"token\":\"t0 \"", "\"index\":1,\"token\":\"t1 \"", "\"index\":2,\"token\":\"t2 \"", "\"done\":true,\"tokens\":3" }) {
+        at = body.find(part, at);
+        if (at == std::string::npos)
+            return false;
+    }
+    return std::count(body.begin(), body.end(), '\n') == 8;
+}
+
+bool says(const HttpResponse& response, unsigned status, const char* outcome)
+{
+    bool said = response.status == status && response.body.find("\"outcome\":\"" + std::string(outcome) + "\"") != std::string::npos;
+    BOOST_TEST_MESSAGE(response.status << " " << response.body);
+    return said;
+}
+
+FakeBehaviour dyingAfter(unsigned tokens)
+{
+    FakeBehaviour behaviour;
+    behaviour.dieAfter = tokens;
+    return behaviour;
+}
+
+FakeBehaviour silentAfter(unsigned tokens)
+{
+    FakeBehaviour behaviour;
+    behaviour.silentAfter = tokens;
+    return behaviour;
+}
+
+FakeBehaviour answeringAs(const std::string& attempt)
+{
+    FakeBehaviour behaviour;
+    behaviour.echo = attempt;
+    return behaviour;
+}
+
+FakeBehaviour refusingWith(unsigned status)
+{
+    FakeBehaviour behaviour;
+    behaviour.status = status;
+    return behaviour;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RouterModelTests, RouterFixture)
+
+BOOST_AUTO_TEST_CASE(answersStreamOrComeWhole)
+{
+    HttpResponse stream = ask(streamed, { { "X-Request-Id", "mine" } });
+    BOOST_TEST(stream.status == 200U);
+    BOOST_TEST(stream.headers.find("X-Request-Id").value() == "mine");
+    BOOST_TEST(isWholeStream(stream.body));
+    HttpResponse answer = ask(whole, { { "X-Request-Id", "mine" } });
+    BOOST_TEST(answer.body == R"({"id":"mine","model":"m","text":"t0 t1 t2 ","tokens":3})");
+}
+
+BOOST_AUTO_TEST_CASE(badRequestsAreRefusedWithTheFieldNamed)
+{
+    auto detailOf = [&](const std::string& body) { return ask(body).body; };
+    BOOST_TEST(says(ask("{"), 400, "not-run"));
+    BOOST_TEST(says(ask("[]"), 400, "not-run"));
+    BOOST_TEST(detailOf(R"({"model":7,"prompt":"x"})").find("model: must be a text") != std::string::npos);
+    BOOST_TEST(detailOf(R"({"model":"m"})").find("messages: is missing") != std::string::npos);
+    BOOST_TEST(detailOf(R"({"model":"m","prompt":"x","max_tokens":0})").find("max_tokens: must be 1 to 65536") != std::string::npos);
+    BOOST_TEST(says(ask(R"({"model":"none","prompt":"x"})"), 404, "not-run"));
+    BOOST_TEST(says(ask(whole, { { "X-Rank", "none" } }), 400, "not-run"));
+    BOOST_TEST(says(ask(whole, { { "X-Deadline-Ms", "-1" } }), 400, "not-run"));
+    BOOST_TEST(says(send({ "GET", "/v1/chat/completions", {}, {} }).value(), 405, "not-run"));
+    BOOST_TEST(says(send({ "GET", "/v1/document", {}, {} }).value(), 404, "not-run"));
+    BOOST_TEST(first.requests().size() + second.requests().size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(streamOfADyingEngineIsResumedWhole)
+{
+    for (unsigned tokens : { 0U, 1U, 2U, 3U }) {
+        first.once(dyingAfter(tokens));
+        place({ first.placed(ModelName("m")) });
+        auto answer = std::async(std::launch::async, [&] { return ask(streamed); });
+        BOOST_TEST(eventually([&] { return first.requests().size() == tokens + 1; }));
+        place({ second.placed(ModelName("m")) });
+        BOOST_TEST(isWholeStream(answer.get().body));
+    }
+    BOOST_TEST(second.requests().size() >= 3U);
+}
+
+BOOST_AUTO_TEST_CASE(lateAndCrossedAnswersAreNeverPassedOn)
+{
+    first.always(answeringAs("test-a999"));
+    HttpResponse answer = ask(streamed);
+    BOOST_TEST(isWholeStream(answer.body));
+    place({ first.placed(ModelName("m")) });
+    HttpResponse refused = ask(streamed);
+    BOOST_TEST(refused.status == 502U);
+    BOOST_TEST(refused.body.find("t0") == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(silentConnectionsAreGivenUpAndTheStreamResumed)
+{
+    first.once(silentAfter(1));
+    place({ first.placed(ModelName("m")) });
+    BOOST_TEST(isWholeStream(ask(streamed).body));
+    first.once(silentAfter(0));
+    BOOST_TEST(isWholeStream(ask(streamed, { { "X-Deadline-Ms", "2000" } }).body));
+}
+
+BOOST_AUTO_TEST_CASE(refusalsOfEnginesAreTriedElsewhereOrRefusedInTime)
+{
+    first.always(refusingWith(503));
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(isWholeStream(ask(streamed).body));
+    place({ first.placed(ModelName("m")) });
+    BOOST_TEST(says(ask(streamed, shortDeadline), 504, "not-run"));
+}
+
+BOOST_AUTO_TEST_CASE(waitingRequestsAreServedOnceTheirModelIsLoaded)
+{
+    std::atomic<bool> wanted { false };
+    auto answer = std::async(std::launch::async, [&] { return ask(R"({"model":"cold","prompt":"x","stream":true})"); });
+    BOOST_TEST(eventually([&] { return router.waiting() == 1; }));
+    DemandReport demand = router.demand(HostName("h"));
+    BOOST_TEST(demand.models.at(ModelName("cold")).waiting == 1U);
+    BOOST_TEST(demand.models.at(ModelName("cold")).arrivals == 1U);
+    place({ first.placed(ModelName("cold")) });
+    BOOST_TEST(isWholeStream(answer.get().body));
+    BOOST_TEST(router.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(requestsThatCannotBeServedAreRefusedAtTheirDeadline)
+{
+    place({});
+    BOOST_TEST(says(ask(whole, shortDeadline), 504, "not-run"));
+    BOOST_TEST(router.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aFullQueueRefusesAtOnceWithRetryAfter)
+{
+    place({});
+    std::vector<std::future<HttpResponse>> waiting;
+    HttpResponse refused;
+    for (int i = 0; i < 12; ++i)
+        waiting.push_back(std::async(std::launch::async, [&] { return ask(whole, { { "X-Deadline-Ms", "1500" } }); }));
+    unsigned full = 0;
+    for (auto& answer : waiting) {
+        HttpResponse response = answer.get();
+        BOOST_TEST(response.body.find("\"outcome\":\"not-run\"") != std::string::npos);
+        if (response.status == 429) {
+            ++full;
+            BOOST_TEST(std::stoi(response.headers.find("Retry-After").value()) >= 1);
+        }
+    }
+    BOOST_TEST(full >= 4U);
+    BOOST_TEST(router.waiting() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aCallerThatLeavesFreesItsPlaceAndItsEngine)
+{
+    auto leave = [&](const std::string& model, auto&& arrived) {
+        std::string body = R"({"model":")" + model + R"(","prompt":"x","stream":true})";
+        boost::asio::io_context own;
+        boost::asio::ip::tcp::socket socket(own);
+        socket.connect(callers);
+        boost::asio::write(socket, boost::asio::buffer("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body));
+        BOOST_TEST(eventually(arrived));
+    };
+    leave("cold", [&] { return router.waiting() == 1; });
+    BOOST_TEST(eventually([&] { return router.waiting() == 0; }));
+    first.always(silentAfter(1));
+    place({ first.placed(ModelName("m"), 1) });
+    leave("m", [&] { return first.running() == 1; });
+    BOOST_TEST(eventually([&] { return first.running() == 0; }));
+    first.always({});
+    BOOST_TEST(isWholeStream(ask(streamed).body));
+}
+
+BOOST_AUTO_TEST_CASE(leavingEnginesGetNoNewWork)
+{
+    BackendServer leaving = first.server();
+    leaving.isLeaving = true;
+    router.setServers({ leaving, second.server() });
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(ask(whole).status == 200U);
+    BOOST_TEST(first.requests().empty());
+    router.setServers({ first.server(), second.server() });
+    PlacedEngine draining = second.placed(ModelName("m"));
+    draining.takesNewWork = false;
+    place({ first.placed(ModelName("m")), draining });
+    std::size_t before = second.requests().size();
+    for (int i = 0; i < 10; ++i)
+        BOOST_TEST(ask(whole).status == 200U);
+    BOOST_TEST(second.requests().size() == before);
+}
+
+BOOST_AUTO_TEST_CASE(aGracefulStopCutsNoRequest)
+{
+    first.hold(true);
+    second.hold(true);
+    auto answer = std::async(std::launch::async, [&] { return ask(streamed); });
+    BOOST_TEST(eventually([&] { return first.running() + second.running() == 1; }));
+    std::promise<void> stopped;
+    router.stop([&] { stopped.set_value(); });
+    auto refused = send({ "POST", "/v1/chat/completions", {}, whole });
+    first.hold(false);
+    second.hold(false);
+    BOOST_TEST(isWholeStream(answer.get().body));
+    stopped.get_future().wait();
+    BOOST_TEST((refused.has_value() == false || refused->status == 200));
+}
+
+BOOST_AUTO_TEST_CASE(unreadableInputIsBoundedAndRefused)
+{
+    BOOST_TEST(exchangeRaw("POST /v1/chat/completions HTTP/1.1\r\nX-Long: " + std::string(20000, 'a') + "\r\n\r\n").starts_with("HTTP/1.1 431"));
+    BOOST_TEST(exchangeRaw("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 5000000\r\n\r\n").starts_with("HTTP/1.1 413"));
+    BOOST_TEST(exchangeRaw("POST /v1/chat/completions HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n").starts_with("HTTP/1.1 400"));
+    std::mt19937 random(7);
+    for (int i = 0; i < 200; ++i) {
+        std::string bytes(random() % 600, '\0');
+        for (char& byte : bytes)
+            byte = static_cast<char>(random());
+        exchangeRaw(bytes, true);
+    }
+    BOOST_TEST(isWholeStream(ask(streamed).body));
+}
+
+BOOST_AUTO_TEST_CASE(operatorsSeeHealthReadinessAndMetrics)
+{
+    ask(whole);
+    callers = operators;
+    BOOST_TEST(send({ "GET", "/healthz", {}, {} })->status == 200U);
+    BOOST_TEST(send({ "GET", "/readyz", {}, {} })->status == 200U);
+    BOOST_TEST(send({ "GET", "/metrics", {}, {} })->body.find("hemlock_router_answered_total 1") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(RouterServiceTests, RouterFixture)
+
+BOOST_AUTO_TEST_CASE(lookupsAreRetriedAndPassedOn)
+{
+    router.setServers({ first.server(ServiceName("stock")), second.server(ServiceName("stock")) });
+    first.always(silentAfter(0));
+    for (int i = 0; i < 4; ++i) {
+        HttpResponse response = send({ "GET", "/services/stock/items/hide?size=3", {}, {} }).value();
+        BOOST_TEST(response.status == 200U);
+        BOOST_TEST(response.body == "done: ");
+    }
+    BOOST_TEST(second.requests().front().target == "/items/hide?size=3");
+    BOOST_TEST(says(send({ "GET", "/services/none/x", {}, {} }).value(), 404, "not-run"));
+}
+
+BOOST_AUTO_TEST_CASE(aBookingRunsOnceAndItsAnswerIsRecorded)
+{
+    router.setServers({ first.server(ServiceName("booking")) });
+    HttpResponse run = book("k1");
+    BOOST_TEST(run.status == 200U);
+    BOOST_TEST(run.headers.find("X-Run").value() == "first");
+    HttpResponse again = book("k1");
+    BOOST_TEST(again.headers.find("X-Run").value() == "recorded");
+    BOOST_TEST(again.body == run.body);
+    BOOST_TEST(says(book("k1", "two"), 409, "not-run"));
+    BOOST_TEST(says(book(std::string(201, 'k')), 400, "not-run"));
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aBookingThatMayHaveRunIsNeverSentAgain)
+{
+    router.setServers({ first.server(ServiceName("booking")), second.server(ServiceName("booking")) });
+    for (FakeBackend* backend : { &first, &second })
+        backend->always(dyingAfter(0));
+    BOOST_TEST(says(book("k1"), 502, "outcome-unknown"));
+    BOOST_TEST(eventually([&] { return runs.run("k1").state == RunAnswer::State::OutcomeUnknown; }));
+    BOOST_TEST(says(book("k1"), 502, "outcome-unknown"));
+    BOOST_TEST(says(book(""), 502, "outcome-unknown"));
+    BOOST_TEST(first.requests().size() + second.requests().size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aSilentBookingIsUnknownAtItsDeadlineAndNeverSentAgain)
+{
+    router.setServers({ first.server(ServiceName("booking")) });
+    first.always(silentAfter(0));
+    BOOST_TEST(says(book("k1", "one", shortDeadline), 504, "outcome-unknown"));
+    BOOST_TEST(says(book("k1", "one", shortDeadline), 504, "outcome-unknown"));
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aResendWaitsForTheRunInProgress)
+{
+    router.setServers({ first.server(ServiceName("booking")) });
+    first.hold(true);
+    auto run = std::async(std::launch::async, [&] { return book("k1"); });
+    BOOST_TEST(eventually([&] { return first.running() == 1; }));
+    auto again = std::async(std::launch::async, [&] { return book("k1"); });
+    std::this_thread::sleep_for(50ms);
+    first.hold(false);
+    BOOST_TEST(run.get().headers.find("X-Run").value() == "first");
+    BOOST_TEST(again.get().headers.find("X-Run").value() == "recorded");
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aCallOutlivesItsCallerAndIsRecorded)
+{
+    router.setServers({ first.server(ServiceName("booking")) });
+    first.hold(true);
+    BOOST_TEST(says(book("k1", "one", shortDeadline), 504, "outcome-unknown"));
+    first.hold(false);
+    BOOST_TEST(eventually([&] { return runs.run("k1").state == RunAnswer::State::Done; }));
+    BOOST_TEST(book("k1").headers.find("X-Run").value() == "recorded");
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(withoutAQuorumNothingIsSentAndTheClaimIsVoid)
+{
+    router.setServers({ first.server(ServiceName("booking")) });
+    for (FakeRuns::Mode mode : { FakeRuns::Mode::Cut, FakeRuns::Mode::AnswersLost, FakeRuns::Mode::Late }) {
+        std::string key = "k" + std::to_string(static_cast<int>(mode));
+        runs.setMode(mode);
+        HttpResponse refused = book(key);
+        BOOST_TEST(says(refused, 503, "not-run"));
+        BOOST_TEST(refused.headers.find("Retry-After").has_value());
+        runs.setMode(FakeRuns::Mode::Reached);
+        BOOST_TEST(eventually([&] { return runs.run(key).state != RunAnswer::State::InProgress; }));
+        BOOST_TEST(first.requests().empty());
+    }
+    BOOST_TEST(book("k3").headers.find("X-Run").value() == "first");
+}
+
+BOOST_AUTO_TEST_CASE(aBookingThatReachesNobodyIsVoidedAndMayRunLater)
+{
+    BackendServer gone = first.server(ServiceName("booking"));
+    gone.endpoint.port(1);
+    router.setServers({ gone });
+    BOOST_TEST(says(book("k1"), 503, "not-run"));
+    BOOST_TEST(says(book(""), 503, "not-run"));
+    router.setServers({ first.server(ServiceName("booking")) });
+    BOOST_TEST(book("k1").headers.find("X-Run").value() == "first");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
