--- a/modules/hc_peer/peer/KjThread.cpp
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -2,6 +2,8 @@
 
 #include "hemlockchute/core/EventLog.h"
 
+#include <openssl/crypto.h>
+
 namespace hemlockchute {
 namespace {
 
@@ -29,6 +31,8 @@
 
 KjThread::KjThread()
 {
+    // Its exit handler must come after this object's end, since the thread holds state of OpenSSL.
+    OPENSSL_init_crypto(0, nullptr);
     std::promise<void> started;
     m_thread = std::thread([this, &started] { serve(started); });
     started.get_future().wait();
@@ -89,7 +93,7 @@
             m_wake = kj::mv(next.fulfiller);
         }
         for (std::function<void()>& function : work)
-            KJ_IF_MAYBE(exception, kj::runCatchingExceptions(function))
+            KJ_IF_MAYBE (exception, kj::runCatchingExceptions(function))
                 logException(*exception);
     }
     std::lock_guard guard(m_lock);
