--- a/modules/hc_router/router/ModelHandler.cpp
+++ b/modules/hc_router/router/ModelHandler.cpp
@@ -218,7 +218,7 @@
         LifecycleVerdict verdict = m_life.fail(attempt, error.code, pause.has_value(), currentTime());
         bool mustPause = verdict.kind == LifecycleVerdict::Kind::Retry && pause && *pause > Duration::zero();
         if (mustPause)
-            co_await sleep(*pause);
+            co_await sleep(std::min(*pause, m_request.terms.deadline - currentTime()));
         co_return verdict;
     }
 
--- a/modules/hc_router/router/ServiceHandler.cpp
+++ b/modules/hc_router/router/ServiceHandler.cpp
@@ -92,7 +92,7 @@
         auto pause = m_core->dispatcher().with([&](DispatchTable& table) { return table.takeRetry(server.name, m_life.attemptCount(), random); });
         LifecycleVerdict verdict = m_life.fail(attempt, error.code, pause.has_value(), currentTime());
         if (verdict.kind == LifecycleVerdict::Kind::Retry)
-            co_await sleep(pause.value_or(shortestPause));
+            co_await sleep(std::min(pause.value_or(shortestPause), m_call.terms.deadline - currentTime()));
         co_return verdict;
     }
 
--- /dev/null
+++ b/modules/hc_router/tests/RequestLifecycleTests.cpp
@@ -0,0 +1,177 @@
+#include "hemlockchute/router/RequestLifecycle.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <rapidcheck.h>
+#include <rapidcheck/state.h>
+
+using namespace hemlockchute;
+
+namespace {
+
+constexpr Duration patience = 100ms;
+
+Instant start()
+{
+    return Instant(1h);
+}
+
+AttemptId attemptId(unsigned number)
+{
+    return AttemptId("a" + std::to_string(number));
+}
+
+/** What an outsider can say of a request by looking at the wire alone. */
+struct Oracle {
+    bool isRepeatable = true;
+    Instant now = start();
+    unsigned attempts = 0;
+    /** The attempt under way. */
+    std::optional<unsigned> current;
+    /** Attempts that a backend server may have run. */
+    unsigned mayHaveRun = 0;
+    unsigned tokens = 0;
+    unsigned endings = 0;
+};
+
+/** The lifecycle together with what is checked about it after each event. */
+struct Subject {
+    explicit Subject(bool isRepeatable)
+        : life(RequestLifecycle::Options().withRepeatable(isRepeatable).withDeadline(start() + patience))
+    {
+        oracle.isRepeatable = isRepeatable;
+    }
+
+    void begin()
+    {
+        bool mayBegin = life.begin(attemptId(oracle.attempts + 1), oracle.now);
+        if (!mayBegin)
+            return;
+        RC_ASSERT(oracle.endings == 0U);
+        RC_ASSERT(!oracle.current);
+        RC_ASSERT(oracle.isRepeatable || oracle.mayHaveRun == 0U);
+        RC_ASSERT(oracle.tokens > 0 || oracle.now < start() + patience);
+        oracle.current = ++oracle.attempts;
+    }
+
+    void token(unsigned attempt, unsigned index)
+    {
+        bool passed = life.takeToken(attemptId(attempt), index);
+        RC_ASSERT(passed == (oracle.current == attempt && index == oracle.tokens && oracle.endings == 0));
+        if (passed)
+            ++oracle.tokens;
+    }
+
+    void fail(unsigned attempt, BackendErrorCode code, bool mayRetry)
+    {
+        bool isCurrent = oracle.current == attempt;
+        LifecycleVerdict verdict = life.fail(attemptId(attempt), code, mayRetry, oracle.now);
+        RC_ASSERT((verdict.kind == LifecycleVerdict::Kind::Ignore) == !isCurrent);
+        if (!isCurrent)
+            return;
+        oracle.current.reset();
+        if (!hasCertainlyNotRun(code) || oracle.tokens > 0)
+            ++oracle.mayHaveRun;
+        RC_ASSERT(verdict.kind != LifecycleVerdict::Kind::Retry || oracle.isRepeatable || oracle.mayHaveRun == 0U);
+        note(verdict);
+    }
+
+    void complete(unsigned attempt)
+    {
+        bool isCurrent = oracle.current == attempt;
+        LifecycleVerdict verdict = life.complete(attemptId(attempt));
+        RC_ASSERT((verdict.kind == LifecycleVerdict::Kind::Complete) == isCurrent);
+        note(verdict);
+    }
+
+    void expire()
+    {
+        bool isDue = oracle.endings == 0 && oracle.tokens == 0 && oracle.now >= start() + patience;
+        LifecycleVerdict verdict = life.expire(oracle.now);
+        RC_ASSERT((verdict.kind == LifecycleVerdict::Kind::Refuse) == isDue);
+        note(verdict);
+    }
+
+    void note(LifecycleVerdict verdict)
+    {
+        bool isEnd = verdict.kind != LifecycleVerdict::Kind::Ignore && verdict.kind != LifecycleVerdict::Kind::Retry;
+        RC_ASSERT(isEnd <= (oracle.endings == 0));
+        if (isEnd)
+            ++oracle.endings;
+        RC_ASSERT(life.hasEnded() == (oracle.endings == 1U));
+        bool nothingSent = oracle.mayHaveRun == 0 && oracle.tokens == 0 && !oracle.current;
+        if (verdict.kind == LifecycleVerdict::Kind::Refuse)
+            RC_ASSERT((verdict.outcome == RefusalOutcome::NotRun) == nothingSent);
+        if (isEnd)
+            oracle.current.reset();
+    }
+
+    void happen(unsigned event, unsigned attempt, unsigned detail)
+    {
+        static constexpr BackendErrorCode codes[] = { BackendErrorCode::NotSent, BackendErrorCode::Lost, BackendErrorCode::TimedOut, BackendErrorCode::Refused, BackendErrorCode::Busy, BackendErrorCode::Malformed };
+        unsigned target = attempt == 0 ? oracle.current.value_or(1) : attempt;
+        switch (event) {
+        case 0:
+        case 1:
+            return begin();
+        case 2:
+            return token(target, detail % 2 == 0 ? oracle.tokens : detail);
+        case 3:
+            return fail(target, codes[detail % std::size(codes)], detail % 4 != 0);
+        case 4:
+            return complete(target);
+        case 5:
+            oracle.now += 20ms;
+            return expire();
+        case 6:
+            return note(life.refuse(503));
+        default:
+            return note(life.leave());
+        }
+    }
+
+    RequestLifecycle life;
+    Oracle oracle;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(RequestLifecycleTests)
+
+BOOST_AUTO_TEST_CASE(anyEventsEndARequestOnceAndTruly)
+{
+    setenv("RC_PARAMS", "seed=20261204 max_success=5000", 1);
+    bool held = rc::check("a request ends once, by its deadline, and says truly whether it ran", [] {
+        Subject subject(*rc::gen::arbitrary<bool>());
+        // Endings are rare, so that long lives are tried too.
+        auto steps = *rc::gen::container<std::vector<std::tuple<unsigned, unsigned, unsigned>>>(
+            rc::gen::tuple(rc::gen::weightedElement<unsigned>({ { 8, 0 }, { 8, 1 }, { 8, 2 }, { 8, 3 }, { 1, 4 }, { 3, 5 }, { 1, 6 }, { 1, 7 } }), rc::gen::inRange(0U, 5U), rc::gen::inRange(0U, 12U)));
+        for (const auto& [event, attempt, detail] : steps)
+            subject.happen(event, attempt, detail);
+        subject.oracle.now = std::max(subject.oracle.now, start() + patience);
+        subject.expire();
+        RC_ASSERT(subject.life.hasEnded() || subject.oracle.tokens > 0);
+    });
+    BOOST_TEST(held);
+}
+
+BOOST_AUTO_TEST_CASE(retriesOfWorkThatMayHaveRunAreBounded)
+{
+    RequestLifecycle life(RequestLifecycle::Options().withDeadline(start() + patience).withMaximumAttempts(2));
+    BOOST_TEST(life.begin(attemptId(1), start()));
+    BOOST_TEST((life.fail(attemptId(1), BackendErrorCode::Lost, true, start()).kind == LifecycleVerdict::Kind::Retry));
+    BOOST_TEST(life.begin(attemptId(2), start()));
+    LifecycleVerdict verdict = life.fail(attemptId(2), BackendErrorCode::Lost, true, start());
+    BOOST_TEST((verdict == LifecycleVerdict { LifecycleVerdict::Kind::Refuse, 502, RefusalOutcome::Unknown }));
+}
+
+BOOST_AUTO_TEST_CASE(withoutBudgetOnlyUnsentWorkIsRetried)
+{
+    RequestLifecycle life(RequestLifecycle::Options().withDeadline(start() + patience));
+    BOOST_TEST(life.begin(attemptId(1), start()));
+    BOOST_TEST((life.fail(attemptId(1), BackendErrorCode::Busy, false, start()).kind == LifecycleVerdict::Kind::Retry));
+    BOOST_TEST(life.begin(attemptId(2), start()));
+    BOOST_TEST((life.fail(attemptId(2), BackendErrorCode::Lost, false, start()).kind == LifecycleVerdict::Kind::Refuse));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
