--- a/modules/hc_router/tests/RouterFixture.cpp
+++ b/modules/hc_router/tests/RouterFixture.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+constexpr Duration slowAnswer = 600ms;
+
 const tcp::endpoint anyPort(asio::ip::make_address("127.0.0.1"), 0);
 
 DocumentPointer testDocument()
@@ -217,6 +219,8 @@
 //==============================================================================
 asio::awaitable<Result<RunAnswer, KeeperClientErrorCode>> FakeRuns::propose(CommandBody command, Duration)
 {
+    asio::steady_timer timer(co_await asio::this_coro::executor, mode() == Mode::Slow ? slowAnswer : Duration::zero());
+    co_await timer.async_wait(asio::use_awaitable);
     std::lock_guard guard(m_lock);
     if (m_mode == Mode::Cut)
         co_return failure(KeeperClientErrorCode::NotTaken, "cut off");
@@ -238,6 +242,12 @@
     co_return m_state.run(key);
 }
 
+FakeRuns::Mode FakeRuns::mode() const
+{
+    std::lock_guard guard(m_lock);
+    return m_mode;
+}
+
 void FakeRuns::setMode(Mode mode)
 {
     std::lock_guard guard(m_lock);
--- a/modules/hc_router/tests/RouterFixture.h
+++ b/modules/hc_router/tests/RouterFixture.h
@@ -76,10 +76,13 @@
         Cut,
         /** Commands are applied, but their answers are lost. */
         AnswersLost,
+        /** Commands are applied and answered after longer than a short deadline. */
+        Slow,
         /** Commands are applied only once this mode ends, and their answers are lost. */
         Late
     };
     void setMode(Mode);
+    Mode mode() const;
     RunAnswer run(const std::string& key) const;
 
 private:
--- a/modules/hc_router/tests/RouterTests.cpp
+++ b/modules/hc_router/tests/RouterTests.cpp
@@ -345,6 +345,15 @@
     BOOST_TEST(book("k3").headers.find("X-Run").value() == "first");
 }
 
+BOOST_AUTO_TEST_CASE(aClaimThatComesAfterTheDeadlineSendsNothing)
+{
+    router.setServers({ first.server(ServiceName("booking")) });
+    runs.setMode(FakeRuns::Mode::Slow);
+    BOOST_TEST(says(book("k1", "one", shortDeadline), 504, "not-run"));
+    BOOST_TEST(eventually([&] { return runs.run("k1").state == RunAnswer::State::Void; }));
+    BOOST_TEST(first.requests().empty());
+}
+
 BOOST_AUTO_TEST_CASE(aBookingThatReachesNobodyIsVoidedAndMayRunLater)
 {
     BackendServer gone = first.server(ServiceName("booking"));
