Make the test of a leaving caller strict

Taken out, the interruption of a stream when its caller leaves went unnoticed: the test's silence timeout freed the engine in time. With a rank that waits 60 s the test now fails without it (seen: first.running() == 0 failed).

--- a/modules/hc_router/tests/RouterFixture.cpp
+++ b/modules/hc_router/tests/RouterFixture.cpp
@@ -31,7 +31,7 @@
 [[team.a.ranks]]
 name = "patient"
 order = 1
-longest_wait = "10s"
+longest_wait = "60s"
 between_tokens_target = "10ms"
 
 [[team.a.models]]
--- a/modules/hc_router/tests/RouterTests.cpp
+++ b/modules/hc_router/tests/RouterTests.cpp
@@ -186,7 +186,7 @@
     };
     leave("cold", [&] { return router.waiting() == 1; });
     BOOST_TEST(eventually([&] { return router.waiting() == 0; }));
-    first.always(silentAfter(1));
+    first.always(silentAfter(0));
     place({ first.placed(ModelName("m"), 1) });
     leave("m", [&] { return first.running() == 1; });
     BOOST_TEST(eventually([&] { return first.running() == 0; }));
