--- /dev/null
+++ b/benchmarks/policy/DataCentreModel.cpp
@@ -0,0 +1,265 @@
+#include "policy/DataCentreModel.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace hemlockchute::experiment {
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+constexpr Duration firstTokenTime = 120ms;
+constexpr Duration unloadTime = 100ms;
+constexpr Duration arrivalRateMemory = 60s;
+/** Tokens of the store's rate that may be saved up. */
+constexpr double storeBurst = 2;
+/** A model that was not used for so long is no longer told to the planner as in demand. */
+constexpr Duration useRemembered = 15min;
+constexpr std::uint64_t wholePerMille = 1000;
+
+} // namespace
+
+DataCentreModel::DataCentreModel(SharedWorld& world, const StrategySet& strategies, unsigned index, std::map<ModelName, unsigned> permits)
+    : m_world(world)
+    , m_name(world.deployment.dataCentres.at(index))
+    , m_permits(std::move(permits))
+    , m_picker(makeServerPicker(strategies.picker))
+    , m_planner(makePlacementPlanner(strategies.planner))
+    , m_rateShare(world.deployment.document->limits.storeLoadsPerSecondPerMille, m_name, world.deployment.dataCentres)
+    , m_atOnceShare(world.deployment.document->limits.storeLoadsAtOnce * wholePerMille, m_name, world.deployment.dataCentres,
+          RateShare::Options().withGranularity(wholePerMille))
+{
+    const Deployment& deployment = world.deployment;
+    unsigned engineCount = deployment.engines.at(index);
+    m_queue = makeRequestQueue(strategies.queue, RequestQueueOptions().withParallelism(engineCount * deployment.slotsPerEngine));
+    m_queue->setRanks(deployment.document->ranks);
+    for (unsigned number = 0; number < engineCount; ++number) {
+        BackendServerName name(m_name.text() + '-' + std::to_string(number));
+        m_engines.emplace_back(name, deployment.engineMemory, deployment.slotsPerEngine);
+    }
+    // Checkpoints lie unevenly on the disks.
+    for (const auto& [model, count] : m_permits)
+        m_engines[world.random() % engineCount].cacheOnDisk(model);
+}
+
+bool DataCentreModel::serves(const ModelName& model) const
+{
+    return std::any_of(m_engines.begin(), m_engines.end(), [&](const EngineModel& engine) { return engine.isLoaded(model); });
+}
+
+void DataCentreModel::arrive(const Arrival& arrival, Duration trip, Instant now)
+{
+    ModelName model = Deployment::modelName(arrival.model);
+    const RankSpec& rank = m_world.deployment.document->ranks.at(rankNames[arrival.rank]);
+    QueuedRequest request;
+    request.ticket = m_lastTicket = m_lastTicket.next();
+    request.rank = rank.name;
+    request.model = model;
+    request.adapter = arrival.adapter;
+    request.arrival = now - trip;
+    request.deadline = request.arrival + rank.longestWait;
+    // The queue knows what requests of that rank cost on average.
+    static constexpr std::array<Duration, 3> expectedCost { 500ms, 1500ms, 4s };
+    request.cost = expectedCost.at(arrival.rank);
+    m_pending[request.ticket] = { arrival, !serves(model) };
+    noteUse(arrival, now);
+    if (m_queue->add(request, now)) {
+        refuse(request.ticket);
+        return;
+    }
+    if (!arrival.adapter.isEmpty())
+        ++m_uses[model].adapters[arrival.adapter];
+}
+
+void DataCentreModel::noteUse(const Arrival& arrival, Instant now)
+{
+    Use& use = m_uses[Deployment::modelName(arrival.model)];
+    double age = Seconds(now - use.last).count() / Seconds(arrivalRateMemory).count();
+    double before = use.arrivalRate * std::exp(-age);
+    double added = 1 / Seconds(arrivalRateMemory).count();
+    double worth = m_world.deployment.document->ranks.at(rankNames[arrival.rank]).worth;
+    use.worth = (use.worth * before + worth * added) / (before + added);
+    use.arrivalRate = before + added;
+    use.last = now;
+}
+
+void DataCentreModel::refuse(QueueTicket ticket)
+{
+    auto pending = m_pending.extract(ticket);
+    const Arrival& arrival = pending.mapped().arrival;
+    m_world.measurements.noteRefused(arrival, pending.mapped().wasCold);
+}
+
+//==============================================================================
+void DataCentreModel::dispatch(Instant now)
+{
+    for (const Refusal& refusal : m_queue->expire(now)) {
+        const Arrival& arrival = m_pending.at(refusal.ticket).arrival;
+        if (!arrival.adapter.isEmpty())
+            --m_uses[Deployment::modelName(arrival.model)].adapters[arrival.adapter];
+        refuse(refusal.ticket);
+    }
+    auto canServe = [&](const QueuedRequest& request) {
+        return std::any_of(m_engines.begin(), m_engines.end(),
+            [&](const EngineModel& engine) { return engine.canServe(request.model, request.adapter); });
+    };
+    auto hasFreeSlot = [&] {
+        return std::any_of(m_engines.begin(), m_engines.end(), [](const EngineModel& engine) { return engine.running() < engine.slots(); });
+    };
+    while (hasFreeSlot()) {
+        std::optional<QueuedRequest> request = m_queue->take(canServe, now);
+        if (!request)
+            return;
+        begin(*request, now);
+    }
+}
+
+void DataCentreModel::begin(const QueuedRequest& request, Instant now)
+{
+    std::vector<ServerCandidate> candidates;
+    std::vector<EngineModel*> engines;
+    for (EngineModel& engine : m_engines) {
+        if (!engine.canServe(request.model, request.adapter))
+            continue;
+        candidates.push_back({ engine.name(), engine.running(), engine.running(), 0, {}, engine.slots(), 0, {} });
+        engines.push_back(&engine);
+    }
+    EngineModel& engine = *engines.at(m_picker->pick(candidates, m_world.random()).value());
+    Pending pending = std::move(m_pending.extract(request.ticket).mapped());
+    const Arrival& arrival = pending.arrival;
+    if (!arrival.adapter.isEmpty())
+        --m_uses[request.model].adapters[arrival.adapter];
+    m_uses[request.model].last = now;
+    engine.beginRequest(request.model);
+    m_queue->charge(request, arrival.serviceTime, now);
+    m_world.measurements.noteFirstToken(arrival, pending.wasCold, now + firstTokenTime - request.arrival);
+    m_world.measurements.noteService(arrival, now - Instant());
+    m_world.after(arrival.serviceTime, [&engine, model = request.model] { engine.endRequest(model); });
+}
+
+//==============================================================================
+void DataCentreModel::plan(Instant now)
+{
+    for (const PlanStep& step : m_planner->plan(plannerInput(now)))
+        apply(step, now);
+}
+
+PlannerInput DataCentreModel::plannerInput(Instant now)
+{
+    PlannerInput input;
+    input.now = now;
+    input.document = m_world.deployment.document;
+    for (const EngineModel& engine : m_engines)
+        input.engines.push_back(engine.planned());
+    input.permits = m_permits;
+    input.adapterLoadsAllowed = m_world.deployment.document->limits.adaptersInFlight
+            / static_cast<unsigned>(m_world.deployment.dataCentres.size())
+        - m_adapterLoads;
+
+    std::map<ModelName, WaitingModel> waiting;
+    for (WaitingModel& model : m_queue->waitingModels())
+        waiting[model.model] = model;
+    unsigned loadsWanted = 0;
+    std::erase_if(m_uses, [&](const auto& entry) { return now - entry.second.last > useRemembered && !waiting.contains(entry.first); });
+    for (const auto& [name, use] : m_uses) {
+        PlannedDemand demand;
+        demand.model = name;
+        demand.arrivalRate = use.arrivalRate;
+        demand.sinceLastUse = now - use.last;
+        demand.adapters = use.adapters;
+        if (auto found = waiting.find(name); found != waiting.end()) {
+            demand.waiting = found->second.waiting;
+            demand.bestRankOrder = found->second.bestRankOrder;
+            demand.oldestWait = now - found->second.oldestArrival;
+            loadsWanted += serves(name) ? 0 : 1;
+        }
+        demand.worth = static_cast<unsigned>(std::lround(use.worth));
+        input.demand.push_back(std::move(demand));
+    }
+    m_rateShare.setDemand(loadsWanted);
+    m_atOnceShare.setDemand(loadsWanted);
+    input.storeLoadsAllowed = storeLoadsAllowed(now);
+    return input;
+}
+
+unsigned DataCentreModel::storeLoadsAllowed(Instant now)
+{
+    double perSecond = static_cast<double>(m_rateShare.allowed(now)) / wholePerMille;
+    m_storeTokens = std::min(storeBurst, m_storeTokens + perSecond * Seconds(now - m_lastRefill).count());
+    m_lastRefill = now;
+    auto atOnce = static_cast<unsigned>(m_atOnceShare.allowed(now) / wholePerMille);
+    unsigned free = atOnce > m_storeLoads ? atOnce - m_storeLoads : 0;
+    return std::min(free, static_cast<unsigned>(m_storeTokens));
+}
+
+void DataCentreModel::apply(const PlanStep& step, Instant)
+{
+    switch (step.kind) {
+    case PlanStep::Kind::LoadModel:
+        return load(engine(step.engine), step);
+    case PlanStep::Kind::UnloadModel: {
+        EngineModel& target = engine(step.engine);
+        target.beginUnload(step.model);
+        m_world.after(unloadTime, [&target, model = step.model] { target.endUnload(model); });
+        return;
+    }
+    case PlanStep::Kind::LoadAdapter: {
+        EngineModel& target = engine(step.engine);
+        const AdapterSpec& spec = m_world.deployment.document->adapters.at(step.adapter);
+        target.beginAdapter(spec);
+        ++m_adapterLoads;
+        m_world.after(m_world.adapters.begin(m_world.deployment.adapterLoadTime), [this, &target, &spec] {
+            --m_adapterLoads;
+            m_world.adapters.end();
+            target.endAdapter(spec);
+        });
+        return;
+    }
+    case PlanStep::Kind::RequestPermit:
+    case PlanStep::Kind::ReturnPermit:
+        // Permits stay as they are dealt out at the start.
+        return;
+    }
+}
+
+void DataCentreModel::load(EngineModel& target, const PlanStep& step)
+{
+    const ModelSpec& spec = m_world.deployment.document->models.at(step.model);
+    target.beginLoad(spec);
+    m_world.measurements.noteLoad();
+    bool isFromStore = step.source == PlanSource::Store;
+    Duration time = step.source == PlanSource::Memory ? spec.loadTimeFromMemory : spec.loadTimeFromDisk;
+    if (isFromStore) {
+        time = m_world.store.begin(spec.loadTimeFromStore);
+        m_storeTokens -= 1;
+        ++m_storeLoads;
+    }
+    m_world.after(time, [this, &target, isFromStore, model = step.model] {
+        target.endLoad(model);
+        if (isFromStore) {
+            m_world.store.end();
+            --m_storeLoads;
+        }
+    });
+}
+
+EngineModel& DataCentreModel::engine(const BackendServerName& name)
+{
+    return *std::find_if(m_engines.begin(), m_engines.end(), [&](const EngineModel& engine) { return engine.name() == name; });
+}
+
+//==============================================================================
+void DataCentreModel::report(DataCentreModel& to, Instant now)
+{
+    to.m_rateShare.receive(m_name, m_rateShare.report(to.m_name, now), now);
+    to.m_atOnceShare.receive(m_name, m_atOnceShare.report(to.m_name, now), now);
+}
+
+void DataCentreModel::noteIdle(Duration time)
+{
+    double hours = std::chrono::duration<double, std::ratio<3600>>(time).count();
+    for (const EngineModel& engine : m_engines)
+        m_world.measurements.noteIdle(engine.idleShare() * hours);
+}
+
+} // namespace hemlockchute::experiment
--- /dev/null
+++ b/benchmarks/policy/Deployment.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "hemlockchute/document/Document.h"
+
+#include <string>
+#include <vector>
+
+namespace hemlockchute::experiment {
+
+/** The names of the three ranks, the most urgent first. */
+inline const std::vector<RankName> rankNames { RankName("urgent"), RankName("middle"), RankName("patient") };
+
+//==============================================================================
+/**
+    One of the two deployments, at the size of today, with what it declares.
+
+    Thread safety: immutable once made.
+*/
+struct Deployment {
+    std::string name;
+    std::vector<DataCentreName> dataCentres;
+    /** Engines in each data centre. */
+    std::vector<unsigned> engines;
+    unsigned slotsPerEngine = 8;
+    ByteCount engineMemory = ByteCount::gibibytes(40);
+    unsigned adapterCount = 0;
+    Duration adapterLoadTime = 5ms;
+    /** One way, between data centres. */
+    Duration trip = 4ms;
+    DocumentPointer document;
+
+    static Deployment kaskAndParn();
+    static Deployment lahore();
+
+    unsigned slots() const;
+    /** The rank that most requests for a model have. */
+    static const RankName& rankOf(unsigned modelIndex) { return rankNames[modelIndex % rankNames.size()]; }
+    static ModelName modelName(unsigned modelIndex) { return ModelName("model" + std::to_string(modelIndex)); }
+};
+
+} // namespace hemlockchute::experiment
--- /dev/null
+++ b/benchmarks/policy/Measurements.cpp
@@ -0,0 +1,136 @@
+#include "policy/Measurements.h"
+
+#include <algorithm>
+
+namespace hemlockchute::experiment {
+namespace {
+
+double ratio(double part, double whole)
+{
+    return whole == 0 ? 1.0 : part / whole;
+}
+
+} // namespace
+
+Measurements::Measurements(const Document& document)
+{
+    for (std::size_t rank = 0; rank < m_ranks.size(); ++rank) {
+        const RankSpec& spec = document.ranks.at(rankNames[rank]);
+        m_ranks.at(rank).floorPerMille = spec.floorPerMille;
+        m_ranks.at(rank).target = spec.firstTokenTarget;
+        m_ranks.at(rank).longestWait = spec.longestWait;
+    }
+}
+
+bool Measurements::isMeasured(const Arrival& arrival)
+{
+    return arrival.when >= warmUp;
+}
+
+bool Measurements::isInTrouble(Duration when)
+{
+    return when >= troubleStart && when < troubleEnd;
+}
+
+void Measurements::noteOffered(const Arrival& arrival, bool wasCold, bool isWithinTarget)
+{
+    RankCounts& rank = m_ranks.at(arrival.rank);
+    for (std::size_t period : { 0, 1 }) {
+        if (period == 1 && !isInTrouble(arrival.when))
+            continue;
+        ++rank.requests.at(period);
+        rank.withinTarget.at(period) += isWithinTarget ? 1 : 0;
+        rank.warm.at(period) += wasCold ? 0 : 1;
+        rank.warmWithinTarget.at(period) += !wasCold && isWithinTarget ? 1 : 0;
+    }
+    if (isInTrouble(arrival.when))
+        rank.offeredInTrouble += arrival.serviceTime;
+}
+
+void Measurements::noteFirstToken(const Arrival& arrival, bool wasCold, Duration wait)
+{
+    if (!isMeasured(arrival))
+        return;
+    ++m_served;
+    noteOffered(arrival, wasCold, wait <= m_ranks.at(arrival.rank).target);
+    if (wasCold)
+        m_coldStarts.push_back(wait);
+}
+
+void Measurements::noteRefused(const Arrival& arrival, bool wasCold)
+{
+    if (!isMeasured(arrival))
+        return;
+    noteOffered(arrival, wasCold, false);
+    // A refused cold start counts as the longest wait of its rank, however soon it was refused.
+    if (wasCold)
+        m_coldStarts.push_back(m_ranks.at(arrival.rank).longestWait);
+}
+
+void Measurements::noteService(const Arrival& arrival, Duration begun)
+{
+    if (isInTrouble(begun))
+        m_ranks.at(arrival.rank).servedInTrouble += arrival.serviceTime;
+}
+
+void Measurements::merge(const Measurements& other)
+{
+    for (std::size_t index = 0; index < m_ranks.size(); ++index) {
+        RankCounts& into = m_ranks.at(index);
+        const RankCounts& from = other.m_ranks.at(index);
+        for (std::size_t period : { 0, 1 }) {
+            into.requests.at(period) += from.requests.at(period);
+            into.withinTarget.at(period) += from.withinTarget.at(period);
+            into.warm.at(period) += from.warm.at(period);
+            into.warmWithinTarget.at(period) += from.warmWithinTarget.at(period);
+        }
+        into.offeredInTrouble += from.offeredInTrouble;
+        into.servedInTrouble += from.servedInTrouble;
+    }
+    m_coldStarts.insert(m_coldStarts.end(), other.m_coldStarts.begin(), other.m_coldStarts.end());
+    m_loads += other.m_loads;
+    m_served += other.m_served;
+    m_idleAcceleratorHours += other.m_idleAcceleratorHours;
+}
+
+//==============================================================================
+double Measurements::coldStartSeconds(double quantile) const
+{
+    if (m_coldStarts.empty())
+        return 0;
+    std::vector<Duration> sorted = m_coldStarts;
+    auto place = static_cast<std::size_t>(quantile * static_cast<double>(sorted.size() - 1));
+    std::nth_element(sorted.begin(), sorted.begin() + static_cast<std::ptrdiff_t>(place), sorted.end());
+    return std::chrono::duration<double>(sorted[place]).count();
+}
+
+double Measurements::withinTarget(unsigned rank, bool inTrouble) const
+{
+    const RankCounts& counts = m_ranks.at(rank);
+    std::size_t period = inTrouble ? 1 : 0;
+    return ratio(static_cast<double>(counts.withinTarget.at(period)), static_cast<double>(counts.requests.at(period)));
+}
+
+double Measurements::withinTargetWarm(unsigned rank, bool inTrouble) const
+{
+    const RankCounts& counts = m_ranks.at(rank);
+    std::size_t period = inTrouble ? 1 : 0;
+    return ratio(static_cast<double>(counts.warmWithinTarget.at(period)), static_cast<double>(counts.warm.at(period)));
+}
+
+double Measurements::keptOfFloor(unsigned rank) const
+{
+    Duration all {};
+    for (const RankCounts& counts : m_ranks)
+        all += counts.servedInTrouble;
+    const RankCounts& counts = m_ranks.at(rank);
+    Duration due = std::min(all * counts.floorPerMille / 1000, counts.offeredInTrouble);
+    return ratio(static_cast<double>(counts.servedInTrouble.count()), static_cast<double>(due.count()));
+}
+
+double Measurements::loadsPerRequest() const
+{
+    return static_cast<double>(m_loads) / static_cast<double>(std::max<std::size_t>(1, m_served));
+}
+
+} // namespace hemlockchute::experiment
--- /dev/null
+++ b/benchmarks/policy/PolicyRun.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "policy/DataCentreModel.h"
+
+#include <deque>
+#include <queue>
+
+namespace hemlockchute::experiment {
+
+//==============================================================================
+/**
+    One run of one set of strategies through one scenario, on a clock of its own.
+
+    Thread safety: one thread at a time.
+*/
+class PolicyRun {
+public:
+    PolicyRun(const Deployment&, const StrategySet&, std::uint64_t seed);
+
+    /** Precondition: called once. */
+    Measurements run(const std::vector<Arrival>&, Scenario);
+
+private:
+    struct Event {
+        Instant when;
+        std::uint64_t number = 0;
+        std::function<void()> action;
+
+        friend bool operator<(const Event& a, const Event& b)
+        {
+            return a.when != b.when ? a.when > b.when : a.number > b.number;
+        }
+    };
+
+    void deal(const StrategySet&);
+    void at(Instant, std::function<void()>);
+    void fireDue();
+    void arrive(const Arrival&);
+    void decide(std::uint64_t tick);
+    DataCentreModel& placeFor(const Arrival&);
+
+    const Deployment& m_deployment;
+    SharedWorld m_world;
+    std::deque<DataCentreModel> m_dataCentres;
+    std::priority_queue<Event> m_events;
+    std::uint64_t m_lastEvent = 0;
+    Instant m_now {};
+};
+
+} // namespace hemlockchute::experiment
--- a/modules/hc_policy/tests/QueueFairnessTests.cpp
+++ b/modules/hc_policy/tests/QueueFairnessTests.cpp
@@ -214,6 +214,11 @@
     BOOST_TEST(accepted == 30U);
     BOOST_TEST(!add("1", "other"));
     BOOST_TEST(!add("0", "urgent"));
+    // However many models flood, the rank stays within its half of the queue.
+    for (int model = 0; model < 100; ++model)
+        add("1", std::to_string(model).c_str());
+    BOOST_TEST(queue->size() <= 41U);
+    BOOST_TEST(!add("0", "urgent"));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_policy/tests/RateShareFuzz.cpp
+++ b/modules/hc_policy/tests/RateShareFuzz.cpp
@@ -212,6 +212,78 @@
         BOOST_TEST(world.allowed(index) == 3000U);
 }
 
+BOOST_AUTO_TEST_CASE(aRestartedLenderLendsNothingUntilItsOldLoansHaveRunOut)
+{
+    std::vector<DataCentreName> names = dataCentres();
+    Instant now { 1h };
+    RateShare oldLender(9000, names[0], names);
+    RateShare first(9000, names[1], names);
+    RateShare second(9000, names[2], names);
+    auto exchange = [&](RateShare& lender, RateShare& borrower, const DataCentreName& name) {
+        lender.receive(name, borrower.report(names[0], now), now);
+        borrower.receive(names[0], lender.report(name, now), now);
+    };
+    first.setDemand(9);
+    exchange(oldLender, first, names[1]);
+    now += lease;
+    exchange(oldLender, first, names[1]);
+    BOOST_TEST(first.allowed(now) == 4500U);
+
+    auto options = RateShare::Options().withReportsAfter(ShareReportNumber(1000));
+    RateShare newLender(9000, names[0], names, options);
+    second.setDemand(9);
+    exchange(newLender, second, names[2]);
+    exchange(newLender, second, names[2]);
+    BOOST_TEST(second.allowed(now) == 1500U);
+    BOOST_TEST(newLender.allowed(now) == 1500U);
+    now += lease;
+    exchange(newLender, second, names[2]);
+    BOOST_TEST(second.allowed(now) == 4500U);
+}
+
+BOOST_AUTO_TEST_CASE(whatIsLentToOneIsNotLentToAnotherAsWell)
+{
+    std::vector<DataCentreName> names = dataCentres();
+    Instant now { 1h };
+    RateShare lender(9000, names[0], names);
+    RateShare first(9000, names[1], names);
+    RateShare second(9000, names[2], names);
+    auto exchange = [&](RateShare& borrower, const DataCentreName& name) {
+        lender.receive(name, borrower.report(names[0], now), now);
+        borrower.receive(names[0], lender.report(name, now), now);
+    };
+    exchange(first, names[1]);
+    exchange(second, names[2]);
+    now += lease;
+    first.setDemand(9);
+    exchange(first, names[1]);
+    first.setDemand(0);
+    second.setDemand(9);
+    lender.receive(names[1], first.report(names[0], now), now);
+    exchange(second, names[2]);
+    std::uint64_t sum = lender.allowed(now) + first.allowed(now) + second.allowed(now);
+    BOOST_TEST(sum <= 9000U);
+    BOOST_TEST(first.allowed(now) == 4500U);
+    BOOST_TEST(second.allowed(now) == 3000U);
+}
+
+BOOST_AUTO_TEST_CASE(aBorrowerWithASlowClockStillStopsFirst)
+{
+    std::vector<DataCentreName> names = dataCentres();
+    Instant start { 1h };
+    RateShare lender(9000, names[0], names);
+    RateShare borrower(9000, names[1], names);
+    borrower.setDemand(9);
+    lender.receive(names[1], borrower.report(names[0], start), start);
+    Instant now = start + lease;
+    lender.receive(names[1], borrower.report(names[0], now), now);
+    borrower.receive(names[0], lender.report(names[1], now), now);
+    BOOST_TEST(borrower.allowed(now) == 4500U);
+    // The lender's lease is over; on the borrower's clock only 96 hundredths of it.
+    BOOST_TEST(lender.allowed(now + lease) == 3000U);
+    BOOST_TEST(borrower.allowed(now + lease * 96 / 100) == 3000U);
+}
+
 BOOST_AUTO_TEST_CASE(aLimitThatCountsThingsIsSplitInWholes)
 {
     auto allowedOf = [](const char* name) {
--- a/modules/hc_report/tests/MetricsTests.cpp
+++ b/modules/hc_report/tests/MetricsTests.cpp
@@ -54,8 +54,10 @@
 BOOST_AUTO_TEST_CASE(threadsCountTogether)
 {
     Metrics metrics;
+    constexpr int threadCount = 4;
     std::vector<std::thread> threads;
-    for (int thread = 0; thread < 4; ++thread) {
+    threads.reserve(threadCount);
+    for (int thread = 0; thread < threadCount; ++thread) {
         threads.emplace_back([&metrics, thread] {
             for (int count = 0; count < 1000; ++count) {
                 metrics.add(served, { { "rank", std::to_string(count % 3) } });
