--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -142,7 +142,7 @@
         std::string routerFile = host.name + ".router.toml";
         std::string controllerFile = host.name + ".controller.toml";
         std::string keeperFile = host.name + ".keeper.toml";
-        writeFile(routerFile, common + platform + listen(routerPort, routerOperatorPort) + "callers = \"" + joined(host.address, callerPort) + "\"\n");
+        writeFile(routerFile, common + platform + listen(routerPort, routerOperatorPort) + "callers = \"" + joined(host.address, callerPort) + "\"\n\n[queue]\nmaximum_waiting = " + std::to_string(m_maximumWaiting) + "\n");
         writeFile(controllerFile, common + platform + listen(controllerPort, controllerOperatorPort));
         if (host.keeperId != 0) {
             writeFile(keeperFile, common + "[keeper]\nid = " + std::to_string(host.keeperId) + "\ndata_folder = \"" + (m_folder / (host.name + ".data")).string() + "\"\n\n" + listen(keeperPort, keeperOperatorPort) + "\n" + operatorSettings());
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -45,6 +45,8 @@
     void addDataCentre(DataCentreShape);
     void addBackend(BackendShape);
     void setDelay(Duration oneWay) { m_delay = oneWay; }
+    /** Requests that may wait at one router. */
+    void setMaximumWaiting(int count) { m_maximumWaiting = count; }
     /** Writes all settings and starts everything, the stand-ins first. */
     void startAll();
     /** Ends every daemon with SIGTERM and returns the names of those that did not exit 0. */
@@ -107,6 +109,7 @@
     std::filesystem::path m_folder;
     std::string m_network;
     Duration m_delay {};
+    int m_maximumWaiting = 4096;
     std::vector<DataCentreShape> m_dataCentres;
     std::vector<Host> m_hosts;
     std::vector<BackendShape> m_backends;
--- a/tests/harness/ScenarioRunner.cpp
+++ b/tests/harness/ScenarioRunner.cpp
@@ -52,13 +52,15 @@
         { "start", &ScenarioRunner::startAll },
         { "submit FILE:text as LABEL:name [base BASE:number] [id ID:name]", &ScenarioRunner::submit },
         { "expect LABEL:name submitted VERDICT:name", &ScenarioRunner::expectVerdict },
+        { "expect LABEL:name exits CODE:number", &ScenarioRunner::expectExit },
+        { "queue COUNT:number", &ScenarioRunner::setQueue },
         { "ask MODEL:text as LABEL:name through HOST:name [rank RANK:name] [adapter ADAPTER:text] [tokens TOKENS:number] [deadline DEADLINE:number ms]", &ScenarioRunner::ask },
         { "flood MODEL:text with COUNT:number as LABEL:name through HOST:name rank RANK:name [tokens TOKENS:number] [deadline DEADLINE:number ms]", &ScenarioRunner::flood },
         { "call SERVICE:name PATH:text as LABEL:name through HOST:name [key KEY:text]", &ScenarioRunner::call },
         { "expect LABEL:name answered STATUS:number [tokens TOKENS:number]", &ScenarioRunner::expectAnswered },
         { "expect LABEL:name outcome OUTCOME:name", &ScenarioRunner::expectOutcome },
         { "expect LABEL:name run RUN:name", &ScenarioRunner::expectRun },
-        { "expect flood LABEL:name of COUNT:number all answered at-least SERVED:number served", &ScenarioRunner::expectFlood },
+        { "expect flood LABEL:name of COUNT:number all answered at-least SERVED:number served [at-least REFUSED:number refused]", &ScenarioRunner::expectFlood },
         { "kill HOST:name ROLE:name", &ScenarioRunner::kill },
         { "kill-backend NAME:name", &ScenarioRunner::killBackend },
         { "restart HOST:name ROLE:name", &ScenarioRunner::restart },
@@ -159,6 +161,11 @@
     m_deployment.setDelay(std::chrono::milliseconds(statement.number("TIME", 0)));
 }
 
+void ScenarioRunner::setQueue(const Statement& statement)
+{
+    m_deployment.setMaximumWaiting(statement.number("COUNT", 0));
+}
+
 void ScenarioRunner::setCap(const Statement& statement)
 {
     m_caps[statement.at("MODEL")] = static_cast<unsigned>(statement.number("REPLICAS", 0));
@@ -196,6 +203,14 @@
         throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
 }
 
+void ScenarioRunner::expectExit(const Statement& statement)
+{
+    auto [code, output] = m_submissions.at(statement.at("LABEL")).get();
+    narrate(output);
+    if (code != statement.number("CODE", 0))
+        throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
+}
+
 void ScenarioRunner::manyDocuments(const Statement& statement)
 {
     std::string text = readFile(m_documents / statement.at("FILE"));
@@ -296,8 +311,9 @@
         served += got.status == 200;
     }
     narrate("    " + std::to_string(served) + " of " + statement.at("COUNT") + " served");
-    if (served < statement.number("SERVED", 0))
-        throw std::runtime_error("only " + std::to_string(served) + " were served");
+    int refused = statement.number("COUNT", 0) - served;
+    if (served < statement.number("SERVED", 0) || refused < statement.number("REFUSED", 0))
+        throw std::runtime_error(std::to_string(served) + " were served and " + std::to_string(refused) + " refused");
 }
 
 //==============================================================================
--- a/tests/harness/ScenarioRunner.h
+++ b/tests/harness/ScenarioRunner.h
@@ -49,9 +49,11 @@
     void addService(const Statement&);
     void setDelay(const Statement&);
     void setCap(const Statement&);
+    void setQueue(const Statement&);
     void startAll(const Statement&);
     void submit(const Statement&);
     void expectVerdict(const Statement&);
+    void expectExit(const Statement&);
     void ask(const Statement&);
     void flood(const Statement&);
     void call(const Statement&);
