Answer a stream's first and last events in one write each; one meaning per status

A routed stream of one token took four writes to the caller; it takes two now, since startStream() and finish() take a chunk along.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "http/BeastMessages.h"
 
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -71,7 +72,8 @@
     char byte = 0;
     beast::error_code error;
     tcp::socket& socket = connection.stream.socket();
-    socket.non_blocking(true, error);
+    if (!socket.non_blocking())
+        socket.non_blocking(true, error);
     socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
     return error == asio::error::would_block;
 }
@@ -85,10 +87,15 @@
     {
     }
 
-    std::unique_ptr<ClientConnection> takeIdle(const tcp::endpoint& endpoint)
+    /** The idle connection used last, of those on the executor if there are any: moving one costs system calls. */
+    std::unique_ptr<ClientConnection> takeIdle(const tcp::endpoint& endpoint, const asio::any_io_executor& executor)
     {
         std::lock_guard guard(lock);
         auto& connections = idle[endpoint];
+        auto isOwn = [&](const auto& connection) { return connection->stream.get_executor() == executor; };
+        auto own = std::find_if(connections.rbegin(), connections.rend(), isOwn);
+        if (own != connections.rend())
+            std::swap(*own, connections.back());
         Instant oldest = std::chrono::steady_clock::now() - options.idleTimeout;
         while (!connections.empty()) {
             auto connection = std::move(connections.back());
@@ -121,7 +128,7 @@
     {
         auto executor = co_await asio::this_coro::executor;
         if (use == ConnectionUse::Pooled) {
-            auto idleConnection = takeIdle(endpoint);
+            auto idleConnection = takeIdle(endpoint, executor);
             if (idleConnection)
                 idleConnection = moveTo(executor, std::move(idleConnection));
             if (idleConnection)
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffers_cat.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
@@ -18,6 +19,7 @@
 #include <boost/beast/http/write.hpp>
 #include <mutex>
 #include <set>
+#include <sstream>
 
 namespace hemlockchute {
 
@@ -51,6 +53,13 @@
     return { statusForUnreadable(error), { { "Content-Type", "application/problem+json" } }, body };
 }
 
+std::string headerText(const http::response<http::empty_body>& message)
+{
+    std::ostringstream text;
+    text << message.base();
+    return text.str();
+}
+
 /** The connections open now, which drain() waits for. */
 class ConnectionTable {
 public:
@@ -165,17 +174,19 @@
         co_return finishAnswer(error);
     }
 
-    asio::awaitable<bool> startStream(unsigned status, HttpHeaders headers) override
+    asio::awaitable<bool> startStream(unsigned status, HttpHeaders headers, ByteString firstChunk) override
     {
         http::response<http::empty_body> message(static_cast<http::status>(status), httpVersion);
         headersToBeast(headers, message);
         message.keep_alive(mayKeepAlive());
         message.chunked(true);
-        http::response_serializer<http::empty_body> serializer(message);
         m_answered = true;
-        m_stream.expires_after(m_options.writeTimeout);
+        std::string header = headerText(message);
         beast::error_code error;
-        co_await http::async_write_header(m_stream, serializer, asio::redirect_error(asio::use_awaitable, error));
+        if (firstChunk.empty())
+            error = co_await send(asio::const_buffer(asio::buffer(header)));
+        else
+            error = co_await send(beast::buffers_cat(asio::const_buffer(asio::buffer(header)), http::make_chunk(asio::const_buffer(asio::buffer(firstChunk)))));
         co_return noteWrite(error);
     }
 
@@ -189,13 +200,15 @@
         co_return noteWrite(error);
     }
 
-    asio::awaitable<bool> finish() override
+    asio::awaitable<bool> finish(ByteString lastChunk) override
     {
         if (m_broken)
             co_return false;
-        m_stream.expires_after(m_options.writeTimeout);
         beast::error_code error;
-        co_await asio::async_write(m_stream, http::make_chunk_last(), asio::redirect_error(asio::use_awaitable, error));
+        if (lastChunk.empty())
+            error = co_await send(http::make_chunk_last());
+        else
+            error = co_await send(beast::buffers_cat(http::make_chunk(asio::const_buffer(asio::buffer(lastChunk))), http::make_chunk_last()));
         co_return finishAnswer(error);
     }
 
@@ -212,6 +225,15 @@
 private:
     bool mayKeepAlive() const { return m_keepAlive && !m_table->isDraining(); }
 
+    template <typename Buffers>
+    asio::awaitable<beast::error_code> send(Buffers buffers)
+    {
+        m_stream.expires_after(m_options.writeTimeout);
+        beast::error_code error;
+        co_await asio::async_write(m_stream, buffers, asio::redirect_error(asio::use_awaitable, error));
+        co_return error;
+    }
+
     bool noteWrite(beast::error_code error)
     {
         m_stream.expires_never();
--- a/modules/hc_http/include/hemlockchute/http/HttpServer.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpServer.h
@@ -33,12 +33,12 @@
     //==============================================================================
     /** Sends a whole response. Precondition: nothing was sent before. */
     virtual boost::asio::awaitable<bool> respond(HttpResponse) = 0;
-    /** Sends status and header; the body follows in chunks. Precondition: nothing was sent before. */
-    virtual boost::asio::awaitable<bool> startStream(unsigned status, HttpHeaders) = 0;
+    /** Sends status and header, and the first chunk with them if there is one; the body follows in chunks. Precondition: nothing was sent before. */
+    virtual boost::asio::awaitable<bool> startStream(unsigned status, HttpHeaders, ByteString firstChunk = {}) = 0;
     /** Sends one chunk and waits until the connection took it, at most the write timeout. */
     virtual boost::asio::awaitable<bool> write(ByteString chunk) = 0;
-    /** Ends the stream in good order; without it the caller sees a broken body. */
-    virtual boost::asio::awaitable<bool> finish() = 0;
+    /** Ends the stream in good order, after one more chunk if there is one; without it the caller sees a broken body. */
+    virtual boost::asio::awaitable<bool> finish(ByteString lastChunk = {}) = 0;
 
     //==============================================================================
     /** Calls back once, on the connection's executor, if the caller closes before the answer is complete. */
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -49,6 +49,10 @@
         co_await exchange.write("two ");
         co_await exchange.write("three");
         co_await exchange.finish();
+    } else if (request.path() == "/joined") {
+        co_await exchange.startStream(200, plainText, "one ");
+        co_await exchange.write("two ");
+        co_await exchange.finish("three");
     } else if (request.path() == "/cut") {
         co_await exchange.startStream(200, {});
         co_await exchange.write("half");
@@ -143,6 +147,9 @@
     auto whole = send({ "GET", "/stream", {}, {} });
     BOOST_REQUIRE(whole);
     BOOST_TEST(whole->body == "one two three");
+    auto joined = send({ "GET", "/joined", {}, {} });
+    BOOST_REQUIRE(joined);
+    BOOST_TEST(joined->body == "one two three");
     auto cut = send({ "GET", "/cut", {}, {} });
     BOOST_REQUIRE(!cut);
     BOOST_TEST((cut.error().code == HttpClientErrorCode::ConnectionLost));
--- a/modules/hc_router/router/AnswerWriter.cpp
+++ b/modules/hc_router/router/AnswerWriter.cpp
@@ -37,13 +37,11 @@
     m_tokens.push_back(std::move(text));
     if (!m_request.isStream)
         co_return true;
-    if (m_tokens.size() == 1) {
-        bool started = co_await m_exchange.startStream(200, streamHeaders(m_request.terms.request));
-        if (!started)
-            co_return false;
-    }
     std::string index = std::to_string(m_tokens.size() - 1);
-    co_return co_await writeEvent(m_idJson + ",\"index\":" + index + ",\"token\":" + quoted(m_tokens.back()) + "}");
+    std::string written = event(",\"index\":" + index + ",\"token\":" + quoted(m_tokens.back()) + "}");
+    if (m_tokens.size() == 1)
+        co_return co_await m_exchange.startStream(200, streamHeaders(m_request.terms.request), std::move(written));
+    co_return co_await m_exchange.write(std::move(written));
 }
 
 asio::awaitable<void> AnswerWriter::complete()
@@ -60,8 +58,7 @@
     }
     if (m_tokens.empty())
         co_await m_exchange.startStream(200, streamHeaders(m_request.terms.request));
-    co_await writeEvent(m_idJson + ",\"done\":true,\"tokens\":" + count + "}");
-    co_await m_exchange.finish();
+    co_await m_exchange.finish(event(",\"done\":true,\"tokens\":" + count + "}"));
 }
 
 asio::awaitable<void> AnswerWriter::refuse(const Problem& problem)
@@ -71,13 +68,13 @@
         co_await m_exchange.respond(problemResponse(problem, m_request.terms.request));
         co_return;
     }
-    co_await writeEvent(m_idJson + ",\"error\":" + problemJson(problem, m_request.terms.request) + "}");
-    co_await m_exchange.finish();
+    co_await m_exchange.finish(event(",\"error\":" + problemJson(problem, m_request.terms.request) + "}"));
 }
 
-asio::awaitable<bool> AnswerWriter::writeEvent(std::string json)
+/** An event of the stream: the request's id and what is given. */
+std::string AnswerWriter::event(const std::string& rest) const
 {
-    co_return co_await m_exchange.write("data: " + json + "\n\n");
+    return "data: " + m_idJson + rest + "\n\n";
 }
 
 } // namespace hemlockchute
--- a/modules/hc_router/router/AnswerWriter.h
+++ b/modules/hc_router/router/AnswerWriter.h
@@ -29,7 +29,7 @@
     const std::vector<std::string>& tokens() const { return m_tokens; }
 
 private:
-    boost::asio::awaitable<bool> writeEvent(std::string json);
+    std::string event(const std::string& rest) const;
 
     HttpExchange& m_exchange;
     const ModelRequest& m_request;
--- a/modules/hc_router/router/RequestLifecycle.cpp
+++ b/modules/hc_router/router/RequestLifecycle.cpp
@@ -51,7 +51,7 @@
     if ((notRun || mayRetry) && mayBegin(now))
         return { LifecycleVerdict::Kind::Retry };
     bool isLate = m_tokens == 0 && now >= m_options.deadline;
-    if (isLate || code == BackendErrorCode::TimedOut)
+    if (isLate)
         return end(LifecycleVerdict::Kind::Refuse, statusTimeout);
     return end(LifecycleVerdict::Kind::Refuse, m_mayHaveRun ? statusBadGateway : statusUnavailable);
 }
