--- a/modules/hc_policy/policy/WorthPlanner.cpp
+++ b/modules/hc_policy/policy/WorthPlanner.cpp
@@ -22,13 +22,13 @@
 /** A victim weighs at least this, so that of two places the one with fewer unloads is taken. */
 constexpr double leastVictimCost = 0.01;
 
-/** Expected seconds of waiting, weighed by worth, that unloading a model brings. */
+/** Expected seconds of waiting, weighed by worth, that unloading a model brings; it stays cached in the host's memory. */
 double unloadCost(const PlanBuilder& builder, const Victim& victim)
 {
     const ModelSpec* spec = builder.spec(victim.model);
     if (!spec || !victim.demand)
         return leastVictimCost;
-    double loadTime = Seconds(spec->loadTimeFromDisk).count();
+    double loadTime = Seconds(spec->loadTimeFromMemory).count();
     double returnsWhileLoading = std::min(1.0, victim.demand->arrivalRate * Seconds(spec->loadTimeFromStore).count());
     return leastVictimCost + returnsWhileLoading * loadTime * victim.demand->worth;
 }
