--- a/modules/hc_peer/peer/KjThread.cpp
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -2,6 +2,8 @@
 
 #include "hemlockchute/core/EventLog.h"
 
+#include <openssl/crypto.h>
+
 namespace hemlockchute {
 namespace {
 
@@ -29,6 +31,8 @@
 
 KjThread::KjThread()
 {
+    // Its exit handler must come after this object's end, since the thread holds state of OpenSSL.
+    OPENSSL_init_crypto(0, nullptr);
     std::promise<void> started;
     m_thread = std::thread([this, &started] { serve(started); });
     started.get_future().wait();
@@ -71,9 +75,10 @@
 {
     LoggingExceptionCallback callback;
     kj::AsyncIoContext io = kj::setupAsyncIo();
-    kj::TaskSet tasks(*this);
+    kj::TaskSet::ErrorHandler& errors = *this;
+    auto tasks = kj::heap<kj::TaskSet>(errors);
     m_io = &io;
-    m_tasks = &tasks;
+    m_tasks = tasks.get();
     auto pair = kj::newPromiseAndCrossThreadFulfiller<void>();
     m_wake = kj::mv(pair.fulfiller);
     started.set_value();
@@ -82,19 +87,61 @@
         awoken.wait(io.waitScope);
         auto next = kj::newPromiseAndCrossThreadFulfiller<void>();
         awoken = kj::mv(next.promise);
-        std::vector<std::function<void()>> work;
+        runQueue(kj::mv(next.fulfiller));
+    }
+    finishTurns();
+    {
+        std::lock_guard guard(m_lock);
+        m_hasEnded = true;
+        m_wake = nullptr;
+    }
+    cancelTasks(kj::mv(tasks));
+}
+
+/** Cancels what has not ended. A cancelled task may make events due, or leave a last task behind, and the event loop may not go before they have run. */
+void KjThread::cancelTasks(kj::Own<kj::TaskSet> tasks)
+{
+    constexpr int rounds = 4;
+    kj::TaskSet::ErrorHandler& errors = *this;
+    for (int round = 0; round < rounds; ++round) {
+        auto last = kj::heap<kj::TaskSet>(errors);
+        m_tasks = last.get();
+        tasks = kj::mv(last);
+        m_io->waitScope.poll();
+    }
+}
+
+/** Runs what was posted; what is posted from now on wakes the given fulfiller. */
+void KjThread::runQueue(kj::Own<kj::CrossThreadPromiseFulfiller<void>> wake)
+{
+    std::vector<std::function<void()>> work;
+    {
+        std::lock_guard guard(m_lock);
+        work.swap(m_queue);
+        m_wake = kj::mv(wake);
+    }
+    for (std::function<void()>& function : work) {
+        KJ_IF_MAYBE (exception, kj::runCatchingExceptions(function))
+            logException(*exception);
+    }
+}
+
+/** Lets everything that is being closed end: an event loop may not go while events are due. */
+void KjThread::finishTurns()
+{
+    std::vector<std::function<void()>> work;
+    do {
         {
             std::lock_guard guard(m_lock);
+            work.clear();
             work.swap(m_queue);
-            m_wake = kj::mv(next.fulfiller);
         }
-        for (std::function<void()>& function : work)
+        for (std::function<void()>& function : work) {
             KJ_IF_MAYBE (exception, kj::runCatchingExceptions(function))
                 logException(*exception);
-    }
-    std::lock_guard guard(m_lock);
-    m_hasEnded = true;
-    m_wake = nullptr;
+        }
+        m_io->waitScope.poll();
+    } while (!work.empty());
 }
 
 void KjThread::taskFailed(kj::Exception&& exception)
