--- a/modules/hc_policy/policy/WorthPlanner.h
+++ b/modules/hc_policy/policy/WorthPlanner.h
@@ -10,7 +10,8 @@
 
     Loads go by rank, then by the age of the oldest waiting request over the expected load time,
     and to where the load and the unloads that it forces cost least. What has not been used for a
-    multiple of its load time is unloaded, so that accelerators don't hold idle models; a model
+    multiple of its load time, the longer the more its requests are worth, is unloaded, so that
+    accelerators don't hold idle models; a model
     whose requests wait long for its replicas gets another one.
 
     @see LruPlanner
--- a/modules/hc_policy/tests/QueueFairnessTests.cpp
+++ b/modules/hc_policy/tests/QueueFairnessTests.cpp
@@ -192,6 +192,33 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aRankIsOwedServiceWhileOthersAreServedInsteadOfIt)
+{
+    for (const char* strategy : { "rank-fair", "fifo" }) {
+        auto queue = makeRequestQueue(strategy, {});
+        std::map<RankName, RankSpec> ranks;
+        for (unsigned order = 0; order < 2; ++order) {
+            RankSpec rank;
+            rank.name = RankName(std::to_string(order));
+            rank.order = order;
+            rank.floorPerMille = order * 100;
+            ranks[rank.name] = rank;
+        }
+        queue->setRanks(ranks);
+        RankName patient("1");
+        Instant now { 1h };
+        auto everything = [](const QueuedRequest&) { return true; };
+        queue->add({ QueueTicket(1), RankName("0"), ModelName("m"), {}, now, now + 1h, 1s }, now);
+        queue->add({ QueueTicket(2), patient, ModelName("m"), {}, now, now + 1h, 1s }, now);
+        BOOST_TEST(!queue->isOwed(patient));
+        queue->take(everything, now);
+        BOOST_TEST(queue->isOwed(patient) == (std::string_view(strategy) == "rank-fair"));
+        queue->take(everything, now);
+        BOOST_TEST(!queue->isOwed(patient));
+        BOOST_TEST(!queue->isOwed(RankName("unheard of")));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aFloodOfOneModelLeavesRoomForOthers)
 {
     auto queue = makeRequestQueue("rank-fair", RequestQueueOptions().withMaximumWaiting(80));
