--- a/benchmarks/PolicyExperiment.cpp
+++ b/benchmarks/PolicyExperiment.cpp
@@ -9,9 +9,9 @@
 namespace {
 
 const std::vector<StrategySet> strategySets {
-    { "own", "rank-fair", "two-choices", "worth-per-load-time" },
-    { "fifo+lru", "fifo", "least-outstanding", "lru" },
-    { "strict+lru", "strict-priority", "least-outstanding", "lru" },
+    { "own", "rank-fair", "two-choices", "worth-per-load-time", true },
+    { "fifo+lru", "fifo", "least-outstanding", "lru", false },
+    { "strict+lru", "strict-priority", "least-outstanding", "lru", false },
 };
 
 constexpr std::uint64_t seeds[] = { 1, 2, 3 };
@@ -19,23 +19,25 @@
 void printHead(const Deployment& deployment)
 {
     std::printf("\n%s: %u slots, %zu models, seeds 1-3 together\n", deployment.name.c_str(), deployment.slots(), deployment.document->models.size());
-    std::printf("%-24s %-11s %6s %7s %7s %7s | %6s %6s %6s | %6s | %6s %6s %6s | %7s %7s\n", "scenario", "strategies", "cold", "median",
-        "p99", "worst", "urgent", "middle", "patnt", "u-warm", "kept-u", "kept-m", "kept-p", "idle-h", "loads/r");
+    std::printf("%-24s %-11s %6s %7s %7s %7s | %6s %6s %6s | %6s | %6s %6s %6s | %7s %7s %6s\n", "scenario", "strategies", "cold", "median",
+        "p99", "worst", "urgent", "middle", "patnt", "u-warm", "kept-u", "kept-m", "kept-p", "idle-h", "loads/r", "store");
 }
 
 void printRow(const StrategySet& strategies, Scenario scenario, const Measurements& m)
 {
     bool inTrouble = scenario != Scenario::Ordinary;
-    std::printf("%-24s %-11s %6zu %6.2fs %6.2fs %6.2fs | %5.1f%% %5.1f%% %5.1f%% | %5.1f%% | %6.2f %6.2f %6.2f | %7.3f %7.4f\n",
+    std::printf("%-24s %-11s %6zu %6.2fs %6.2fs %6.2fs | %5.1f%% %5.1f%% %5.1f%% | %5.1f%% | %6.2f %6.2f %6.2f | %7.3f %7.4f %5.1f%%\n",
         std::string(scenarioName(scenario)).c_str(), strategies.name.c_str(), m.coldStarts(), m.coldStartSeconds(0.5),
         m.coldStartSeconds(0.99), m.coldStartSeconds(1), 100 * m.withinTarget(0, inTrouble), 100 * m.withinTarget(1, inTrouble),
         100 * m.withinTarget(2, inTrouble), 100 * m.withinTargetWarm(0, inTrouble), m.keptOfFloor(0), m.keptOfFloor(1), m.keptOfFloor(2),
-        m.idleAcceleratorHours(), m.loadsPerRequest());
+        m.idleAcceleratorHours(), m.loadsPerRequest(), 100 * m.storeShare());
 }
 
-void measure(const Deployment& deployment, Scenario scenario, bool eachSeed)
+void measure(const Deployment& deployment, Scenario scenario, bool eachSeed, bool ownOnly)
 {
     for (const StrategySet& strategies : strategySets) {
+        if (ownOnly && &strategies != &strategySets.front())
+            continue;
         Measurements sum(*deployment.document);
         for (std::uint64_t seed : seeds) {
             PolicyRun run(deployment, strategies, seed);
@@ -54,7 +56,7 @@
 /**
     Measures the strategies side by side.
 
-    Use: hemlock-policy-experiment [--each-seed] [kask|lahore]
+    Use: hemlock-policy-experiment [--each-seed] [kask|lahore] [own]
 */
 int main(int argc, char** argv)
 {
@@ -71,7 +73,7 @@
     for (const Deployment& deployment : deployments) {
         printHead(deployment);
         for (Scenario scenario : { Scenario::Ordinary, Scenario::BurstOfFirstRequests, Scenario::FloodOfLeastUrgent, Scenario::FloodOfMostUrgent, Scenario::SlowStore })
-            measure(deployment, scenario, has("--each-seed"));
+            measure(deployment, scenario, has("--each-seed"), has("own"));
     }
     return 0;
 }
