--- a/modules/hc_agreement/agreement/Agreement.capnp
+++ b/modules/hc_agreement/agreement/Agreement.capnp
@@ -37,6 +37,7 @@
   entries @2 :List(LogEntry);
   committed @3 :UInt64;
   round @4 :UInt64;
+  acknowledged @5 :UInt64;
 }
 
 struct AppendReply {
--- a/modules/hc_agreement/agreement/Agreement.capnp.h
+++ b/modules/hc_agreement/agreement/Agreement.capnp.h
@@ -119,7 +119,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce65d0bc7ca7e0fa, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(ce65d0bc7ca7e0fa, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -704,6 +704,8 @@
 
   inline  ::uint64_t getRound() const;
 
+  inline  ::uint64_t getAcknowledged() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -751,6 +753,9 @@
   inline  ::uint64_t getRound();
   inline void setRound( ::uint64_t value);
 
+  inline  ::uint64_t getAcknowledged();
+  inline void setAcknowledged( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1858,6 +1863,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t AppendRequest::Reader::getAcknowledged() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t AppendRequest::Builder::getAcknowledged() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void AppendRequest::Builder::setAcknowledged( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool AppendReply::Reader::getAccepted() const {
   return _reader.getDataField<bool>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/hc_agreement/agreement/AgreementCodec.cpp
+++ b/modules/hc_agreement/agreement/AgreementCodec.cpp
@@ -98,6 +98,7 @@
             write(entries[i], body.entries[i]);
         to.setCommitted(body.committed.value());
         to.setRound(body.round);
+        to.setAcknowledged(body.acknowledged.value());
     }
 
     void operator()(const AppendReply& body)
@@ -141,7 +142,7 @@
 
 AppendRequest readBody(wire::AppendRequest::Reader from)
 {
-    AppendRequest body { LogIndex(from.getPreviousIndex()), AgreementTerm(from.getPreviousTerm()), {}, LogIndex(from.getCommitted()), from.getRound() };
+    AppendRequest body { LogIndex(from.getPreviousIndex()), AgreementTerm(from.getPreviousTerm()), {}, LogIndex(from.getCommitted()), from.getRound(), LogIndex(from.getAcknowledged()) };
     for (wire::LogEntry::Reader entry : from.getEntries())
         body.entries.push_back(read(entry));
     return body;
--- a/modules/hc_agreement/agreement/Replica.cpp
+++ b/modules/hc_agreement/agreement/Replica.cpp
@@ -8,7 +8,7 @@
 
 bool Effects::isEmpty() const
 {
-    return !needsSync() && messages.empty() && committed.empty() && readsReady.empty() && readsFailed.empty();
+    return !needsSync() && messages.empty() && committed.empty() && !isOutdated && readsReady.empty() && readsFailed.empty();
 }
 
 bool Effects::needsSync() const
--- a/modules/hc_agreement/agreement/ReplicaCore.cpp
+++ b/modules/hc_agreement/agreement/ReplicaCore.cpp
@@ -23,6 +23,8 @@
 //==============================================================================
 void Replica::Impl::tick()
 {
+    if (isRetired)
+        return;
     if (role != Role::Leader) {
         if (isVoter() && now >= electionDeadline)
             startPreVote();
--- a/modules/hc_agreement/agreement/ReplicaCore.h
+++ b/modules/hc_agreement/agreement/ReplicaCore.h
@@ -138,6 +138,8 @@
     ReplicaSnapshot arriving;
     /** The term of the leader it comes from; two leaders' bytes are never mixed. */
     AgreementTerm arrivingTerm;
+    /** True once the disk turned out to be older than what was acknowledged. */
+    bool isRetired = false;
 
     Effects effects;
 };
--- a/modules/hc_agreement/agreement/ReplicaElection.cpp
+++ b/modules/hc_agreement/agreement/ReplicaElection.cpp
@@ -19,7 +19,7 @@
 
 void Replica::Impl::receive(const AgreementMessage& message)
 {
-    if (message.to != self || !settleTerm(message))
+    if (isRetired || message.to != self || !settleTerm(message))
         return;
     std::visit([&](const auto& body) { handle(message, body); }, message.body);
 }
--- a/modules/hc_agreement/agreement/ReplicaReplication.cpp
+++ b/modules/hc_agreement/agreement/ReplicaReplication.cpp
@@ -15,6 +15,11 @@
 
 void Replica::Impl::handle(const AgreementMessage& message, const AppendRequest& request)
 {
+    if (request.acknowledged > log.lastIndex()) {
+        isRetired = true;
+        effects.isOutdated = true;
+        return;
+    }
     bool isCovered = request.previousIndex < log.baseIndex();
     bool fits = isCovered || log.termAt(request.previousIndex) == request.previousTerm;
     if (!fits) {
@@ -68,7 +73,7 @@
 {
     LogIndex previous(peer.next.value() - 1);
     AppendRequest request { previous, *log.termAt(previous), log.slice(peer.next, options.maximumEntriesPerMessage, options.maximumBytesPerMessage),
-        committed, static_cast<std::uint64_t>(now.time_since_epoch().count()) };
+        committed, static_cast<std::uint64_t>(now.time_since_epoch().count()), peer.matched };
     peer.next = LogIndex(peer.next.value() + request.entries.size());
     send(to, hardState.term, std::move(request));
 }
--- a/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
@@ -62,6 +62,8 @@
     LogIndex committed;
     /** When the leader sent this, on its own clock; comes back in the reply and confirms leadership since then. */
     std::uint64_t round = 0;
+    /** Up to where the receiver has said in this term that its log matches. */
+    LogIndex acknowledged;
 };
 
 struct AppendReply {
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -50,6 +50,8 @@
     std::vector<std::uint64_t> readsReady;
     /** Reads that must be asked of another keeper. */
     std::vector<std::uint64_t> readsFailed;
+    /** The log lacks what this replica once acknowledged: its disk is older than it was. It takes part no more. */
+    bool isOutdated = false;
 
     bool isEmpty() const;
     /** True when something must be durable before the messages leave. */
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -51,6 +51,7 @@
     { EventId::KeeperCompacted, Info, "keeper.compacted", "A snapshot took the place of the log up to the index given." },
     { EventId::KeeperInstalled, Info, "keeper.installed", "A snapshot of the leader's took the place of the state." },
     { EventId::KeeperEntryUnreadable, Error, "keeper.entry_unreadable", "A committed command cannot be read by this version; the process stops." },
+    { EventId::KeeperFolderOutdated, Error, "keeper.folder_outdated", "The data folder is older than what this keeper acknowledged: it became a new incarnation, the process stops, and an operator must replace the keeper." },
 
     // 1850: operators
     { EventId::OperatorSubmitted, Info, "operator.submitted", "An operator submitted a document; the answer's status is given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -57,6 +57,7 @@
     KeeperCompacted = 1806,
     KeeperInstalled = 1807,
     KeeperEntryUnreadable = 1808,
+    KeeperFolderOutdated = 1809,
 
     // 1850: operators
     OperatorSubmitted = 1850,
--- a/modules/hc_keeper/keeper/AgreementGroup.cpp
+++ b/modules/hc_keeper/keeper/AgreementGroup.cpp
@@ -13,6 +13,13 @@
     return copy;
 }
 
+AgreementGroup::Options AgreementGroup::Options::withNextIncarnation(IncarnationId value) const
+{
+    Options copy = *this;
+    copy.nextIncarnation = value;
+    return copy;
+}
+
 AgreementGroup::Options AgreementGroup::Options::withEntriesBetweenSnapshots(std::uint64_t value) const
 {
     Options copy = *this;
--- a/modules/hc_keeper/keeper/AgreementGroup.h
+++ b/modules/hc_keeper/keeper/AgreementGroup.h
@@ -38,12 +38,15 @@
     /** Times and bounds. */
     struct Options {
         Replica::Options replica;
+        /** What this data folder becomes when it turns out to be older than it was. */
+        IncarnationId nextIncarnation;
         StateMachine::Options state;
         /** A snapshot is taken once so many entries, or bytes, were applied since the last. */
         std::uint64_t entriesBetweenSnapshots = 1000;
         ByteCount bytesBetweenSnapshots = ByteCount::mebibytes(4);
 
         Options withReplica(Replica::Options) const;
+        Options withNextIncarnation(IncarnationId) const;
         Options withEntriesBetweenSnapshots(std::uint64_t) const;
     };
 
@@ -103,6 +106,7 @@
     void install(const ReplicaSnapshot&, Answers&);
     void answerReads(const Effects&, Answers&);
     void abandonProposals(Answers&);
+    void retire();
     void compactIfDue();
     void noteLeadership();
     KeeperReply notLeader() const;
--- a/modules/hc_keeper/keeper/AgreementGroupRun.cpp
+++ b/modules/hc_keeper/keeper/AgreementGroupRun.cpp
@@ -32,6 +32,8 @@
 /** Persist, send, apply, answer: in this order. */
 void AgreementGroup::carryOut(const Effects& effects)
 {
+    if (effects.isOutdated)
+        retire();
     if (effects.needsSync()) {
         if (auto stored = m_disk->store(effects); !stored)
             m_hooks.fail(EventId::KeeperStorageFailed, stored.error().detail);
@@ -135,6 +137,14 @@
     m_proposals.clear();
 }
 
+/** A data folder that lacks what was acknowledged must not vote as its former self. */
+void AgreementGroup::retire()
+{
+    if (auto renewed = m_disk->renew(m_options.nextIncarnation); !renewed)
+        m_hooks.fail(EventId::KeeperStorageFailed, renewed.error().detail);
+    m_hooks.fail(EventId::KeeperFolderOutdated, "the leader knows of entries that this folder acknowledged and does not hold");
+}
+
 void AgreementGroup::compactIfDue()
 {
     std::optional<ReplicaSnapshot> snapshot;
--- a/modules/hc_keeper/keeper/Keeper.cpp
+++ b/modules/hc_keeper/keeper/Keeper.cpp
@@ -28,10 +28,10 @@
     std::_Exit(exitStorageFailed);
 }
 
-AgreementGroup::Options groupOptions(const KeeperSettings& settings)
+AgreementGroup::Options groupOptions(const KeeperSettings& settings, IncarnationId next)
 {
     auto replica = Replica::Options().withHeartbeatInterval(settings.heartbeatInterval).withElectionTimeout(settings.electionTimeout).withSeed(randomSeed());
-    return AgreementGroup::Options().withReplica(replica).withEntriesBetweenSnapshots(settings.entriesBetweenSnapshots);
+    return AgreementGroup::Options().withReplica(replica).withNextIncarnation(next).withEntriesBetweenSnapshots(settings.entriesBetweenSnapshots);
 }
 
 void merge(std::map<HostName, DocumentVersion>& into, const std::map<HostName, DocumentVersion>& from)
@@ -43,7 +43,7 @@
 } // namespace
 
 //==============================================================================
-Keeper::Keeper(asio::io_context& context, const KeeperSettings& settings, std::unique_ptr<KeeperDisk> disk)
+Keeper::Keeper(asio::io_context& context, const KeeperSettings& settings, std::unique_ptr<KeeperDisk> disk, IncarnationId next)
     : m_context(context)
     , m_settings(settings)
     , m_identity { settings.host.clusterName, settings.host.clusterKey, settings.host.name, "keeper" }
@@ -52,7 +52,7 @@
     , m_keepers(m_client, settings.host.keepers)
     , m_peers(m_client, settings.id, settings.host.keepers, m_clock)
     , m_documents(context)
-    , m_group(settings.id, std::move(disk), groupOptions(settings), m_clock, hooks())
+    , m_group(settings.id, std::move(disk), groupOptions(settings, next), m_clock, hooks())
     , m_changer(m_group, m_peers, m_client, m_clock)
     , m_api(*this, settings.tokens, settings.host.entryHosts, {})
     , m_operators(context, {}, [this](HttpExchange& exchange) { return m_api.handle(exchange); })
--- a/modules/hc_keeper/keeper/Keeper.h
+++ b/modules/hc_keeper/keeper/Keeper.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "hemlockchute/http/HttpServer.h"
 #include "hemlockchute/core/RoleService.h"
+#include "hemlockchute/http/HttpServer.h"
 #include "keeper/AgreementGroup.h"
 #include "keeper/KeeperPeers.h"
 #include "keeper/KeeperSettings.h"
@@ -24,7 +24,8 @@
 */
 class Keeper : public KeeperOperations {
 public:
-    Keeper(boost::asio::io_context&, const KeeperSettings&, std::unique_ptr<KeeperDisk>);
+    /** The second incarnation is what the data folder becomes when it turns out to be older than it was. */
+    Keeper(boost::asio::io_context&, const KeeperSettings&, std::unique_ptr<KeeperDisk>, IncarnationId next);
     ~Keeper() override;
 
     Result<void, RoleErrorCode> start();
--- a/modules/hc_keeper/keeper/KeeperDisk.cpp
+++ b/modules/hc_keeper/keeper/KeeperDisk.cpp
@@ -82,6 +82,12 @@
     return {};
 }
 
+StorageResult<void> KeeperDisk::renew(IncarnationId incarnation)
+{
+    m_identity = { incarnation, std::nullopt };
+    return m_values.write(identityName, encodeIdentity(m_identity));
+}
+
 //==============================================================================
 StorageResult<void> KeeperDisk::recover()
 {
--- a/modules/hc_keeper/keeper/KeeperService.cpp
+++ b/modules/hc_keeper/keeper/KeeperService.cpp
@@ -34,7 +34,7 @@
         auto disk = KeeperDisk::open(FileSystem::system(), m_settings.dataFolder, drawIncarnation());
         if (!disk)
             return failureBecause(RoleErrorCode::StateUnusable, disk.error());
-        m_keeper = std::make_unique<Keeper>(context, m_settings, std::move(*disk));
+        m_keeper = std::make_unique<Keeper>(context, m_settings, std::move(*disk), drawIncarnation());
         return m_keeper->start();
     }
 
