Change members again while there is no leader

Cause: in the scenario emptied-disk-then-second-loss the first keeper still named a leader that had just been killed, and the operator got 503 at once. The change is asked again until its timeout; a step taken already is not taken twice.

--- a/modules/hc_agreement/tests/AgreementTests.cpp
+++ b/modules/hc_agreement/tests/AgreementTests.cpp
@@ -237,7 +237,8 @@
 
 BOOST_AUTO_TEST_CASE(membershipChangesWaitForTheLeadersOwnTerm)
 {
-    OneOfThree leader;
+    LogEntry old { LogIndex(1), AgreementTerm(2), LogEntry::Kind::Command, "old" };
+    OneOfThree leader({ { AgreementTerm(2), {} }, {}, { old }, threeVoters() });
     leader.lead();
     Membership wanted = threeVoters();
     wanted.learners.insert(replicaId(4));
--- a/modules/hc_keeper/keeper/Keeper.cpp
+++ b/modules/hc_keeper/keeper/Keeper.cpp
@@ -3,6 +3,8 @@
 #include "keeper/ClusterBeginning.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <random>
 
@@ -12,6 +14,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration pollInterval = 200ms;
+constexpr Duration pauseWithoutLeader = 100ms;
 constexpr int exitStorageFailed = 1;
 
 std::uint64_t randomSeed()
@@ -218,16 +221,32 @@
     return status;
 }
 
+/** Asks again while there is no leader; a step that was taken already is not taken twice. */
 asio::awaitable<Result<void, AgreementErrorCode>> Keeper::changeMembers(std::optional<KeeperId> remove, std::optional<KeeperAddress> add, Duration timeout)
 {
+    Instant deadline = m_clock.now() + timeout;
     ForwardedMemberChange change { remove, std::move(add), timeout };
+    auto result = co_await changeMembersOnce(change);
+    while (!result && result.error().code == AgreementErrorCode::NotLeader && m_clock.now() < deadline) {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        timer.expires_after(pauseWithoutLeader);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        change.timeout = std::max<Duration>(deadline - m_clock.now(), pauseWithoutLeader);
+        result = co_await changeMembersOnce(change);
+    }
+    co_return result;
+}
+
+asio::awaitable<Result<void, AgreementErrorCode>> Keeper::changeMembersOnce(ForwardedMemberChange change)
+{
     SystemStatus own = m_group.status();
     if (own.leader == m_settings.id)
         co_return co_await m_changer.change(std::move(change));
     std::optional<Endpoint> leader = own.leader ? m_peers.address(*own.leader) : std::nullopt;
     if (!leader)
         co_return failure(AgreementErrorCode::NotLeader, "no leader is known");
-    auto bytes = co_await m_client.call(*leader, PeerMethod::ChangeMembers, encodeMemberChange(change), timeout);
+    auto bytes = co_await m_client.call(*leader, PeerMethod::ChangeMembers, encodeMemberChange(change), change.timeout);
     if (!bytes)
         co_return failureBecause(AgreementErrorCode::NotLeader, bytes.error());
     co_return decodeMemberChangeReply(*bytes);
--- a/modules/hc_keeper/keeper/Keeper.h
+++ b/modules/hc_keeper/keeper/Keeper.h
@@ -49,6 +49,7 @@
     void serveStatus(PeerCall);
     void serveChangeMembers(PeerCall);
     Result<void, RoleErrorCode> listen();
+    boost::asio::awaitable<Result<void, AgreementErrorCode>> changeMembersOnce(ForwardedMemberChange);
     void tick();
     void beginIfPossible();
     AgreementGroupHooks hooks();
