--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -121,6 +121,7 @@
     if (effects.install) {
         node.applied = effects.install->lastIndex;
         node.state = effects.install->state;
+        checkState(node);
         ++m_installs;
     }
     for (const AgreementMessage& message : effects.messages)
@@ -313,6 +314,14 @@
     m_history.push_back(entry);
 }
 
+void SimulatedCluster::checkState(const Node& node) const
+{
+    std::string expected;
+    for (std::size_t i = 0; i < node.applied.value(); ++i)
+        expected += m_history.at(i).kind == LogEntry::Kind::Command ? m_history[i].payload : std::string();
+    require(node.state == expected, "an installed snapshot is not the state at its place");
+}
+
 void SimulatedCluster::checkLeader(const Node& node)
 {
     if (!node.replica->isLeader())
