--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -14,7 +14,8 @@
 
 Replica::Options optionsFor(std::uint64_t seed)
 {
-    return Replica::Options().withElectionTimeout(100ms).withHeartbeatInterval(20ms).withSeed(seed).withSnapshotChunkBytes(chunkBytes).withMaximumEntriesPerMessage(4);
+    unsigned batch = 1 + seed % 4;
+    return Replica::Options().withElectionTimeout(100ms).withHeartbeatInterval(20ms).withSeed(seed).withSnapshotChunkBytes(chunkBytes).withMaximumEntriesPerMessage(batch);
 }
 
 void require(bool holds, const std::string& what)
@@ -78,11 +79,11 @@
 
 void SimulatedCluster::step()
 {
-    deliver();
     for (auto& [id, node] : m_nodes) {
         if (node.replica && m_now >= node.pausedUntil)
             stepNode(id, node);
     }
+    deliver();
 }
 
 /** Clients call at any moment, also right after a pause and before the first tick. */
@@ -120,6 +121,7 @@
     if (effects.install) {
         node.applied = effects.install->lastIndex;
         node.state = effects.install->state;
+        checkState(node);
         ++m_installs;
     }
     for (const AgreementMessage& message : effects.messages)
@@ -312,6 +314,14 @@
     m_history.push_back(entry);
 }
 
+void SimulatedCluster::checkState(const Node& node) const
+{
+    std::string expected;
+    for (std::size_t i = 0; i < node.applied.value(); ++i)
+        expected += m_history.at(i).kind == LogEntry::Kind::Command ? m_history[i].payload : std::string();
+    require(node.state == expected, "an installed snapshot is not the state at its place");
+}
+
 void SimulatedCluster::checkLeader(const Node& node)
 {
     if (!node.replica->isLeader())
