Grant each attempt at a term once, also after another term

The last 64 granted attempts are now kept by data centre.

The fuzz now lets every leader renew by promises and checks that an attempt keeps its number; the run fuzz checks that a voided attempt never claims.

--- a/modules/hc_state/state/Command.capnp.h
+++ b/modules/hc_state/state/Command.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
--- a/modules/hc_state/state/Snapshot.capnp
+++ b/modules/hc_state/state/Snapshot.capnp
@@ -16,9 +16,9 @@
   dataCentre @0 :Text;
   fencing @1 :UInt64;
   holder @2 :Text;
-  attempt @3 :Text;
-  leaseEndMilliseconds @4 :Int64;
-  seekers @5 :List(Text);
+  leaseEndMilliseconds @3 :Int64;
+  seekers @4 :List(Text);
+  grantedAttempts @5 :List(Text);
 }
 
 struct PermitRecord {
--- a/modules/hc_state/state/Snapshot.capnp.h
+++ b/modules/hc_state/state/Snapshot.capnp.h
@@ -5,6 +5,9 @@
 
 #include <capnp/generated-header-support.h>
 #include <kj/windows-sanity.h>
+#if !CAPNP_LITE
+#include <capnp/capability.h>
+#endif  // !CAPNP_LITE
 
 #if CAPNP_VERSION != 9002
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
@@ -261,14 +264,14 @@
   inline bool hasHolder() const;
   inline  ::capnp::Text::Reader getHolder() const;
 
-  inline bool hasAttempt() const;
-  inline  ::capnp::Text::Reader getAttempt() const;
-
   inline  ::int64_t getLeaseEndMilliseconds() const;
 
   inline bool hasSeekers() const;
   inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getSeekers() const;
 
+  inline bool hasGrantedAttempts() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getGrantedAttempts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -314,13 +317,6 @@
   inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownHolder();
 
-  inline bool hasAttempt();
-  inline  ::capnp::Text::Builder getAttempt();
-  inline void setAttempt( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAttempt(unsigned int size);
-  inline void adoptAttempt(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAttempt();
-
   inline  ::int64_t getLeaseEndMilliseconds();
   inline void setLeaseEndMilliseconds( ::int64_t value);
 
@@ -332,6 +328,14 @@
   inline void adoptSeekers(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownSeekers();
 
+  inline bool hasGrantedAttempts();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getGrantedAttempts();
+  inline void setGrantedAttempts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setGrantedAttempts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initGrantedAttempts(unsigned int size);
+  inline void adoptGrantedAttempts(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownGrantedAttempts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1079,88 +1083,92 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool TermRecord::Reader::hasAttempt() const {
+inline  ::int64_t TermRecord::Reader::getLeaseEndMilliseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TermRecord::Builder::getLeaseEndMilliseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TermRecord::Builder::setLeaseEndMilliseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TermRecord::Reader::hasSeekers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool TermRecord::Builder::hasAttempt() {
+inline bool TermRecord::Builder::hasSeekers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader TermRecord::Reader::getAttempt() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader TermRecord::Reader::getSeekers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder TermRecord::Builder::getAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder TermRecord::Builder::getSeekers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void TermRecord::Builder::setAttempt( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void TermRecord::Builder::setSeekers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder TermRecord::Builder::initAttempt(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void TermRecord::Builder::setSeekers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder TermRecord::Builder::initSeekers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void TermRecord::Builder::adoptAttempt(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void TermRecord::Builder::adoptSeekers(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> TermRecord::Builder::disownAttempt() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> TermRecord::Builder::disownSeekers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t TermRecord::Reader::getLeaseEndMilliseconds() const {
-  return _reader.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::int64_t TermRecord::Builder::getLeaseEndMilliseconds() {
-  return _builder.getDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void TermRecord::Builder::setLeaseEndMilliseconds( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TermRecord::Reader::hasSeekers() const {
+inline bool TermRecord::Reader::hasGrantedAttempts() const {
   return !_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool TermRecord::Builder::hasSeekers() {
+inline bool TermRecord::Builder::hasGrantedAttempts() {
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader TermRecord::Reader::getSeekers() const {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader TermRecord::Reader::getGrantedAttempts() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder TermRecord::Builder::getSeekers() {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder TermRecord::Builder::getGrantedAttempts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void TermRecord::Builder::setSeekers( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+inline void TermRecord::Builder::setGrantedAttempts( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void TermRecord::Builder::setSeekers(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+inline void TermRecord::Builder::setGrantedAttempts(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder TermRecord::Builder::initSeekers(unsigned int size) {
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder TermRecord::Builder::initGrantedAttempts(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline void TermRecord::Builder::adoptSeekers(
+inline void TermRecord::Builder::adoptGrantedAttempts(
     ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> TermRecord::Builder::disownSeekers() {
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> TermRecord::Builder::disownGrantedAttempts() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
--- a/modules/hc_state/state/SnapshotCodec.cpp
+++ b/modules/hc_state/state/SnapshotCodec.cpp
@@ -32,12 +32,14 @@
         record.setDataCentre(textOf(dataCentre));
         record.setFencing(term.fencing.value());
         record.setHolder(textOf(term.holder));
-        record.setAttempt(textOf(term.attempt));
         record.setLeaseEndMilliseconds(millisecondsOf(term.leaseEnd));
         auto seekers = record.initSeekers(static_cast<unsigned>(term.seekers.size()));
         unsigned at = 0;
         for (const HostName& host : term.seekers)
             seekers.set(at++, textOf(host));
+        auto attempts = record.initGrantedAttempts(static_cast<unsigned>(term.grantedAttempts.size()));
+        for (at = 0; at < attempts.size(); ++at)
+            attempts.set(at, textOf(term.grantedAttempts[at]));
     }
 }
 
@@ -110,10 +112,11 @@
         TermTable::Term& term = terms[asName<DataCentreName>(record.getDataCentre())];
         term.fencing = FencingNumber(record.getFencing());
         term.holder = asName<HostName>(record.getHolder());
-        term.attempt = asString(record.getAttempt());
         term.leaseEnd = asWallTime(record.getLeaseEndMilliseconds());
         for (auto host : record.getSeekers())
             term.seekers.insert(asName<HostName>(host));
+        for (auto attempt : record.getGrantedAttempts())
+            term.grantedAttempts.push_back(asString(attempt));
     }
     table.restore(std::move(terms));
 }
--- a/modules/hc_state/state/TermTable.cpp
+++ b/modules/hc_state/state/TermTable.cpp
@@ -5,6 +5,8 @@
 namespace hemlockchute {
 namespace {
 
+constexpr std::size_t rememberedAttempts = 64;
+
 WallTime later(WallTime now, Duration duration)
 {
     return now + std::chrono::ceil<std::chrono::milliseconds>(duration);
@@ -16,6 +18,11 @@
     return isRunning ? Duration(term.leaseEnd - now) : Duration::zero();
 }
 
+bool wasGranted(const TermTable::Term& term, const std::string& attempt)
+{
+    return std::find(term.grantedAttempts.begin(), term.grantedAttempts.end(), attempt) != term.grantedAttempts.end();
+}
+
 std::set<HostName> asSet(const std::vector<HostName>& hosts)
 {
     return { hosts.begin(), hosts.end() };
@@ -32,10 +39,10 @@
 {
     Term& term = m_terms[command.dataCentre];
     Duration left = leaseLeft(term, now);
-    bool isSameAttempt = term.holder == command.host && term.attempt == command.attempt && !term.holder.isEmpty();
-    if (isSameAttempt) {
-        // The same command again: the lease already granted, as far as it still runs.
-        if (left == Duration::zero())
+    if (wasGranted(term, command.attempt)) {
+        // The same command again: what is left of the lease it was granted, if that is still the last.
+        bool isLast = !term.holder.isEmpty() && term.grantedAttempts.back() == command.attempt;
+        if (!isLast || left == Duration::zero())
             return refusal(term, now);
         return { true, term.fencing, term.holder, left, m_lease };
     }
@@ -61,7 +68,9 @@
     seekers.insert(command.host);
     term.fencing = term.fencing.next();
     term.holder = command.host;
-    term.attempt = command.attempt;
+    term.grantedAttempts.push_back(command.attempt);
+    if (term.grantedAttempts.size() > rememberedAttempts)
+        term.grantedAttempts.pop_front();
     term.leaseEnd = later(now, m_lease);
     term.seekers = std::move(seekers);
     return { true, term.fencing, term.holder, m_lease, hadHolder ? m_lease : Duration::zero() };
@@ -84,9 +93,9 @@
     Term& term = m_terms[command.dataCentre];
     bool isHolder = !term.holder.isEmpty() && term.holder == command.host && term.fencing == command.fencing;
     if (isHolder) {
-        FencingNumber fencing = term.fencing;
-        term = Term();
-        term.fencing = fencing;
+        term.holder = HostName();
+        term.leaseEnd = WallTime();
+        term.seekers.clear();
     }
     return refusal(term, now);
 }
--- a/modules/hc_state/state/TermTable.h
+++ b/modules/hc_state/state/TermTable.h
@@ -2,6 +2,7 @@
 
 #include "hemlockchute/state/Commands.h"
 
+#include <deque>
 #include <set>
 
 namespace hemlockchute {
@@ -25,10 +26,11 @@
         FencingNumber fencing;
         /** Empty once the term was given up. */
         HostName holder;
-        std::string attempt;
         WallTime leaseEnd;
         /** The hosts that may take the next term; empty once the term was given up: any may. */
         std::set<HostName> seekers;
+        /** The attempts granted last, oldest first, so that one delivered again grants nothing. */
+        std::deque<std::string> grantedAttempts;
     };
 
     explicit TermTable(Duration lease);
--- a/modules/hc_state/tests/RunFuzzTests.cpp
+++ b/modules/hc_state/tests/RunFuzzTests.cpp
@@ -112,6 +112,7 @@
         if (answer.state == RunAnswer::State::Void)
             attempt.wasToldVoid = true;
         RC_ASSERT(!(attempt.wasToldVoid && attempt.hasRun));
+        RC_ASSERT(!(attempt.wasToldVoid && answer.state == RunAnswer::State::Claimed));
         bool isClaim = std::holds_alternative<ClaimRun>(body);
         bool isInTime = m_machine.time < attempt.startedAt + longestRun;
         bool runs = isClaim && answer.state == RunAnswer::State::Claimed && attempt.mayRun && isInTime && !attempt.hasRun;
--- a/modules/hc_state/tests/StateMachineTests.cpp
+++ b/modules/hc_state/tests/StateMachineTests.cpp
@@ -111,6 +111,9 @@
     TermAnswer second = machine.acquire("b", "4");
     BOOST_TEST((second.granted && second.fencing == FencingNumber(2) && second.wait == 5s));
     BOOST_TEST(!machine.apply<TermAnswer>(RenewTerm { tallinn, HostName("a"), FencingNumber(1), {} }).granted);
+    machine.now += 6s;
+    BOOST_TEST(machine.acquire("a", "5").granted);
+    BOOST_TEST(!machine.apply<TermAnswer>(RenewTerm { tallinn, HostName("a"), FencingNumber(1), {} }).granted);
 }
 
 BOOST_AUTO_TEST_CASE(aReleasedTermIsFreeAndItsNumberIsNotUsedAgain)
--- a/modules/hc_state/tests/TermFuzzTests.cpp
+++ b/modules/hc_state/tests/TermFuzzTests.cpp
@@ -63,11 +63,12 @@
             break;
         case 8:
         case 9:
-            askPromises(host);
+            for (Host& leader : m_hosts)
+                askPromises(leader);
             break;
         case 10:
         case 11:
-            m_now += std::chrono::milliseconds(step.what * 6);
+            m_now += std::chrono::milliseconds(step.what * 4);
             break;
         case 12:
             m_skew += std::chrono::milliseconds(step.what * 10);
@@ -180,9 +181,11 @@
 
     void takeGrant(Host& host, const AcquireTerm& acquire, const TermAnswer& answer, Duration sentAt, bool isLost)
     {
-        if (answer.granted && m_granted.insert(acquire.attempt).second) {
-            RC_ASSERT(answer.fencing > m_lastFencing);
-            m_lastFencing = answer.fencing;
+        if (answer.granted) {
+            auto [found, isNew] = m_granted.emplace(acquire.attempt, answer.fencing);
+            bool isRight = isNew ? answer.fencing > m_lastFencing : answer.fencing == found->second;
+            RC_ASSERT(isRight);
+            m_lastFencing = std::max(m_lastFencing, answer.fencing);
         }
         if (isLost || host.seek != acquire.attempt)
             return;
@@ -210,7 +213,7 @@
     std::vector<InFlight> m_network;
     Duration m_now {};
     Duration m_skew {};
-    std::set<std::string> m_granted;
+    std::map<std::string, FencingNumber> m_granted;
     FencingNumber m_lastFencing;
     unsigned m_attempts = 0;
 };
