--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -40,8 +40,23 @@
     { EventId::RouterDocumentInForce, Info, "router.document-in-force", "The router works by a newer document." },
 
     // 1700: controller
+    { EventId::ControllerTermGained, Info, "controller.term_gained", "This host leads its data centre's placement." },
+    { EventId::ControllerTermEnded, Warning, "controller.term_ended", "This host no longer leads its data centre's placement and gives no more orders." },
+    { EventId::ControllerOrderSent, Info, "controller.order_sent", "An order was sent to an engine; the outcome says whether it was taken in." },
+    { EventId::ControllerOrderUncertain, Warning, "controller.order_uncertain", "An order may have reached its engine; its memory and permit stay reserved and it is sent again." },
+    { EventId::ControllerOrderUnrecorded, Warning, "controller.order_unrecorded", "An entry host of the data centre could not record the orders; it is left out for a while." },
+    { EventId::ControllerTakenOver, Info, "controller.taken_over", "The orders of earlier leaders are known or over, and orders may be given." },
 
     // 1800: keeper
+    { EventId::KeeperStarted, Info, "keeper.started", "The keeper has read its data folder; incarnation, last index and membership are given." },
+    { EventId::KeeperBegan, Info, "keeper.began", "The keeper heard from every other keeper and begins with the members given." },
+    { EventId::KeeperAwaitsMembership, Warning, "keeper.awaits_membership", "The data folder is new and the cluster has begun: the keeper votes only once an operator has replaced or added it." },
+    { EventId::KeeperLeads, Info, "keeper.leads", "The keeper leads the agreement in the term given." },
+    { EventId::KeeperFollows, Info, "keeper.follows", "The keeper does not lead any more." },
+    { EventId::KeeperStorageFailed, Error, "keeper.storage_failed", "The data folder failed, with the reason given; the process stops, since nothing written after may be trusted." },
+    { EventId::KeeperCompacted, Info, "keeper.compacted", "A snapshot took the place of the log up to the index given." },
+    { EventId::KeeperInstalled, Info, "keeper.installed", "A snapshot of the leader's took the place of the state." },
+    { EventId::KeeperEntryUnreadable, Error, "keeper.entry_unreadable", "A committed command cannot be read by this version; the process stops." },
 
     // 1850: operators
     { EventId::OperatorSubmitted, Info, "operator.submitted", "An operator submitted a document; the answer's status is given." },
--- a/tests/fakes/StandInEngine.cpp
+++ b/tests/fakes/StandInEngine.cpp
@@ -123,12 +123,19 @@
         boost::json::object order = jsonBody(exchange.request());
         co_await pause(std::chrono::milliseconds(behaviourNumber("order_delay_ms", 0)));
         HttpResponse answer = acceptOrder(order);
+        auto executor = co_await asio::this_coro::executor;
         if (answer.status == 202 && !textOf(order, "kind").empty())
-            asio::co_spawn(
-                co_await asio::this_coro::executor, [this, order] { return carryOut(order); }, asio::detached);
+            startCarryingOut(executor, order);
         co_await exchange.respond(answer);
     }
 
+    /** Not inside the coroutine: g++ 12 copies a lambda made there bit by bit. */
+    void startCarryingOut(const asio::any_io_executor& executor, const boost::json::object& order)
+    {
+        asio::co_spawn(
+            executor, [this, kept = std::make_shared<boost::json::object>(order)] { return carryOut(*kept); }, asio::detached);
+    }
+
     /** Answers an order, and notes what it makes true at once. */
     HttpResponse acceptOrder(boost::json::object& order)
     {
