--- a/modules/hc_controller/controller/Controller.cpp
+++ b/modules/hc_controller/controller/Controller.cpp
@@ -143,8 +143,7 @@
     bool isHolder = !m_isStopping && lease.isHolder(m_context->now());
     if (m_term && (!isHolder || m_term->fencing() != lease.fencing())) {
         logEvent(EventId::ControllerTermEnded, { { "fencing", m_term->fencing() } });
-        m_term->stop();
-        m_term.reset();
+        endTerm();
     }
     if (isHolder && !m_term) {
         logEvent(EventId::ControllerTermGained, { { "fencing", lease.fencing() } });
@@ -153,12 +152,20 @@
     }
 }
 
+/** What was ordered is kept, as another host would keep it. */
+void Controller::endTerm()
+{
+    if (!m_term)
+        return;
+    m_term->stop();
+    m_held = m_term->record();
+    m_term.reset();
+}
+
 asio::awaitable<void> Controller::giveUpTerm()
 {
     auto release = m_context->lease.release(m_context->now());
-    if (m_term)
-        m_term->stop();
-    m_term.reset();
+    endTerm();
     if (!release)
         co_return;
     CommandBody command = *release;
--- a/modules/hc_controller/controller/Controller.h
+++ b/modules/hc_controller/controller/Controller.h
@@ -42,6 +42,7 @@
     boost::asio::awaitable<void> propose(LeaseKeeper::KeeperCommand);
     void askPromises(const LeaseKeeper::PromiseRound&);
     void beginOrEndTerm();
+    void endTerm();
     boost::asio::awaitable<void> giveUpTerm();
     boost::asio::awaitable<void> finish(std::function<void()> done);
 
--- a/modules/hc_controller/controller/OrderBook.cpp
+++ b/modules/hc_controller/controller/OrderBook.cpp
@@ -82,6 +82,7 @@
         order.openCopies = 1;
         order.wasSent = true;
         order.lastCopy = now;
+        order.lastSending = m_trustFrom;
         order.expectedEnd = now;
         m_orders.emplace(recorded.order.id, std::move(order));
         auto [entry, isNew] = m_engines.try_emplace(recorded.engine);
@@ -102,7 +103,8 @@
     engine.readBegun = readBegun;
     engine.lastHeard = now;
     for (auto& [id, order] : m_orders) {
-        if (order.recorded.engine == name && isSeen(*engine.state, id))
+        bool isOwn = order.recorded.engine == name && readBegun >= order.lastSending;
+        if (isOwn && isSeen(*engine.state, id))
             noteTaken(order, now);
     }
     settle(now);
@@ -156,11 +158,12 @@
     return false;
 }
 
-void OrderBook::noteSending(const OrderId& id)
+void OrderBook::noteSending(const OrderId& id, Instant now)
 {
     auto found = m_orders.find(id);
     assert(found != m_orders.end());
     ++found->second.openCopies;
+    found->second.lastSending = now;
     found->second.isSending = true;
     found->second.wasSent = true;
 }
@@ -232,7 +235,8 @@
     bool isUnload = kind == OrderKind::UnloadModel || kind == OrderKind::UnloadAdapter;
     if (isUnload && now >= order.lastCopy + withDrift(m_options.orderLifetime))
         return true;
-    return order.isTaken && engine.state && isSettledByState(order, engine);
+    bool isReadSince = engine.state && engine.readBegun >= order.lastSending;
+    return order.isTaken && isReadSince && isSettledByState(order, engine);
 }
 
 bool OrderBook::isSettledByState(const Order& order, const Engine& engine) const
--- a/modules/hc_controller/controller/PlacementOrders.cpp
+++ b/modules/hc_controller/controller/PlacementOrders.cpp
@@ -142,7 +142,7 @@
         co_return;
     }
     Instant deadline = std::min(m_context->now() + sendTimeout, m_context->lease.leaseEnd());
-    m_book.noteSending(id);
+    m_book.noteSending(id, m_context->now());
     ++m_ordersSent;
     auto result = co_await protocol->sendOrder(*engine, recorded.order, deadline);
     m_book.noteSent(id, outcomeOf(result), m_context->now());
@@ -152,6 +152,14 @@
 }
 
 //==============================================================================
+/** Before permits go back, no record may name an order that a successor would send again under them. */
+asio::awaitable<void> PlacementTerm::recordAndPropose(ModelName model, CommandBody command)
+{
+    auto keep = shared_from_this();
+    co_await recordAtOthers();
+    co_await proposePermits(model, command);
+}
+
 asio::awaitable<void> PlacementTerm::proposePermits(ModelName model, CommandBody command)
 {
     auto keep = shared_from_this();
--- a/modules/hc_controller/controller/PlacementTerm.cpp
+++ b/modules/hc_controller/controller/PlacementTerm.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <tuple>
 
 namespace hemlockchute {
 
@@ -26,6 +27,12 @@
 constexpr Duration shareInterval = 1s;
 constexpr Duration shareTimeout = 800ms;
 
+/** Each record is whole, so the latest takes the place of all others. */
+bool isLater(const OrderRecord& a, const OrderRecord& b)
+{
+    return std::tie(a.fencing, a.sequence) > std::tie(b.fencing, b.sequence);
+}
+
 } // namespace
 
 PlacementTerm::PlacementTerm(std::shared_ptr<ControllerContext> context, OrderRecord held)
@@ -43,7 +50,6 @@
 {
     m_book.setDocument(m_context->documents.current());
     setServers(m_context->hostList.servers());
-    m_book.inherit(m_held, m_context->now());
     auto keep = shared_from_this();
     asio::co_spawn(
         m_context->strand, [keep] { return keep->takeOver(); }, asio::detached);
@@ -123,7 +129,7 @@
     auto keep = shared_from_this();
     std::vector<EntryHostAddress> missing = m_context->settings.otherHosts();
     Timer timer(m_context->strand);
-    while (isLive() && !m_isTakenOver) {
+    while (isLive()) {
         std::vector<EntryHostAddress> failed;
         for (const EntryHostAddress& host : missing) {
             bool isRead = co_await readOrders(host);
@@ -131,12 +137,15 @@
                 failed.push_back(host);
         }
         missing = failed;
-        m_isTakenOver = missing.empty() || m_context->now() >= m_book.trustFrom();
-        if (!m_isTakenOver)
-            co_await sleep(timer, takeOverInterval);
+        bool isEnough = missing.empty() || m_context->now() >= m_book.trustFrom();
+        if (isEnough)
+            break;
+        co_await sleep(timer, takeOverInterval);
     }
     if (!isLive())
         co_return;
+    m_book.inherit(m_held, m_context->now());
+    m_isTakenOver = true;
     logEvent(EventId::ControllerTakenOver, { { "fencing", m_fencing }, { "hosts_not_heard", missing.size() } });
     m_context->demand.noteLoaded(m_book.possibleModels(), m_context->now());
     planSoon();
@@ -148,8 +157,8 @@
     if (!bytes)
         co_return false;
     auto record = decodeOrderRecord(*bytes);
-    if (record && record->fencing < m_fencing)
-        m_book.inherit(*record, m_context->now());
+    if (record && record->fencing < m_fencing && isLater(*record, m_held))
+        m_held = *record;
     co_return record.has_value();
 }
 
@@ -234,6 +243,10 @@
     Instant now = m_context->now();
     tendPermits(now);
     std::vector<RecordedOrder> orders = m_book.ordersToResend(now);
+    std::erase_if(orders, [this](const RecordedOrder& recorded) {
+        const ModelName& model = recorded.order.model;
+        return recorded.order.kind == OrderKind::LoadModel && m_book.possibleReplicas(model) > m_permits.usable(model);
+    });
     for (const PlanStep& step : m_context->planner->plan(plannerInput(now)))
         takeStep(step, orders, now);
     if (!orders.empty())
@@ -316,7 +329,7 @@
     auto command = m_permits.giveBack(model, kept);
     if (command)
         asio::co_spawn(
-            m_context->strand, [keep = shared_from_this(), model, body = CommandBody(*command)] { return keep->proposePermits(model, body); }, asio::detached);
+            m_context->strand, [keep = shared_from_this(), model, body = CommandBody(*command)] { return keep->recordAndPropose(model, body); }, asio::detached);
 }
 
 //==============================================================================
--- a/modules/hc_controller/controller/PlacementTerm.h
+++ b/modules/hc_controller/controller/PlacementTerm.h
@@ -41,6 +41,8 @@
     /** Takes another data centre's reports on the fleet-wide limits, and answers with this one's. */
     std::vector<ShareReport> exchangeShares(const DataCentreName& from, const std::vector<ShareReport>&);
 
+    /** The orders whose outcome is not known, for a successor. */
+    OrderRecord record() { return m_book.record(); }
     /** Orders sent, and orders whose outcome is not known, for the metrics. */
     unsigned ordersSent() const { return m_ordersSent; }
     const OrderBook& book() const { return m_book; }
@@ -70,6 +72,7 @@
     void tendPermits(Instant now);
     void askPermits(const ModelName&, unsigned wanted, Instant now);
     void givePermitsBack(const ModelName&, unsigned kept);
+    boost::asio::awaitable<void> recordAndPropose(ModelName, CommandBody);
     boost::asio::awaitable<void> proposePermits(ModelName, CommandBody);
 
     boost::asio::awaitable<void> sendOrders(std::vector<RecordedOrder>);
--- a/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
+++ b/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
@@ -42,7 +42,7 @@
     @code
     if (auto order = book.issue(request, permits, now)) {
         record(book.record());
-        book.noteSending(order->order.id);
+        book.noteSending(order->order.id, now());
         book.noteSent(order->order.id, send(*order), now());
     }
     @endcode
@@ -114,7 +114,7 @@
     /** Enters an order, unless it could load more than `permits` replicas, overcommit memory, or the engine is not known well enough. */
     std::optional<RecordedOrder> issue(const OrderRequest&, unsigned permits, Instant now);
     /** Says that a copy is about to be sent. Precondition: the order is in the book. */
-    void noteSending(const OrderId&);
+    void noteSending(const OrderId&, Instant now);
     /** Says what became of a copy. */
     void noteSent(const OrderId&, SendOutcome, Instant now);
     /** Forgets an order of which no copy was sent. */
@@ -175,6 +175,8 @@
         /** Once taken: the engine does not begin it after this. */
         Instant beginsBefore {};
         Instant lastCopy {};
+        /** No copy was sent after this. What was read before it says nothing about the last copy. */
+        Instant lastSending {};
         Instant expectedEnd {};
     };
 
