--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -45,6 +45,8 @@
     void addDataCentre(DataCentreShape);
     void addBackend(BackendShape);
     void setDelay(Duration oneWay) { m_delay = oneWay; }
+    /** Requests that may wait at one router. */
+    void setMaximumWaiting(int count) { m_maximumWaiting = count; }
     /** Writes all settings and starts everything, the stand-ins first. */
     void startAll();
     /** Ends every daemon with SIGTERM and returns the names of those that did not exit 0. */
@@ -70,6 +72,8 @@
     std::string dataCentreOf(const std::string& backendOrHost) const;
     std::vector<std::string> hostNames() const;
     std::vector<std::string> processNames() const;
+    /** Number and peer address of a host's keeper. */
+    std::pair<int, std::string> keeperOf(const std::string& host) const;
     /** Settings for hemlockctl; `host` puts that host's keeper first when it has one. */
     std::filesystem::path controlSettings() const { return m_folder / "hemlockctl.toml"; }
     const std::filesystem::path& folder() const { return m_folder; }
@@ -105,6 +109,7 @@
     std::filesystem::path m_folder;
     std::string m_network;
     Duration m_delay {};
+    int m_maximumWaiting = 4096;
     std::vector<DataCentreShape> m_dataCentres;
     std::vector<Host> m_hosts;
     std::vector<BackendShape> m_backends;
--- a/tests/harness/ScenarioRunner.cpp
+++ b/tests/harness/ScenarioRunner.cpp
@@ -52,13 +52,15 @@
         { "start", &ScenarioRunner::startAll },
         { "submit FILE:text as LABEL:name [base BASE:number] [id ID:name]", &ScenarioRunner::submit },
         { "expect LABEL:name submitted VERDICT:name", &ScenarioRunner::expectVerdict },
+        { "expect LABEL:name exits CODE:number", &ScenarioRunner::expectExit },
+        { "queue COUNT:number", &ScenarioRunner::setQueue },
         { "ask MODEL:text as LABEL:name through HOST:name [rank RANK:name] [adapter ADAPTER:text] [tokens TOKENS:number] [deadline DEADLINE:number ms]", &ScenarioRunner::ask },
         { "flood MODEL:text with COUNT:number as LABEL:name through HOST:name rank RANK:name [tokens TOKENS:number] [deadline DEADLINE:number ms]", &ScenarioRunner::flood },
         { "call SERVICE:name PATH:text as LABEL:name through HOST:name [key KEY:text]", &ScenarioRunner::call },
         { "expect LABEL:name answered STATUS:number [tokens TOKENS:number]", &ScenarioRunner::expectAnswered },
         { "expect LABEL:name outcome OUTCOME:name", &ScenarioRunner::expectOutcome },
         { "expect LABEL:name run RUN:name", &ScenarioRunner::expectRun },
-        { "expect flood LABEL:name of COUNT:number all answered at-least SERVED:number served", &ScenarioRunner::expectFlood },
+        { "expect flood LABEL:name of COUNT:number all answered at-least SERVED:number served [at-least REFUSED:number refused]", &ScenarioRunner::expectFlood },
         { "kill HOST:name ROLE:name", &ScenarioRunner::kill },
         { "kill-backend NAME:name", &ScenarioRunner::killBackend },
         { "restart HOST:name ROLE:name", &ScenarioRunner::restart },
@@ -81,6 +83,7 @@
         { "loads MODEL:text are COUNT:number", &ScenarioRunner::checkLoads },
         { "submit-many FILE:text COUNT:number", &ScenarioRunner::manyDocuments },
         { "control ARGUMENTS:text exits CODE:number", &ScenarioRunner::control },
+        { "replace-keeper HOST:name", &ScenarioRunner::replaceKeeper },
         { "stop-all", &ScenarioRunner::stopAll },
     };
     return table;
@@ -158,6 +161,11 @@
     m_deployment.setDelay(std::chrono::milliseconds(statement.number("TIME", 0)));
 }
 
+void ScenarioRunner::setQueue(const Statement& statement)
+{
+    m_deployment.setMaximumWaiting(statement.number("COUNT", 0));
+}
+
 void ScenarioRunner::setCap(const Statement& statement)
 {
     m_caps[statement.at("MODEL")] = static_cast<unsigned>(statement.number("REPLICAS", 0));
@@ -181,9 +189,7 @@
 
 void ScenarioRunner::submit(const Statement& statement)
 {
-    std::vector<std::string> arguments { "submit", (m_documents / statement.at("FILE")).string(), "--json" };
-    if (statement.has("BASE"))
-        arguments.push_back("--base=" + statement.at("BASE"));
+    std::vector<std::string> arguments { "submit", (m_documents / statement.at("FILE")).string(), "--json", "--base=" + statement.valueOr("BASE", "0") };
     if (statement.has("ID"))
         arguments.push_back("--submit-id=" + statement.at("ID"));
     m_submissions[statement.at("LABEL")] = std::async(std::launch::async, [this, arguments] { return runControl(arguments); });
@@ -197,13 +203,21 @@
         throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
 }
 
+void ScenarioRunner::expectExit(const Statement& statement)
+{
+    auto [code, output] = m_submissions.at(statement.at("LABEL")).get();
+    narrate(output);
+    if (code != statement.number("CODE", 0))
+        throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
+}
+
 void ScenarioRunner::manyDocuments(const Statement& statement)
 {
     std::string text = readFile(m_documents / statement.at("FILE"));
     for (int i = 0; i < statement.number("COUNT", 0); ++i) {
         std::filesystem::path file = m_deployment.folder() / "many.toml";
         std::ofstream(file) << text << "# change " << i << '\n';
-        auto [code, output] = runControl({ "submit", file.string(), "--json", "--no-wait" });
+        auto [code, output] = runControl({ "submit", file.string(), "--json", "--base=current" });
         if (code != 0)
             throw std::runtime_error("document " + std::to_string(i) + ": " + output);
     }
@@ -221,6 +235,15 @@
         throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
 }
 
+void ScenarioRunner::replaceKeeper(const Statement& statement)
+{
+    auto [id, peer] = m_deployment.keeperOf(statement.at("HOST"));
+    auto [code, output] = runControl({ "members", "replace", std::to_string(id), peer });
+    narrate(output);
+    if (code != 0)
+        throw std::runtime_error("hemlockctl exited with " + std::to_string(code) + " and said: " + output);
+}
+
 //==============================================================================
 void ScenarioRunner::ask(const Statement& statement)
 {
@@ -288,8 +311,9 @@
         served += got.status == 200;
     }
     narrate("    " + std::to_string(served) + " of " + statement.at("COUNT") + " served");
-    if (served < statement.number("SERVED", 0))
-        throw std::runtime_error("only " + std::to_string(served) + " were served");
+    int refused = statement.number("COUNT", 0) - served;
+    if (served < statement.number("SERVED", 0) || refused < statement.number("REFUSED", 0))
+        throw std::runtime_error(std::to_string(served) + " were served and " + std::to_string(refused) + " refused");
 }
 
 //==============================================================================
@@ -425,14 +449,12 @@
         if (!seen)
             return false;
         last = boost::json::serialize(*seen);
-        const boost::json::value* hosts = seen->if_contains("in_force");
-        for (const std::string& host : m_deployment.hostNames()) {
-            if (statement.has("PLACE") && m_deployment.dataCentreOf(host) != statement.at("PLACE"))
-                continue;
-            if (!hosts || !hosts->is_object() || numberIn(hosts->as_object(), host) < statement.number("VERSION", 0))
-                return false;
-        }
-        return true;
+        const boost::json::array& hosts = seen->at("hosts").as_array();
+        return std::all_of(hosts.begin(), hosts.end(), [&](const boost::json::value& value) {
+            const boost::json::object& host = value.as_object();
+            bool isAsked = !statement.has("PLACE") || host.at("data_centre").as_string() == statement.at("PLACE");
+            return !isAsked || numberIn(host, "version") >= statement.number("VERSION", 0);
+        });
     };
     eventually(statement, inForce, [&] { return last; });
 }
