Keep no timer of a held follower past its io_context

A follower's hold timer belonged to DocumentSource, which the kernel destroys after the io_context; a pending timer must not be. It now belongs to its own wait.

--- a/modules/hc_peer/peer/DocumentSource.cpp
+++ b/modules/hc_peer/peer/DocumentSource.cpp
@@ -32,7 +32,8 @@
     struct Waiter {
         FollowRequest request;
         PeerReply reply;
-        std::unique_ptr<boost::asio::steady_timer> timer;
+        /** Owned by its own wait, so that it never outlives the io_context. */
+        std::weak_ptr<boost::asio::steady_timer> timer;
     };
 
     explicit Impl(boost::asio::io_context& ioContext)
@@ -75,12 +76,12 @@
     void hold(PeerCall& call, FollowRequest request)
     {
         std::uint64_t id = ++lastWaiter;
-        auto timer = std::make_unique<boost::asio::steady_timer>(context, currentHoldTime());
-        timer->async_wait([weak = weak_from_this(), id](const boost::system::error_code&) {
+        auto timer = std::make_shared<boost::asio::steady_timer>(context, currentHoldTime());
+        timer->async_wait([weak = weak_from_this(), id, timer](const boost::system::error_code&) {
             if (auto self = weak.lock())
                 self->release(id);
         });
-        waiters.emplace(id, Waiter { std::move(request), std::move(call.reply), std::move(timer) });
+        waiters.emplace(id, Waiter { std::move(request), std::move(call.reply), timer });
     }
 
     Duration currentHoldTime() const
@@ -140,6 +141,8 @@
     }
     logEvent(EventId::DocumentInForce, { { "version", document->version } });
     for (auto& [id, waiter] : waiters) {
+        if (auto timer = waiter.timer.lock())
+            timer->cancel();
         std::unique_lock guard(m_impl->lock);
         ByteString answer = m_impl->answerFor(waiter.request);
         guard.unlock();
