Have the io_context outlive the role's service

Cause: routers crashed now and then after a clean stop (exit 139). AddressSanitizer showed the demand reporter's timer, owned by the service, ended after the io_context it belongs to. Ruled out: a late handler (no thread runs any more at that point). Seen failing in whole-path and burst-on-a-cold-model; both pass now, and so does stopping-router.

--- a/modules/hc_core/core/Kernel.cpp
+++ b/modules/hc_core/core/Kernel.cpp
@@ -37,11 +37,11 @@
 /** A started role together with its signals and threads. */
 class RunningRole {
 public:
-    RunningRole(RoleService& service, std::filesystem::path settingsFile, std::string roleName)
-        : m_service(service)
+    RunningRole(boost::asio::io_context& context, RoleService& service, std::filesystem::path settingsFile, std::string roleName)
+        : m_context(context)
+        , m_service(service)
         , m_settingsFile(std::move(settingsFile))
         , m_roleName(std::move(roleName))
-        , m_context(static_cast<int>(service.threadCount()))
         , m_work(boost::asio::make_work_guard(m_context))
         , m_signals(m_context, SIGTERM, SIGINT, SIGHUP)
     {
@@ -104,10 +104,10 @@
         });
     }
 
+    boost::asio::io_context& m_context;
     RoleService& m_service;
     std::filesystem::path m_settingsFile;
     std::string m_roleName;
-    boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     boost::asio::signal_set m_signals;
 };
@@ -135,6 +135,8 @@
     }
     std::filesystem::path settingsFile = arguments["--settings"].asString();
 
+    // Ends after the service, whose timers and sockets belong to it.
+    boost::asio::io_context context;
     std::unique_ptr<RoleService> service = PluginRegistry<RoleService>::instance().create(m_roleName);
     if (!service) {
         std::cerr << "no role named " << m_roleName << " is linked into this program\n";
@@ -147,7 +149,7 @@
         return exitClean;
     }
     configureLog(service->logOptions());
-    return RunningRole(*service, settingsFile, m_roleName).run();
+    return RunningRole(context, *service, settingsFile, m_roleName).run();
 }
 
 } // namespace hemlockchute
