--- a/modules/hc_state/tests/SubmissionFuzzTests.cpp
+++ b/modules/hc_state/tests/SubmissionFuzzTests.cpp
@@ -17,7 +17,8 @@
     for (const auto& [team, value] : sections) {
         if (value == absent)
             continue;
-        text += "[[team." + team + ".models]]\nname = \"" + team + "\"\nreplicas = " + std::to_string(value) + "\n";
+        text.append("[[team.").append(team).append(".models]]\nname = \"").append(team).append("\"\n");
+        text.append("replicas = ").append(std::to_string(value)).append("\n");
         text += value == faulty ? "memory = 1\nextra = 1\n\n" : "memory = \"1GiB\"\n\n";
     }
     return text;
