--- a/modules/hc_core/core/Kernel.cpp
+++ b/modules/hc_core/core/Kernel.cpp
@@ -147,7 +147,11 @@
         return exitClean;
     }
     configureLog(service->logOptions());
-    return RunningRole(*service, settingsFile, m_roleName).run();
+    RunningRole running(*service, settingsFile, m_roleName);
+    int exitCode = running.run();
+    // Sockets and timers that the role holds must go before the io_context they belong to.
+    service.reset();
+    return exitCode;
 }
 
 } // namespace hemlockchute
