--- a/modules/hc_keeper/keeper/Keeper.cpp
+++ b/modules/hc_keeper/keeper/Keeper.cpp
@@ -3,6 +3,8 @@
 #include "keeper/ClusterBeginning.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <cstdlib>
 #include <random>
 
@@ -12,6 +14,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration pollInterval = 200ms;
+constexpr Duration pauseWithoutLeader = 100ms;
 constexpr int exitStorageFailed = 1;
 
 std::uint64_t randomSeed()
@@ -28,10 +31,10 @@
     std::_Exit(exitStorageFailed);
 }
 
-AgreementGroup::Options groupOptions(const KeeperSettings& settings)
+AgreementGroup::Options groupOptions(const KeeperSettings& settings, IncarnationId next)
 {
     auto replica = Replica::Options().withHeartbeatInterval(settings.heartbeatInterval).withElectionTimeout(settings.electionTimeout).withSeed(randomSeed());
-    return AgreementGroup::Options().withReplica(replica).withEntriesBetweenSnapshots(settings.entriesBetweenSnapshots);
+    return AgreementGroup::Options().withReplica(replica).withNextIncarnation(next).withEntriesBetweenSnapshots(settings.entriesBetweenSnapshots);
 }
 
 void merge(std::map<HostName, DocumentVersion>& into, const std::map<HostName, DocumentVersion>& from)
@@ -43,7 +46,7 @@
 } // namespace
 
 //==============================================================================
-Keeper::Keeper(asio::io_context& context, const KeeperSettings& settings, std::unique_ptr<KeeperDisk> disk)
+Keeper::Keeper(asio::io_context& context, const KeeperSettings& settings, std::unique_ptr<KeeperDisk> disk, IncarnationId next)
     : m_context(context)
     , m_settings(settings)
     , m_identity { settings.host.clusterName, settings.host.clusterKey, settings.host.name, "keeper" }
@@ -52,7 +55,7 @@
     , m_keepers(m_client, settings.host.keepers)
     , m_peers(m_client, settings.id, settings.host.keepers, m_clock)
     , m_documents(context)
-    , m_group(settings.id, std::move(disk), groupOptions(settings), m_clock, hooks())
+    , m_group(settings.id, std::move(disk), groupOptions(settings, next), m_clock, hooks())
     , m_changer(m_group, m_peers, m_client, m_clock)
     , m_api(*this, settings.tokens, settings.host.entryHosts, {})
     , m_operators(context, {}, [this](HttpExchange& exchange) { return m_api.handle(exchange); })
@@ -218,16 +221,32 @@
     return status;
 }
 
+/** Asks again while there is no leader; a step that was taken already is not taken twice. */
 asio::awaitable<Result<void, AgreementErrorCode>> Keeper::changeMembers(std::optional<KeeperId> remove, std::optional<KeeperAddress> add, Duration timeout)
 {
+    Instant deadline = m_clock.now() + timeout;
     ForwardedMemberChange change { remove, std::move(add), timeout };
+    auto result = co_await changeMembersOnce(change);
+    while (!result && result.error().code == AgreementErrorCode::NotLeader && m_clock.now() < deadline) {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        timer.expires_after(pauseWithoutLeader);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        change.timeout = std::max<Duration>(deadline - m_clock.now(), pauseWithoutLeader);
+        result = co_await changeMembersOnce(change);
+    }
+    co_return result;
+}
+
+asio::awaitable<Result<void, AgreementErrorCode>> Keeper::changeMembersOnce(ForwardedMemberChange change)
+{
     SystemStatus own = m_group.status();
     if (own.leader == m_settings.id)
         co_return co_await m_changer.change(std::move(change));
     std::optional<Endpoint> leader = own.leader ? m_peers.address(*own.leader) : std::nullopt;
     if (!leader)
         co_return failure(AgreementErrorCode::NotLeader, "no leader is known");
-    auto bytes = co_await m_client.call(*leader, PeerMethod::ChangeMembers, encodeMemberChange(change), timeout);
+    auto bytes = co_await m_client.call(*leader, PeerMethod::ChangeMembers, encodeMemberChange(change), change.timeout);
     if (!bytes)
         co_return failureBecause(AgreementErrorCode::NotLeader, bytes.error());
     co_return decodeMemberChangeReply(*bytes);
