--- a/modules/hc_peer/peer/KjThread.cpp
+++ b/modules/hc_peer/peer/KjThread.cpp
@@ -96,6 +96,7 @@
         m_wake = nullptr;
     }
     cancelTasks(kj::mv(tasks));
+    OPENSSL_thread_stop();
 }
 
 /** Cancels what has not ended. A cancelled task may make events due, or leave a last task behind, and the event loop may not go before they have run. */
