--- a/modules/hc_agreement/tests/AgreementTests.cpp
+++ b/modules/hc_agreement/tests/AgreementTests.cpp
@@ -227,6 +227,20 @@
     BOOST_TEST(leader.flush().committed.size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(votesOfNonMembersAndFormerLivesDoNotCount)
+{
+    OneOfThree candidate;
+    candidate.replica.tick(candidate.now += 3 * electionTimeout);
+    candidate.hear(4, 1, VoteReply { true, true });
+    candidate.replica.receive({ replicaId(2, 2), replicaId(1), AgreementTerm(1), VoteReply { true, true } }, candidate.now);
+    BOOST_TEST(!candidate.flush().hardState);
+    candidate.hear(2, 1, VoteReply { true, true });
+    candidate.hear(4, 1, VoteReply { false, true });
+    BOOST_TEST(!candidate.replica.isLeader());
+    candidate.hear(3, 1, VoteReply { false, true });
+    BOOST_TEST(candidate.replica.isLeader());
+}
+
 BOOST_AUTO_TEST_CASE(leaderOutOfTouchStepsDown)
 {
     OneOfThree leader;
--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -121,6 +121,7 @@
     if (effects.install) {
         node.applied = effects.install->lastIndex;
         node.state = effects.install->state;
+        checkState(node);
         ++m_installs;
     }
     for (const AgreementMessage& message : effects.messages)
@@ -239,14 +240,15 @@
     if (leader == nullptr)
         return;
     const Membership current = leader->replica->membership();
-    for (const auto& [id, node] : m_nodes) {
-        ReplicaId replica = idOf(id, node);
+    for (const auto& item : m_nodes) {
+        KeeperId keeper = item.first;
+        ReplicaId replica = idOf(keeper, item.second);
         if (current.voters.contains(replica))
             continue;
         Membership wanted = current;
         if (!current.learners.contains(replica)) {
             wanted.learners.insert(replica);
-        } else if (auto former = std::find_if(current.voters.begin(), current.voters.end(), [&](const ReplicaId& voter) { return voter.keeper == id; }); former != current.voters.end()) {
+        } else if (auto former = std::find_if(current.voters.begin(), current.voters.end(), [&](const ReplicaId& voter) { return voter.keeper == keeper; }); former != current.voters.end()) {
             wanted.voters.erase(*former);
         } else {
             wanted.learners.erase(replica);
@@ -313,6 +315,14 @@
     m_history.push_back(entry);
 }
 
+void SimulatedCluster::checkState(const Node& node) const
+{
+    std::string expected;
+    for (std::size_t i = 0; i < node.applied.value(); ++i)
+        expected += m_history.at(i).kind == LogEntry::Kind::Command ? m_history[i].payload : std::string();
+    require(node.state == expected, "an installed snapshot is not the state at its place");
+}
+
 void SimulatedCluster::checkLeader(const Node& node)
 {
     if (!node.replica->isLeader())
--- a/modules/hc_agreement/tests/SimulatedCluster.h
+++ b/modules/hc_agreement/tests/SimulatedCluster.h
@@ -104,6 +104,7 @@
     void post(const AgreementMessage&);
     void carryOut(KeeperId, Node&);
     void apply(Node&, const LogEntry&);
+    void checkState(const Node&) const;
     void checkLeader(const Node&);
     void checkReads(const Node&, const Effects&);
     Node* leaderNode();
