Count requests by rank and time their first tokens

Metrics by hc_report: outcomes and time to the first token by rank, beside the router's own counters.

--- a/modules/hc_backend/backend/EngineMessages.cpp
+++ b/modules/hc_backend/backend/EngineMessages.cpp
@@ -18,6 +18,7 @@
 std::vector<Name> namesFrom(std::vector<std::string> texts)
 {
     std::vector<Name> names;
+    names.reserve(texts.size());
     for (std::string& text : texts)
         names.emplace_back(std::move(text));
     return names;
--- a/modules/hc_router/router/ModelHandler.cpp
+++ b/modules/hc_router/router/ModelHandler.cpp
@@ -22,6 +22,8 @@
 /** How long a broken stream may wait for a place to be resumed at. */
 constexpr Duration resumePatience = 10s;
 constexpr Duration probeTimeout = 500ms;
+constexpr MetricDefinition firstToken { "hemlock_router_first_token_seconds", "Time from a request's receipt to its first token." };
+constexpr MetricDefinition outcomes { "hemlock_router_model_requests_total", "Requests for models by rank and outcome." };
 
 Instant currentTime()
 {
@@ -172,6 +174,8 @@
             bool isNext = m_life.takeToken(attempt, (*token)->index);
             if (!isNext)
                 co_return failure(BackendErrorCode::Malformed, "a token out of turn");
+            if (m_life.tokenCount() == 1)
+                m_core->metrics().observe(firstToken, currentTime() - m_request.terms.received, rankLabel());
             bool written = co_await m_writer.token(std::move((*token)->text));
             if (!written)
                 co_return failure(BackendErrorCode::Lost, "the caller has left");
@@ -246,8 +250,26 @@
         m_core->dispatcher().change([&](DispatchTable& table) { table.noteEnd(server.name, end, currentTime()); });
     }
 
+    MetricLabels rankLabel() const
+    {
+        MetricLabels labels;
+        labels.push_back({ "rank", m_request.terms.rank.name.text() });
+        return labels;
+    }
+
+    void countOutcome(const LifecycleVerdict& verdict)
+    {
+        bool isAnswered = verdict.kind == LifecycleVerdict::Kind::Complete;
+        bool isRefused = verdict.kind == LifecycleVerdict::Kind::Refuse;
+        MetricLabels labels = rankLabel();
+        labels.push_back({ "outcome", isAnswered ? "answered" : isRefused ? "refused"
+                                                                          : "left" });
+        m_core->metrics().add(outcomes, labels);
+    }
+
     asio::awaitable<void> conclude(LifecycleVerdict verdict)
     {
+        countOutcome(verdict);
         RouterCounters& counters = m_core->counters();
         if (verdict.kind == LifecycleVerdict::Kind::Complete) {
             ++counters.answered;
--- a/modules/hc_router/router/Router.cpp
+++ b/modules/hc_router/router/Router.cpp
@@ -90,7 +90,7 @@
     static std::string metrics(RouterCore& core)
     {
         std::size_t waiting = core.dispatcher().with([](DispatchTable& table) { return table.waiting(); });
-        return core.counters().text() + "# TYPE hemlock_router_waiting gauge\nhemlock_router_waiting " + std::to_string(waiting) + "\n"
+        return core.counters().text() + core.metrics().snapshot().prometheusText() + "# TYPE hemlock_router_waiting gauge\nhemlock_router_waiting " + std::to_string(waiting) + "\n"
             + "# TYPE hemlock_router_document_version gauge\nhemlock_router_document_version " + std::to_string(core.document()->version.value()) + "\n";
     }
 
--- a/modules/hc_router/router/RouterCore.h
+++ b/modules/hc_router/router/RouterCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/backend/BackendProtocol.h"
+#include "hemlockchute/report/Metrics.h"
 #include "hemlockchute/router/RunRegistry.h"
 #include "router/Dispatcher.h"
 #include "router/RouterCounters.h"
@@ -28,6 +29,7 @@
     Dispatcher& dispatcher() { return m_dispatcher; }
     RunRegistry& runs() { return m_runs; }
     RouterCounters& counters() { return m_counters; }
+    Metrics& metrics() { return m_metrics; }
     boost::asio::io_context& context() { return m_context; }
 
     /** The plug-in of that name, or null when there is none. */
@@ -51,6 +53,7 @@
     std::string m_idPrefix;
     RunRegistry& m_runs;
     RouterCounters m_counters;
+    Metrics m_metrics;
     std::atomic<DocumentPointer> m_document { std::make_shared<const Document>() };
     std::atomic<std::uint64_t> m_lastId { 0 };
     std::atomic<bool> m_stopping { false };
