--- a/modules/hc_router/router/DispatchTable.cpp
+++ b/modules/hc_router/router/DispatchTable.cpp
@@ -123,6 +123,7 @@
 {
     std::vector<BackendServer> servers = serversOf(service, tried, now);
     std::vector<ServerCandidate> candidates;
+    candidates.reserve(servers.size());
     for (const BackendServer& server : servers) {
         ServerCandidate candidate;
         candidate.name = server.name;
@@ -275,6 +276,7 @@
     if (engines.empty())
         return std::nullopt;
     std::vector<ServerCandidate> candidates;
+    candidates.reserve(engines.size());
     for (std::size_t index : engines)
         candidates.push_back(candidate(m_engines[index], now));
     auto picked = m_picker->pick(candidates, random);
--- a/modules/hc_router/router/OnceCall.cpp
+++ b/modules/hc_router/router/OnceCall.cpp
@@ -364,7 +364,8 @@
 {
     ++m_core->counters().attemptsFailed;
     logEvent(EventId::RouterRunUnknown, { { "request", m_call.terms.request.text() }, { "service", m_call.service.name.text() }, { "reason", error.detail } });
-    refuse(statusBadGateway, RefusalOutcome::Unknown, error.detail);
+    unsigned status = error.code == BackendErrorCode::TimedOut ? statusTimeout : statusBadGateway;
+    refuse(status, RefusalOutcome::Unknown, error.detail);
 }
 
 /** Settles a record after the caller was answered. */
--- a/modules/hc_router/router/RouterService.cpp
+++ b/modules/hc_router/router/RouterService.cpp
@@ -59,6 +59,7 @@
     static std::vector<Endpoint> documentSources(const HostSettings& settings)
     {
         std::vector<Endpoint> sources;
+        sources.reserve(settings.entryHosts.size() + settings.keepers.size());
         for (const EntryHostAddress& host : settings.hostsOfDataCentre())
             sources.push_back(host.controller);
         for (const KeeperAddress& keeper : settings.keepers)
