Destroy a role's service before the io_context that its sockets live in

Cause: Kernel::run destroyed the io_context with RunningRole while the service, with its acceptors, timers and idle connections, outlived it; closing those wrote into freed memory. Applies to every role.

--- a/modules/hc_core/core/Kernel.cpp
+++ b/modules/hc_core/core/Kernel.cpp
@@ -147,7 +147,11 @@
         return exitClean;
     }
     configureLog(service->logOptions());
-    return RunningRole(*service, settingsFile, m_roleName).run();
+    RunningRole role(*service, settingsFile, m_roleName);
+    int exitCode = role.run();
+    // The service holds sockets and timers of the role's io_context, and so must go before it.
+    service.reset();
+    return exitCode;
 }
 
 } // namespace hemlockchute
