--- a/modules/hc_router/router/Router.cpp
+++ b/modules/hc_router/router/Router.cpp
@@ -36,7 +36,7 @@
 //==============================================================================
 struct Router::Impl : std::enable_shared_from_this<Router::Impl> {
     Impl(asio::io_context& context, const Options& options, RunRegistry& runs)
-        : core(std::make_shared<RouterCore>(context, options.dispatch, options.idPrefix, runs, options.seed))
+        : core(std::make_shared<RouterCore>(context, options.dispatch, options.idPrefix, options.dataCentre, runs, options.seed))
         , callers(context, options.http, [core = core](HttpExchange& exchange) { return serveCaller(core, exchange); })
         , operators(context, HttpServer::Options(), [core = core](HttpExchange& exchange) { return serveOperator(core, exchange); })
         , timer(asio::make_strand(context))
@@ -73,6 +73,8 @@
             response = readiness(*core);
         else if (path == "/metrics")
             response = HttpResponse::text(statusOk, metrics(*core));
+        else if (path == "/burn")
+            response = HttpResponse::json(statusOk, core->burn().counts(SystemClock().wallTime()).encode());
         co_await exchange.respond(std::move(response));
     }
 
@@ -207,6 +209,13 @@
     return copy;
 }
 
+Router::Options Router::Options::withDataCentre(DataCentreName value) const
+{
+    Options copy = *this;
+    copy.dataCentre = std::move(value);
+    return copy;
+}
+
 Router::Options Router::Options::withSeed(std::uint64_t value) const
 {
     Options copy = *this;
--- a/modules/hc_router/router/RouterCore.cpp
+++ b/modules/hc_router/router/RouterCore.cpp
@@ -27,10 +27,11 @@
 }
 
 //==============================================================================
-RouterCore::RouterCore(asio::io_context& context, DispatchTable::Options options, std::string idPrefix, RunRegistry& runs, std::uint64_t seed)
+RouterCore::RouterCore(asio::io_context& context, DispatchTable::Options options, std::string idPrefix, DataCentreName dataCentre, RunRegistry& runs, std::uint64_t seed)
     : m_context(context)
     , m_dispatcher(std::move(options), seed)
     , m_idPrefix(std::move(idPrefix))
+    , m_dataCentre(std::move(dataCentre))
     , m_runs(runs)
 {
 }
--- a/modules/hc_router/router/RouterService.cpp
+++ b/modules/hc_router/router/RouterService.cpp
@@ -52,7 +52,7 @@
                             .withPickerStrategy(settings.pickerStrategy)
                             .withMaximumWaiting(settings.maximumWaiting)
                             .withDataCentre(settings.host.dataCentre);
-        return Router::Options().withDispatch(dispatch).withIdPrefix(makeIdPrefix(settings.host.name)).withSeed(randomBits());
+        return Router::Options().withDispatch(dispatch).withIdPrefix(makeIdPrefix(settings.host.name)).withDataCentre(settings.host.dataCentre).withSeed(randomBits());
     }
 
     /** The controllers of the data centre first, then the keepers. */
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -133,7 +133,9 @@
 {
     writeFile("cluster.key", "a-shared-key-for-the-demo-only\n");
     std::string keepers;
+    std::string routers;
     for (const Host& host : m_hosts) {
+        routers += (routers.empty() ? "\"" : ", \"") + joined(host.address, routerOperatorPort) + "\"";
         std::string common = commonSettings(host);
         std::string platform = "[platform]\naddress = \"" + m_network + ".101." + std::to_string(1 + static_cast<int>(std::find_if(m_dataCentres.begin(), m_dataCentres.end(), [&](const DataCentreShape& shape) { return shape.name == host.dataCentre; }) - m_dataCentres.begin())) + ":" + std::to_string(platformPort) + "\"\n\n";
         auto listen = [&](int peers, int operators) {
@@ -153,7 +155,7 @@
         addCommand(host.name + " router", "hemlock-router", { "--settings=" + (m_folder / routerFile).string() });
     }
     writeFile("admin.token", std::string(adminToken) + "\n");
-    writeFile("hemlockctl.toml", "keepers = [" + keepers + "]\ntoken_file = \"admin.token\"\n");
+    writeFile("hemlockctl.toml", "keepers = [" + keepers + "]\nrouters = [" + routers + "]\ntoken_file = \"admin.token\"\n");
 }
 
 boost::json::array Deployment::hostList(const std::string& dataCentre)
--- a/tools/completion/hemlockctl.bash
+++ b/tools/completion/hemlockctl.bash
@@ -2,7 +2,7 @@
 
 _hemlockctl() {
     local current=${COMP_WORDS[COMP_CWORD]}
-    local commands="submit validate diff show status drain undrain members runs token log"
+    local commands="submit validate diff show status drain undrain members runs report token log"
     local options="--settings= --json --timeout= --help"
     local command="" word
     for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
@@ -27,6 +27,7 @@
     drain) options+=" --team= --reason=" ;;
     members) choices="add remove replace" ;;
     runs) choices="show" ;;
+    report) choices="burn" ;;
     token) choices="hash" ;;
     log)
         choices="verify"
--- a/tools/hemlockctl/ControlClient.h
+++ b/tools/hemlockctl/ControlClient.h
@@ -35,6 +35,9 @@
     /** Blocks until there is an answer or the timeout has passed. */
     Result<HttpResponse, ControlErrorCode> send(HttpRequest, Repeat);
 
+    /** Asks one address for a page without a token. Blocks until there is an answer or the timeout for one router has passed. */
+    Result<HttpResponse, ControlErrorCode> fetch(const Endpoint&, const std::string& target);
+
 private:
     boost::asio::awaitable<void> askInTurn(HttpRequest, Repeat);
     boost::asio::awaitable<void> reportProgress();
--- a/tools/hemlockctl/ControlSettings.cpp
+++ b/tools/hemlockctl/ControlSettings.cpp
@@ -15,6 +15,19 @@
     return line;
 }
 
+std::vector<Endpoint> readEndpoints(const SettingsTable& table, std::string_view key)
+{
+    std::vector<Endpoint> endpoints;
+    for (const std::string& text : table.texts(key)) {
+        auto endpoint = parseEndpoint(text);
+        if (endpoint)
+            endpoints.push_back(*endpoint);
+        else
+            table.addFault(key, "holds \"" + text + "\", which is not an IP number and port such as \"127.0.0.1:7104\"");
+    }
+    return endpoints;
+}
+
 } // namespace
 
 tl::expected<ControlSettings, std::vector<std::string>> ControlSettings::load(const std::filesystem::path& path)
@@ -22,13 +35,8 @@
     SettingsFile file = SettingsFile::load(path);
     SettingsTable root = file.root();
     ControlSettings settings;
-    for (const std::string& text : root.texts("keepers")) {
-        auto endpoint = parseEndpoint(text);
-        if (endpoint)
-            settings.keepers.push_back(*endpoint);
-        else
-            root.addFault("keepers", "holds \"" + text + "\", which is not an IP number and port such as \"127.0.0.1:7104\"");
-    }
+    settings.keepers = readEndpoints(root, "keepers");
+    settings.routers = readEndpoints(root, "routers");
     if (settings.keepers.empty())
         root.addFault("keepers", "must list at least one keeper's operator address");
     std::string tokenFile = root.text("token_file");
