--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -37,6 +37,7 @@
     std::vector<std::string> words { program.string() };
     words.insert(words.end(), arguments.begin(), arguments.end());
     std::vector<char*> pointers;
+    pointers.reserve(words.size() + 1);
     for (std::string& word : words)
         pointers.push_back(word.data());
     pointers.push_back(nullptr);
