--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -240,14 +240,15 @@
     if (leader == nullptr)
         return;
     const Membership current = leader->replica->membership();
-    for (const auto& [id, node] : m_nodes) {
-        ReplicaId replica = idOf(id, node);
+    for (const auto& item : m_nodes) {
+        KeeperId keeper = item.first;
+        ReplicaId replica = idOf(keeper, item.second);
         if (current.voters.contains(replica))
             continue;
         Membership wanted = current;
         if (!current.learners.contains(replica)) {
             wanted.learners.insert(replica);
-        } else if (auto former = std::find_if(current.voters.begin(), current.voters.end(), [&](const ReplicaId& voter) { return voter.keeper == id; }); former != current.voters.end()) {
+        } else if (auto former = std::find_if(current.voters.begin(), current.voters.end(), [&](const ReplicaId& voter) { return voter.keeper == keeper; }); former != current.voters.end()) {
             wanted.voters.erase(*former);
         } else {
             wanted.learners.erase(replica);
--- a/modules/hc_router/tests/RouterTests.cpp
+++ b/modules/hc_router/tests/RouterTests.cpp
@@ -161,9 +161,11 @@
 BOOST_AUTO_TEST_CASE(aFullQueueRefusesAtOnceWithRetryAfter)
 {
     place({});
+    constexpr int callers = 12;
     std::vector<std::future<HttpResponse>> waiting;
+    waiting.reserve(callers);
     HttpResponse refused;
-    for (int i = 0; i < 12; ++i)
+    for (int i = 0; i < callers; ++i)
         waiting.push_back(std::async(std::launch::async, [&] { return ask(whole, { { "X-Deadline-Ms", "1500" } }); }));
     unsigned full = 0;
     for (auto& answer : waiting) {
