--- a/modules/hc_router/include/hemlockchute/router/Router.h
+++ b/modules/hc_router/include/hemlockchute/router/Router.h
@@ -29,12 +29,15 @@
         HttpServer::Options http;
         /** Stands before every id that this router makes up; unlike that of any other router. */
         std::string idPrefix;
+        /** Where this router stands; outcomes are counted under it. */
+        DataCentreName dataCentre;
         /** Seeds the choice among backend servers. */
         std::uint64_t seed = 1;
 
         Options withDispatch(DispatchTable::Options) const;
         Options withHttp(HttpServer::Options) const;
         Options withIdPrefix(std::string) const;
+        Options withDataCentre(DataCentreName) const;
         Options withSeed(std::uint64_t) const;
     };
 
@@ -45,7 +48,7 @@
     //==============================================================================
     /** Listens for callers. */
     Result<boost::asio::ip::tcp::endpoint, HttpServerErrorCode> listenForCallers(const boost::asio::ip::tcp::endpoint&);
-    /** Listens for operators: /healthz, /readyz and /metrics. */
+    /** Listens for operators: /healthz, /readyz, /metrics and /burn. */
     Result<boost::asio::ip::tcp::endpoint, HttpServerErrorCode> listenForOperators(const boost::asio::ip::tcp::endpoint&);
     /** Takes no new requests, finishes those in progress, then calls `done` once. */
     void stop(std::function<void()> done);
--- a/modules/hc_router/router/ModelHandler.cpp
+++ b/modules/hc_router/router/ModelHandler.cpp
@@ -174,6 +174,7 @@
             bool isNext = m_life.takeToken(attempt, (*token)->index);
             if (!isNext)
                 co_return failure(BackendErrorCode::Malformed, "a token out of turn");
+            noteTokenTime();
             if (m_life.tokenCount() == 1)
                 m_core->metrics().observe(firstToken, currentTime() - m_request.terms.received, rankLabel());
             bool written = co_await m_writer.token(std::move((*token)->text));
@@ -267,9 +268,37 @@
         m_core->metrics().add(outcomes, labels);
     }
 
+    void noteTokenTime()
+    {
+        m_lastToken = currentTime();
+        if (m_life.tokenCount() == 1)
+            m_firstToken = m_lastToken;
+    }
+
+    /** True when the first token, and the others on average, came within the rank's targets. */
+    bool isWithinTarget() const
+    {
+        const RankSpec& rank = m_request.terms.rank;
+        auto pauses = static_cast<std::int64_t>(m_life.tokenCount()) - 1;
+        bool isSteady = pauses <= 0 || (m_lastToken - m_firstToken) / pauses <= rank.betweenTokensTarget;
+        return isSteady && m_firstToken - m_request.terms.received <= rank.firstTokenTarget;
+    }
+
+    /** Counts the outcome against the rank's targets; a caller that left says nothing about service. */
+    void countBurn(const LifecycleVerdict& verdict)
+    {
+        bool isAnswered = verdict.kind == LifecycleVerdict::Kind::Complete;
+        bool isRefused = verdict.kind == LifecycleVerdict::Kind::Refuse;
+        if (!isAnswered && !isRefused)
+            return;
+        BurnKey key { m_request.terms.rank.name, m_request.model, m_core->dataCentre() };
+        m_core->burn().note(key, isAnswered && isWithinTarget(), SystemClock().wallTime());
+    }
+
     asio::awaitable<void> conclude(LifecycleVerdict verdict)
     {
         countOutcome(verdict);
+        countBurn(verdict);
         RouterCounters& counters = m_core->counters();
         if (verdict.kind == LifecycleVerdict::Kind::Complete) {
             ++counters.answered;
@@ -294,6 +323,8 @@
     unsigned m_refusedStatus = statusUnavailable;
     Duration m_retryAfter = 1s;
     std::string m_detail;
+    Instant m_firstToken {};
+    Instant m_lastToken {};
 };
 
 } // namespace
--- a/modules/hc_router/router/RouterCore.h
+++ b/modules/hc_router/router/RouterCore.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/backend/BackendProtocol.h"
+#include "hemlockchute/report/BurnRecorder.h"
 #include "hemlockchute/report/Metrics.h"
 #include "hemlockchute/router/RunRegistry.h"
 #include "router/Dispatcher.h"
@@ -22,7 +23,7 @@
 */
 class RouterCore : public std::enable_shared_from_this<RouterCore> {
 public:
-    RouterCore(boost::asio::io_context&, DispatchTable::Options, std::string idPrefix, RunRegistry&, std::uint64_t seed);
+    RouterCore(boost::asio::io_context&, DispatchTable::Options, std::string idPrefix, DataCentreName, RunRegistry&, std::uint64_t seed);
 
     DocumentPointer document() const { return m_document.load(); }
     void setDocument(DocumentPointer);
@@ -30,6 +31,8 @@
     RunRegistry& runs() { return m_runs; }
     RouterCounters& counters() { return m_counters; }
     Metrics& metrics() { return m_metrics; }
+    BurnRecorder& burn() { return m_burn; }
+    const DataCentreName& dataCentre() const { return m_dataCentre; }
     boost::asio::io_context& context() { return m_context; }
 
     /** The plug-in of that name, or null when there is none. */
@@ -51,9 +54,11 @@
     boost::asio::io_context& m_context;
     Dispatcher m_dispatcher;
     std::string m_idPrefix;
+    DataCentreName m_dataCentre;
     RunRegistry& m_runs;
     RouterCounters m_counters;
     Metrics m_metrics;
+    BurnRecorder m_burn;
     std::atomic<DocumentPointer> m_document { std::make_shared<const Document>() };
     std::atomic<std::uint64_t> m_lastId { 0 };
     std::atomic<bool> m_stopping { false };
--- a/tools/hemlockctl/Arguments.cpp
+++ b/tools/hemlockctl/Arguments.cpp
@@ -22,6 +22,7 @@
   hemlockctl [options] members remove KEEPER
   hemlockctl [options] members replace KEEPER PEER
   hemlockctl [options] runs show KEY
+  hemlockctl [options] report burn [--html=FILE]
   hemlockctl [options] token hash
   hemlockctl [options] log verify FOLDER
   hemlockctl (-h | --help)
@@ -34,13 +35,14 @@
   --submit-id=ID     Names the submission; give the same again to ask for a lost answer.
   --section=TEAM     Show only one team's section.
   --team=TEAM        Team whose section takes the drain plan.
+  --html=FILE        Write the report as one page with plots.
   --reason=TEXT      Why the server is drained [default: drained with hemlockctl].
   -h --help          Show this text.
 
 Exit codes: 0 done, 1 refused, 2 faulty usage, settings or document, 3 no keeper answers.
 )";
 
-constexpr const char* commandWords[] = { "submit", "validate", "diff", "show", "status", "drain", "undrain", "members", "add", "remove", "replace", "runs", "token", "hash", "log", "verify" };
+constexpr const char* commandWords[] = { "submit", "validate", "diff", "show", "status", "drain", "undrain", "members", "add", "remove", "replace", "runs", "report", "burn", "token", "hash", "log", "verify" };
 constexpr long longestTimeoutSeconds = 3600;
 
 using Values = std::map<std::string, docopt::value>;
@@ -108,6 +110,7 @@
     arguments.peer = textOf(values, "PEER");
     arguments.key = textOf(values, "KEY");
     arguments.folder = textOf(values, "FOLDER");
+    arguments.htmlFile = textOf(values, "--html");
     return arguments;
 }
 
--- a/tools/hemlockctl/Arguments.h
+++ b/tools/hemlockctl/Arguments.h
@@ -39,6 +39,7 @@
     std::string peer;
     std::string key;
     std::string folder;
+    std::string htmlFile;
 
     /** Reads the words after the program's name. Thread safety: any thread. */
     static tl::expected<Arguments, Refusal> parse(const std::vector<std::string>& words);
--- a/tools/hemlockctl/ControlClient.cpp
+++ b/tools/hemlockctl/ControlClient.cpp
@@ -6,12 +6,14 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/use_future.hpp>
 
 namespace hemlockchute {
 namespace {
 
 namespace asio = boost::asio;
 
+constexpr Duration fetchTimeout = 5s;
 constexpr Duration pauseBetweenRounds = 200ms;
 constexpr Duration progressInterval = 1s;
 /** Longer than a keeper takes to agree on a document and wait for it to be in force. */
@@ -52,6 +54,20 @@
     return failure(ControlErrorCode::Unreachable, failures());
 }
 
+Result<HttpResponse, ControlErrorCode> ControlClient::fetch(const Endpoint& endpoint, const std::string& target)
+{
+    asio::io_context context;
+    HttpClient client { HttpClient::Options() };
+    HttpRequest request;
+    request.target = target;
+    auto answered = asio::co_spawn(context, client.send(endpoint, std::move(request), std::chrono::steady_clock::now() + fetchTimeout), asio::use_future);
+    context.run();
+    auto response = answered.get();
+    if (!response)
+        return failureBecause(ControlErrorCode::Unreachable, response.error());
+    return std::move(*response);
+}
+
 asio::awaitable<void> ControlClient::askInTurn(HttpRequest request, Repeat repeat)
 {
     asio::steady_timer timer(co_await asio::this_coro::executor);
--- a/tools/hemlockctl/ControlCommands.cpp
+++ b/tools/hemlockctl/ControlCommands.cpp
@@ -4,10 +4,13 @@
 #include "DrainEditor.h"
 #include "LineDiff.h"
 
+#include "hemlockchute/report/BurnReport.h"
+
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cassert>
 #include <cctype>
+#include <fstream>
 #include <random>
 
 namespace hemlockchute {
@@ -82,11 +85,13 @@
     { "members remove", &ControlCommands::changeMembers },
     { "members replace", &ControlCommands::changeMembers },
     { "runs show", &ControlCommands::showRun },
+    { "report burn", &ControlCommands::reportBurn },
 };
 
 ControlCommands::ControlCommands(const Arguments& arguments, ControlSettings settings, Console& console)
     : m_arguments(arguments)
     , m_console(console)
+    , m_routers(settings.routers)
     , m_client(std::move(settings), arguments.timeout, console.err)
 {
 }
@@ -265,6 +270,34 @@
     return response ? print(*response, runText) : response.error();
 }
 
+/** Merges what every router counted; a router that does not answer is named, and left out. */
+ExitCode ControlCommands::reportBurn()
+{
+    auto document = fetchDocument();
+    if (!document)
+        return document.error();
+    BurnCounts counts;
+    for (const Endpoint& router : m_routers) {
+        auto response = m_client.fetch(router, "/burn");
+        auto decoded = response ? BurnCounts::decode(response->body) : failure(ReportErrorCode::Malformed, response.error().detail);
+        if (decoded)
+            counts.merge(*decoded);
+        else
+            m_console.err << "left out: router " << formatEndpoint(router) << ": " << decoded.error().detail << '\n';
+    }
+    BurnReport report = makeBurnReport(*document, counts, SystemClock().wallTime());
+    if (!m_arguments.htmlFile.empty()) {
+        std::ofstream page(m_arguments.htmlFile);
+        page << report.html();
+        if (!page.flush()) {
+            m_console.err << m_arguments.htmlFile << ": cannot be written\n";
+            return ExitCode::Faulty;
+        }
+    }
+    m_console.out << (m_arguments.isJson ? report.json() + "\n" : report.text());
+    return ExitCode::Done;
+}
+
 //==============================================================================
 ExitCode ControlCommands::drain()
 {
--- a/tools/hemlockctl/ControlCommands.h
+++ b/tools/hemlockctl/ControlCommands.h
@@ -43,6 +43,7 @@
     ExitCode undrain();
     ExitCode changeMembers();
     ExitCode showRun();
+    ExitCode reportBurn();
 
     /** Sends a request; anything but the two kinds of refusal that a document meets has been said when it fails. */
     Answered ask(HttpRequest, ControlClient::Repeat);
@@ -59,6 +60,7 @@
 
     const Arguments& m_arguments;
     Console& m_console;
+    std::vector<Endpoint> m_routers;
     ControlClient m_client;
 };
 
