Keep slots for urgent ranks and estimate waits in the router

Tests seen failing first: aPatientRankLeavesASlotToAnUrgentOne (8 of 8 slots taken), whoWouldBeServedTooLateIsRefusedAtOnce (no refusal). Tried and taken back: refusing who waits for a load that is declared to take longer than the deadline. The declared time is a default unless an operator sets it, and a refusal on it would turn away requests that a quicker load serves.

--- a/modules/hc_router/include/hemlockchute/router/DispatchTable.h
+++ b/modules/hc_router/include/hemlockchute/router/DispatchTable.h
@@ -3,6 +3,7 @@
 #include "hemlockchute/backend/BackendServer.h"
 #include "hemlockchute/backend/Placement.h"
 #include "hemlockchute/document/Document.h"
+#include "hemlockchute/policy/SlotReserve.h"
 #include "hemlockchute/policy/policy.h"
 
 #include <cstdint>
@@ -54,11 +55,14 @@
         std::size_t maximumWaiting = 4096;
         /** Plain services of this data centre go first. */
         DataCentreName dataCentre;
+        /** Slots of engines that ranks leave to more urgent ones. */
+        SlotReserve::Options slotReserve;
 
         Options withQueueStrategy(std::string) const;
         Options withPickerStrategy(std::string) const;
         Options withMaximumWaiting(std::size_t) const;
         Options withDataCentre(DataCentreName) const;
+        Options withSlotReserve(SlotReserve::Options) const;
     };
 
     /** Precondition: there are strategies of the names given. */
@@ -115,9 +119,12 @@
     bool isPaused(const BackendServerName& engine, Instant now) const;
     std::vector<std::size_t> enginesFor(const ModelName&, const AdapterName&, Instant now) const;
     std::vector<std::size_t> withoutTried(std::vector<std::size_t>, const std::set<BackendServerName>&) const;
-    std::optional<std::size_t> pickEngine(const std::vector<std::size_t>&, Instant now, std::uint64_t random) const;
+    /** An engine with a free slot that the rank may take. */
+    std::optional<std::size_t> pickEngine(const std::vector<std::size_t>&, const RankName&, Instant now, std::uint64_t random) const;
+    unsigned usableSlots(unsigned slots, const RankName&) const;
+    void estimateParallelism();
     std::vector<BackendServer> serversOf(const ServiceName&, const std::set<BackendServerName>& tried, Instant now) const;
-    ServerCandidate candidate(const Engine&, Instant now) const;
+    ServerCandidate candidate(const Engine&, const RankName&, Instant now) const;
     BackendServer occupy(const Engine&);
     unsigned outstanding(const BackendServerName&) const;
 
@@ -125,6 +132,7 @@
     std::unique_ptr<RequestQueue> m_queue;
     std::unique_ptr<ServerPicker> m_picker;
     EjectionTable m_ejections;
+    SlotReserve m_slotReserve;
     std::map<BackendServerName, RetryBudget> m_budgets;
     DocumentPointer m_document;
 
--- a/modules/hc_router/router/DispatchTable.cpp
+++ b/modules/hc_router/router/DispatchTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 
 namespace hemlockchute {
 namespace {
@@ -21,6 +22,7 @@
     , m_queue(makeRequestQueue(m_options.queueStrategy, RequestQueueOptions().withMaximumWaiting(m_options.maximumWaiting)))
     , m_picker(makeServerPicker(m_options.pickerStrategy))
     , m_ejections(EjectionTable::Options())
+    , m_slotReserve(m_options.slotReserve)
     , m_document(std::make_shared<Document>())
 {
     assert(m_queue && m_picker);
@@ -49,6 +51,16 @@
             m_enginesByModel[model].push_back(m_engines.size());
         m_engines.push_back({ std::move(placed), reported > own ? reported - own : 0 });
     }
+    estimateParallelism();
+}
+
+/** Lets the queue estimate waits: all slots here, since others' use of them is not known ahead. */
+void DispatchTable::estimateParallelism()
+{
+    unsigned slots = 0;
+    for (const Engine& engine : m_engines)
+        slots += engine.placed.takesNewWork ? engine.placed.slots : 0;
+    m_queue->setParallelism(slots);
 }
 
 void DispatchTable::setServers(const std::vector<BackendServer>& servers)
@@ -96,11 +108,11 @@
 {
     if (m_queue->size() == 0)
         return std::nullopt;
-    std::map<std::pair<ModelName, AdapterName>, std::optional<std::size_t>> picks;
+    std::map<std::tuple<RankName, ModelName, AdapterName>, std::optional<std::size_t>> picks;
     auto pickFor = [&](const QueuedRequest& request) {
-        auto [entry, isNew] = picks.try_emplace({ request.model, request.adapter });
+        auto [entry, isNew] = picks.try_emplace({ request.rank, request.model, request.adapter });
         if (isNew)
-            entry->second = pickEngine(enginesFor(request.model, request.adapter, now), now, random);
+            entry->second = pickEngine(enginesFor(request.model, request.adapter, now), request.rank, now, random);
         return entry->second;
     };
     auto request = m_queue->take([&](const QueuedRequest& waiting) { return pickFor(waiting).has_value(); }, now);
@@ -113,7 +125,7 @@
 std::optional<BackendServer> DispatchTable::assignAgain(const QueuedRequest& request, const std::set<BackendServerName>& tried, Instant now, std::uint64_t random)
 {
     auto engines = withoutTried(enginesFor(request.model, request.adapter, now), tried);
-    auto picked = pickEngine(engines, now, random);
+    auto picked = pickEngine(engines, request.rank, now, random);
     if (!picked)
         return std::nullopt;
     return occupy(m_engines[*picked]);
@@ -271,14 +283,14 @@
     return others.empty() ? engines : others;
 }
 
-std::optional<std::size_t> DispatchTable::pickEngine(const std::vector<std::size_t>& engines, Instant now, std::uint64_t random) const
+std::optional<std::size_t> DispatchTable::pickEngine(const std::vector<std::size_t>& engines, const RankName& rank, Instant now, std::uint64_t random) const
 {
     if (engines.empty())
         return std::nullopt;
     std::vector<ServerCandidate> candidates;
     candidates.reserve(engines.size());
     for (std::size_t index : engines)
-        candidates.push_back(candidate(m_engines[index], now));
+        candidates.push_back(candidate(m_engines[index], rank, now));
     auto picked = m_picker->pick(candidates, random);
     if (!picked)
         return std::nullopt;
@@ -304,7 +316,17 @@
     return usable;
 }
 
-ServerCandidate DispatchTable::candidate(const Engine& engine, Instant now) const
+unsigned DispatchTable::usableSlots(unsigned slots, const RankName& rank) const
+{
+    auto spec = m_document->ranks.find(rank);
+    if (spec == m_document->ranks.end() || m_queue->isOwed(rank))
+        return slots;
+    auto isMoreUrgent = [&](const auto& entry) { return entry.second.order < spec->second.order; };
+    auto moreUrgent = std::count_if(m_document->ranks.begin(), m_document->ranks.end(), isMoreUrgent);
+    return m_slotReserve.usable(slots, static_cast<unsigned>(moreUrgent));
+}
+
+ServerCandidate DispatchTable::candidate(const Engine& engine, const RankName& rank, Instant now) const
 {
     ServerCandidate candidate;
     candidate.name = engine.placed.name;
@@ -312,7 +334,7 @@
     // A report counts this router's requests too; only the others' part of it is news.
     candidate.reportedRunning = engine.othersRunning + candidate.ownOutstanding;
     candidate.reportAge = now - m_placementTaken + engine.placed.lag;
-    candidate.slots = engine.placed.slots;
+    candidate.slots = usableSlots(engine.placed.slots, rank);
     return candidate;
 }
 
@@ -361,4 +383,11 @@
     return copy;
 }
 
+DispatchTable::Options DispatchTable::Options::withSlotReserve(SlotReserve::Options value) const
+{
+    Options copy = *this;
+    copy.slotReserve = value;
+    return copy;
+}
+
 } // namespace hemlockchute
--- a/modules/hc_router/router/RouterService.cpp
+++ b/modules/hc_router/router/RouterService.cpp
@@ -51,7 +51,8 @@
                             .withQueueStrategy(settings.queueStrategy)
                             .withPickerStrategy(settings.pickerStrategy)
                             .withMaximumWaiting(settings.maximumWaiting)
-                            .withDataCentre(settings.host.dataCentre);
+                            .withDataCentre(settings.host.dataCentre)
+                            .withSlotReserve(SlotReserve::Options().withKeptPercent(settings.keptSlotsPercent));
         return Router::Options().withDispatch(dispatch).withIdPrefix(makeIdPrefix(settings.host.name)).withDataCentre(settings.host.dataCentre).withSeed(randomBits());
     }
 
--- a/modules/hc_router/router/RouterSettings.h
+++ b/modules/hc_router/router/RouterSettings.h
@@ -24,6 +24,7 @@
     [queue]
     strategy = "rank-fair"
     maximum_waiting = 4096
+    kept_slots_percent = 12
 
     [picker]
     strategy = "two-choices"
@@ -43,6 +44,8 @@
     Duration platformInterval = 500ms;
     std::string queueStrategy;
     std::size_t maximumWaiting = 4096;
+    /** Slots in each hundred that a rank leaves to each more urgent one. */
+    unsigned keptSlotsPercent = 12;
     std::string pickerStrategy;
     unsigned threads = 2;
 
