--- a/modules/hc_router/tests/RouterFixture.cpp
+++ b/modules/hc_router/tests/RouterFixture.cpp
@@ -188,7 +188,9 @@
         if (behaviour.silentAfter == i)
             co_return co_await beSilent(exchange);
         std::string index = std::to_string(i);
-        bool written = co_await exchange.write(event(attempt, "\"index\":" + index + ",\"token\":\"t" + index + " \""));
+        std::string rest = "\"index\":";
+        rest.append(index).append(",\"token\":\"t").append(index).append(" \"");
+        bool written = co_await exchange.write(event(attempt, rest));
         if (!written)
             co_return;
     }
