Spend less on idle control and on a large document

Cause, found by counting bytes per port with the system idle (6 hosts, release): keepers asked each other how they stood five times a second and sent heartbeats every 75 ms, 74 KB/s of payload together; every source kept eight whole documents, and parsing left its blocks behind. Ruled out: the platform's list (2.4 KB/s in all) and document polling (once a second). Now: asked once a second while a leader is known, heartbeats every 150 ms, old documents kept without what they declare, free blocks given back after a new document; word of what is in force lives 3 s instead of 10, since a host that changed its source held a submission's answer up to its 5 s limit.

--- a/modules/hc_keeper/keeper/Keeper.cpp
+++ b/modules/hc_keeper/keeper/Keeper.cpp
@@ -13,7 +13,9 @@
 
 namespace asio = boost::asio;
 
-constexpr Duration pollInterval = 200ms;
+/** How often the other keepers are asked how they stand: often only until this one knows a leader. */
+constexpr Duration pollInterval = 1s;
+constexpr Duration pollIntervalWithoutLeader = 200ms;
 constexpr Duration pauseWithoutLeader = 100ms;
 constexpr int exitStorageFailed = 1;
 
@@ -120,7 +122,7 @@
         return;
     m_group.tick();
     if (Instant now = m_clock.now(); now >= m_nextPoll) {
-        m_nextPoll = now + pollInterval;
+        m_nextPoll = now + (m_group.status().leader ? pollInterval : pollIntervalWithoutLeader);
         m_peers.poll();
         if (m_group.isBlank())
             beginIfPossible();
--- a/modules/hc_keeper/keeper/KeeperPeers.cpp
+++ b/modules/hc_keeper/keeper/KeeperPeers.cpp
@@ -8,7 +8,7 @@
 constexpr Duration messageTimeout = 1s;
 constexpr Duration pollTimeout = 1s;
 /** A report that is older says nothing any more. */
-constexpr Duration reportLifetime = 2s;
+constexpr Duration reportLifetime = 3s;
 /** More messages than these are not held for a keeper that does not answer. */
 constexpr unsigned mostMessagesUnanswered = 64;
 
--- a/modules/hc_keeper/keeper/KeeperSettings.h
+++ b/modules/hc_keeper/keeper/KeeperSettings.h
@@ -25,7 +25,7 @@
     HostSettings host;
     KeeperId id;
     std::filesystem::path dataFolder;
-    Duration heartbeatInterval = 75ms;
+    Duration heartbeatInterval = 150ms;
     Duration electionTimeout = 750ms;
     std::uint64_t entriesBetweenSnapshots = 1000;
     unsigned threads = 2;
--- a/modules/hc_peer/include/hemlockchute/peer/DocumentFollower.h
+++ b/modules/hc_peer/include/hemlockchute/peer/DocumentFollower.h
@@ -53,7 +53,7 @@
     void onChange(std::function<void(DocumentPointer)>);
     /** Answers FollowDocument: at once when the caller is behind, otherwise within a second. */
     void serve(PeerCall);
-    /** The version in force at each host heard of through followers within the last ten seconds. */
+    /** The version in force at each host heard of through followers within the last three seconds. */
     std::map<HostName, DocumentVersion> inForce() const;
 
 private:
--- a/modules/hc_peer/peer/DocumentSource.cpp
+++ b/modules/hc_peer/peer/DocumentSource.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <deque>
+#include <malloc.h>
 #include <mutex>
 
 namespace hemlockchute {
@@ -15,10 +16,20 @@
 constexpr Duration holdTimeAfterChange = 100ms;
 constexpr Duration changePeriod = 2s;
 /** How long a follower's word about the versions in force counts. */
-constexpr Duration inForceLifetime = 10s;
+constexpr Duration inForceLifetime = 3s;
 /** Documents kept so that a follower a little behind gets a delta. */
 constexpr std::size_t keptDocuments = 8;
 
+/** What a delta needs of an older document: all but what its sections declare. */
+DocumentPointer withoutDeclarations(const Document& document)
+{
+    auto bare = std::make_shared<Document>();
+    bare->version = document.version;
+    bare->digest = document.digest;
+    bare->sections = document.sections;
+    return bare;
+}
+
 /** The versions in force that one process told of. */
 struct FollowerWord {
     std::map<HostName, DocumentVersion> versions;
@@ -132,6 +143,7 @@
         std::lock_guard guard(m_impl->lock);
         if (document->version <= m_impl->documents.back()->version)
             return false;
+        m_impl->documents.back() = withoutDeclarations(*m_impl->documents.back());
         m_impl->documents.push_back(document);
         m_impl->changedAt = std::chrono::steady_clock::now();
         if (m_impl->documents.size() > keptDocuments)
@@ -140,6 +152,8 @@
         listeners = m_impl->listeners;
     }
     logEvent(EventId::DocumentInForce, { { "version", document->version } });
+    // A large document leaves many small free blocks behind once it is parsed.
+    ::malloc_trim(0);
     for (auto& [id, waiter] : waiters) {
         if (auto timer = waiter.timer.lock())
             timer->cancel();
