--- a/modules/hc_keeper/keeper/Keeper.capnp.h
+++ b/modules/hc_keeper/keeper/Keeper.capnp.h
@@ -10,6 +10,7 @@
 #error "Version mismatch between generated code and library headers.  You must use the same version of the Cap'n Proto compiler and library."
 #endif
 
+
 CAPNP_BEGIN_HEADER
 
 namespace capnp {
@@ -22,1670 +23,1360 @@
 CAPNP_DECLARE_SCHEMA(b14efbb5cdc8eba3);
 CAPNP_DECLARE_SCHEMA(eb8a67380ab68c76);
 
-} // namespace schemas
-} // namespace capnp
+}  // namespace schemas
+}  // namespace capnp
 
 namespace hemlockchute {
 namespace keeperwire {
 
 struct HostVersion {
-    HostVersion() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(c3f20166bd80c511, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  HostVersion() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c3f20166bd80c511, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct MemberStatus {
-    MemberStatus() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(8c6e1af8c95133f1, 4, 0)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  MemberStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8c6e1af8c95133f1, 4, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct TermStatus {
-    TermStatus() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(f6ee6b97156ca470, 3, 2)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  TermStatus() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(f6ee6b97156ca470, 3, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct KeeperReport {
-    KeeperReport() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(cc7cd9e2988ab42c, 5, 4)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  KeeperReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(cc7cd9e2988ab42c, 5, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct MemberChange {
-    MemberChange() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(b14efbb5cdc8eba3, 3, 3)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  MemberChange() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b14efbb5cdc8eba3, 3, 3)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 struct MemberChangeReply {
-    MemberChangeReply() = delete;
-
-    class Reader;
-    class Builder;
-    class Pipeline;
-
-    struct _capnpPrivate {
-        CAPNP_DECLARE_STRUCT_HEADER(eb8a67380ab68c76, 1, 1)
-#if !CAPNP_LITE
-        static constexpr ::capnp::_::RawBrandedSchema const* brand()
-        {
-            return &schema->defaultBrand;
-        }
-#endif // !CAPNP_LITE
-    };
+  MemberChangeReply() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb8a67380ab68c76, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
 };
 
 // =======================================================================================
 
 class HostVersion::Reader {
 public:
-    typedef HostVersion Reads;
+  typedef HostVersion Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasHost() const;
-    inline ::capnp::Text::Reader getHost() const;
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
 
-    inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class HostVersion::Builder {
 public:
-    typedef HostVersion Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef HostVersion Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasHost();
-    inline ::capnp::Text::Builder getHost();
-    inline void setHost(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initHost(unsigned int size);
-    inline void adoptHost(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownHost();
-
-    inline ::uint64_t getVersion();
-    inline void setVersion(::uint64_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class HostVersion::Pipeline {
 public:
-    typedef HostVersion Pipelines;
+  typedef HostVersion Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class MemberStatus::Reader {
 public:
-    typedef MemberStatus Reads;
+  typedef MemberStatus Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getKeeper() const;
+  inline  ::uint64_t getKeeper() const;
 
-    inline ::uint64_t getIncarnation() const;
+  inline  ::uint64_t getIncarnation() const;
 
-    inline bool getIsVoter() const;
+  inline bool getIsVoter() const;
 
-    inline ::uint64_t getMatched() const;
+  inline  ::uint64_t getMatched() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class MemberStatus::Builder {
 public:
-    typedef MemberStatus Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef MemberStatus Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getKeeper();
-    inline void setKeeper(::uint64_t value);
+  inline  ::uint64_t getKeeper();
+  inline void setKeeper( ::uint64_t value);
 
-    inline ::uint64_t getIncarnation();
-    inline void setIncarnation(::uint64_t value);
+  inline  ::uint64_t getIncarnation();
+  inline void setIncarnation( ::uint64_t value);
 
-    inline bool getIsVoter();
-    inline void setIsVoter(bool value);
+  inline bool getIsVoter();
+  inline void setIsVoter(bool value);
 
-    inline ::uint64_t getMatched();
-    inline void setMatched(::uint64_t value);
+  inline  ::uint64_t getMatched();
+  inline void setMatched( ::uint64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class MemberStatus::Pipeline {
 public:
-    typedef MemberStatus Pipelines;
+  typedef MemberStatus Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class TermStatus::Reader {
 public:
-    typedef TermStatus Reads;
+  typedef TermStatus Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool hasDataCentre() const;
-    inline ::capnp::Text::Reader getDataCentre() const;
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
-    inline bool getGranted() const;
+  inline bool getGranted() const;
 
-    inline ::uint64_t getFencing() const;
+  inline  ::uint64_t getFencing() const;
 
-    inline bool hasHolder() const;
-    inline ::capnp::Text::Reader getHolder() const;
+  inline bool hasHolder() const;
+  inline  ::capnp::Text::Reader getHolder() const;
 
-    inline ::int64_t getLeaseNanoseconds() const;
+  inline  ::int64_t getLeaseNanoseconds() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class TermStatus::Builder {
 public:
-    typedef TermStatus Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef TermStatus Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline bool hasDataCentre();
-    inline ::capnp::Text::Builder getDataCentre();
-    inline void setDataCentre(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initDataCentre(unsigned int size);
-    inline void adoptDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownDataCentre();
-
-    inline bool getGranted();
-    inline void setGranted(bool value);
-
-    inline ::uint64_t getFencing();
-    inline void setFencing(::uint64_t value);
-
-    inline bool hasHolder();
-    inline ::capnp::Text::Builder getHolder();
-    inline void setHolder(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initHolder(unsigned int size);
-    inline void adoptHolder(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownHolder();
-
-    inline ::int64_t getLeaseNanoseconds();
-    inline void setLeaseNanoseconds(::int64_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool getGranted();
+  inline void setGranted(bool value);
+
+  inline  ::uint64_t getFencing();
+  inline void setFencing( ::uint64_t value);
+
+  inline bool hasHolder();
+  inline  ::capnp::Text::Builder getHolder();
+  inline void setHolder( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHolder(unsigned int size);
+  inline void adoptHolder(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHolder();
+
+  inline  ::int64_t getLeaseNanoseconds();
+  inline void setLeaseNanoseconds( ::int64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class TermStatus::Pipeline {
 public:
-    typedef TermStatus Pipelines;
+  typedef TermStatus Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class KeeperReport::Reader {
 public:
-    typedef KeeperReport Reads;
+  typedef KeeperReport Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getKeeper() const;
+  inline  ::uint64_t getKeeper() const;
 
-    inline bool hasIdentity() const;
-    inline ::capnp::Data::Reader getIdentity() const;
+  inline bool hasIdentity() const;
+  inline  ::capnp::Data::Reader getIdentity() const;
 
-    inline ::uint64_t getLeader() const;
+  inline  ::uint64_t getLeader() const;
 
-    inline ::uint64_t getTerm() const;
+  inline  ::uint64_t getTerm() const;
 
-    inline ::uint64_t getCommitted() const;
+  inline  ::uint64_t getCommitted() const;
 
-    inline ::uint64_t getVersion() const;
+  inline  ::uint64_t getVersion() const;
 
-    inline bool hasMembers() const;
-    inline ::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Reader getMembers() const;
+  inline bool hasMembers() const;
+  inline  ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Reader getMembers() const;
 
-    inline bool hasInForce() const;
-    inline ::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Reader getInForce() const;
+  inline bool hasInForce() const;
+  inline  ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Reader getInForce() const;
 
-    inline bool hasTerms() const;
-    inline ::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Reader getTerms() const;
+  inline bool hasTerms() const;
+  inline  ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Reader getTerms() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class KeeperReport::Builder {
 public:
-    typedef KeeperReport Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef KeeperReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline ::uint64_t getKeeper();
-    inline void setKeeper(::uint64_t value);
-
-    inline bool hasIdentity();
-    inline ::capnp::Data::Builder getIdentity();
-    inline void setIdentity(::capnp::Data::Reader value);
-    inline ::capnp::Data::Builder initIdentity(unsigned int size);
-    inline void adoptIdentity(::capnp::Orphan<::capnp::Data>&& value);
-    inline ::capnp::Orphan<::capnp::Data> disownIdentity();
-
-    inline ::uint64_t getLeader();
-    inline void setLeader(::uint64_t value);
-
-    inline ::uint64_t getTerm();
-    inline void setTerm(::uint64_t value);
-
-    inline ::uint64_t getCommitted();
-    inline void setCommitted(::uint64_t value);
-
-    inline ::uint64_t getVersion();
-    inline void setVersion(::uint64_t value);
-
-    inline bool hasMembers();
-    inline ::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Builder getMembers();
-    inline void setMembers(::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
-    inline void adoptMembers(::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>&& value);
-    inline ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>> disownMembers();
-
-    inline bool hasInForce();
-    inline ::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Builder getInForce();
-    inline void setInForce(::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Builder initInForce(unsigned int size);
-    inline void adoptInForce(::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>&& value);
-    inline ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>> disownInForce();
-
-    inline bool hasTerms();
-    inline ::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Builder getTerms();
-    inline void setTerms(::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Reader value);
-    inline ::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Builder initTerms(unsigned int size);
-    inline void adoptTerms(::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>&& value);
-    inline ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>> disownTerms();
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getKeeper();
+  inline void setKeeper( ::uint64_t value);
+
+  inline bool hasIdentity();
+  inline  ::capnp::Data::Builder getIdentity();
+  inline void setIdentity( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initIdentity(unsigned int size);
+  inline void adoptIdentity(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownIdentity();
+
+  inline  ::uint64_t getLeader();
+  inline void setLeader( ::uint64_t value);
+
+  inline  ::uint64_t getTerm();
+  inline void setTerm( ::uint64_t value);
+
+  inline  ::uint64_t getCommitted();
+  inline void setCommitted( ::uint64_t value);
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasMembers();
+  inline  ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Builder getMembers();
+  inline void setMembers( ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Builder initMembers(unsigned int size);
+  inline void adoptMembers(::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>> disownMembers();
+
+  inline bool hasInForce();
+  inline  ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Builder getInForce();
+  inline void setInForce( ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Builder initInForce(unsigned int size);
+  inline void adoptInForce(::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>> disownInForce();
+
+  inline bool hasTerms();
+  inline  ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Builder getTerms();
+  inline void setTerms( ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Builder initTerms(unsigned int size);
+  inline void adoptTerms(::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>> disownTerms();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class KeeperReport::Pipeline {
 public:
-    typedef KeeperReport Pipelines;
+  typedef KeeperReport Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class MemberChange::Reader {
 public:
-    typedef MemberChange Reads;
+  typedef MemberChange Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline ::uint64_t getRemove() const;
+  inline  ::uint64_t getRemove() const;
 
-    inline ::uint64_t getAdd() const;
+  inline  ::uint64_t getAdd() const;
 
-    inline bool hasAddHost() const;
-    inline ::capnp::Text::Reader getAddHost() const;
+  inline bool hasAddHost() const;
+  inline  ::capnp::Text::Reader getAddHost() const;
 
-    inline bool hasAddDataCentre() const;
-    inline ::capnp::Text::Reader getAddDataCentre() const;
+  inline bool hasAddDataCentre() const;
+  inline  ::capnp::Text::Reader getAddDataCentre() const;
 
-    inline bool hasAddPeer() const;
-    inline ::capnp::Text::Reader getAddPeer() const;
+  inline bool hasAddPeer() const;
+  inline  ::capnp::Text::Reader getAddPeer() const;
 
-    inline ::int64_t getTimeoutNanoseconds() const;
+  inline  ::int64_t getTimeoutNanoseconds() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class MemberChange::Builder {
 public:
-    typedef MemberChange Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef MemberChange Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
-
-    inline ::uint64_t getRemove();
-    inline void setRemove(::uint64_t value);
-
-    inline ::uint64_t getAdd();
-    inline void setAdd(::uint64_t value);
-
-    inline bool hasAddHost();
-    inline ::capnp::Text::Builder getAddHost();
-    inline void setAddHost(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initAddHost(unsigned int size);
-    inline void adoptAddHost(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownAddHost();
-
-    inline bool hasAddDataCentre();
-    inline ::capnp::Text::Builder getAddDataCentre();
-    inline void setAddDataCentre(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initAddDataCentre(unsigned int size);
-    inline void adoptAddDataCentre(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownAddDataCentre();
-
-    inline bool hasAddPeer();
-    inline ::capnp::Text::Builder getAddPeer();
-    inline void setAddPeer(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initAddPeer(unsigned int size);
-    inline void adoptAddPeer(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownAddPeer();
-
-    inline ::int64_t getTimeoutNanoseconds();
-    inline void setTimeoutNanoseconds(::int64_t value);
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRemove();
+  inline void setRemove( ::uint64_t value);
+
+  inline  ::uint64_t getAdd();
+  inline void setAdd( ::uint64_t value);
+
+  inline bool hasAddHost();
+  inline  ::capnp::Text::Builder getAddHost();
+  inline void setAddHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddHost(unsigned int size);
+  inline void adoptAddHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddHost();
+
+  inline bool hasAddDataCentre();
+  inline  ::capnp::Text::Builder getAddDataCentre();
+  inline void setAddDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddDataCentre(unsigned int size);
+  inline void adoptAddDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddDataCentre();
+
+  inline bool hasAddPeer();
+  inline  ::capnp::Text::Builder getAddPeer();
+  inline void setAddPeer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddPeer(unsigned int size);
+  inline void adoptAddPeer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddPeer();
+
+  inline  ::int64_t getTimeoutNanoseconds();
+  inline void setTimeoutNanoseconds( ::int64_t value);
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class MemberChange::Pipeline {
 public:
-    typedef MemberChange Pipelines;
+  typedef MemberChange Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 class MemberChangeReply::Reader {
 public:
-    typedef MemberChangeReply Reads;
+  typedef MemberChangeReply Reads;
 
-    Reader() = default;
-    inline explicit Reader(::capnp::_::StructReader base)
-        : _reader(base)
-    {
-    }
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-    inline ::capnp::MessageSize totalSize() const
-    {
-        return _reader.totalSize().asPublic();
-    }
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-    inline bool getDone() const;
+  inline bool getDone() const;
 
-    inline ::uint8_t getCode() const;
+  inline  ::uint8_t getCode() const;
 
-    inline bool hasDetail() const;
-    inline ::capnp::Text::Reader getDetail() const;
+  inline bool hasDetail() const;
+  inline  ::capnp::Text::Reader getDetail() const;
 
 private:
-    ::capnp::_::StructReader _reader;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::List;
-    friend class ::capnp::MessageBuilder;
-    friend class ::capnp::Orphanage;
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
 };
 
 class MemberChangeReply::Builder {
 public:
-    typedef MemberChangeReply Builds;
-
-    Builder() = delete; // Deleted to discourage incorrect usage.
-                        // You can explicitly initialize to nullptr instead.
-    inline Builder(decltype(nullptr)) { }
-    inline explicit Builder(::capnp::_::StructBuilder base)
-        : _builder(base)
-    {
-    }
-    inline operator Reader() const { return Reader(_builder.asReader()); }
-    inline Reader asReader() const { return *this; }
-
-    inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+  typedef MemberChangeReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
 #if !CAPNP_LITE
-    inline ::kj::StringTree toString() const
-    {
-        return asReader().toString();
-    }
-#endif // !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
 
-    inline bool getDone();
-    inline void setDone(bool value);
+  inline bool getDone();
+  inline void setDone(bool value);
 
-    inline ::uint8_t getCode();
-    inline void setCode(::uint8_t value);
+  inline  ::uint8_t getCode();
+  inline void setCode( ::uint8_t value);
 
-    inline bool hasDetail();
-    inline ::capnp::Text::Builder getDetail();
-    inline void setDetail(::capnp::Text::Reader value);
-    inline ::capnp::Text::Builder initDetail(unsigned int size);
-    inline void adoptDetail(::capnp::Orphan<::capnp::Text>&& value);
-    inline ::capnp::Orphan<::capnp::Text> disownDetail();
+  inline bool hasDetail();
+  inline  ::capnp::Text::Builder getDetail();
+  inline void setDetail( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDetail(unsigned int size);
+  inline void adoptDetail(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDetail();
 
 private:
-    ::capnp::_::StructBuilder _builder;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
-    friend class ::capnp::Orphanage;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::_::PointerHelpers;
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
 };
 
 #if !CAPNP_LITE
 class MemberChangeReply::Pipeline {
 public:
-    typedef MemberChangeReply Pipelines;
+  typedef MemberChangeReply Pipelines;
 
-    inline Pipeline(decltype(nullptr))
-        : _typeless(nullptr)
-    {
-    }
-    inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-        : _typeless(kj::mv(typeless))
-    {
-    }
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
 private:
-    ::capnp::AnyPointer::Pipeline _typeless;
-    friend class ::capnp::PipelineHook;
-    template <typename, ::capnp::Kind>
-    friend struct ::capnp::ToDynamic_;
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
 };
-#endif // !CAPNP_LITE
+#endif  // !CAPNP_LITE
 
 // =======================================================================================
 
-inline bool HostVersion::Reader::hasHost() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool HostVersion::Builder::hasHost()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::Text::Reader HostVersion::Reader::getHost() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder HostVersion::Builder::getHost()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void HostVersion::Builder::setHost(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::Text::Builder HostVersion::Builder::initHost(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
-        size);
+inline bool HostVersion::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool HostVersion::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader HostVersion::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder HostVersion::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void HostVersion::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder HostVersion::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void HostVersion::Builder::adoptHost(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
-        kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> HostVersion::Builder::disownHost()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> HostVersion::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t HostVersion::Reader::getVersion() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HostVersion::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t HostVersion::Builder::getVersion()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HostVersion::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void HostVersion::Builder::setVersion(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void HostVersion::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t MemberStatus::Reader::getKeeper() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberStatus::Reader::getKeeper() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MemberStatus::Builder::getKeeper()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberStatus::Builder::getKeeper() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberStatus::Builder::setKeeper(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberStatus::Builder::setKeeper( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t MemberStatus::Reader::getIncarnation() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberStatus::Reader::getIncarnation() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MemberStatus::Builder::getIncarnation()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberStatus::Builder::getIncarnation() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberStatus::Builder::setIncarnation(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberStatus::Builder::setIncarnation( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberStatus::Reader::getIsVoter() const
-{
-    return _reader.getDataField<bool>(
-        ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline bool MemberStatus::Reader::getIsVoter() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberStatus::Builder::getIsVoter()
-{
-    return _builder.getDataField<bool>(
-        ::capnp::bounded<128>() * ::capnp::ELEMENTS);
+inline bool MemberStatus::Builder::getIsVoter() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS);
 }
-inline void MemberStatus::Builder::setIsVoter(bool value)
-{
-    _builder.setDataField<bool>(
-        ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
+inline void MemberStatus::Builder::setIsVoter(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t MemberStatus::Reader::getMatched() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberStatus::Reader::getMatched() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t MemberStatus::Builder::getMatched()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t MemberStatus::Builder::getMatched() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MemberStatus::Builder::setMatched(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void MemberStatus::Builder::setMatched( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool TermStatus::Reader::hasDataCentre() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
+inline bool TermStatus::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool TermStatus::Builder::hasDataCentre()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
+inline bool TermStatus::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader TermStatus::Reader::getDataCentre() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader TermStatus::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder TermStatus::Builder::getDataCentre()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder TermStatus::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void TermStatus::Builder::setDataCentre(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
+inline void TermStatus::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder TermStatus::Builder::initDataCentre(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
-        size);
+inline  ::capnp::Text::Builder TermStatus::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void TermStatus::Builder::adoptDataCentre(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> TermStatus::Builder::disownDataCentre()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool TermStatus::Reader::getGranted() const
-{
-    return _reader.getDataField<bool>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline bool TermStatus::Builder::getGranted()
-{
-    return _builder.getDataField<bool>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void TermStatus::Builder::setGranted(bool value)
-{
-    _builder.setDataField<bool>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint64_t TermStatus::Reader::getFencing() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t TermStatus::Builder::getFencing()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void TermStatus::Builder::setFencing(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool TermStatus::Reader::hasHolder() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<1>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool TermStatus::Builder::hasHolder()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<1>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::Text::Reader TermStatus::Reader::getHolder() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder TermStatus::Builder::getHolder()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void TermStatus::Builder::setHolder(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::Text::Builder TermStatus::Builder::initHolder(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<1>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TermStatus::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool TermStatus::Reader::getGranted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool TermStatus::Builder::getGranted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void TermStatus::Builder::setGranted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t TermStatus::Reader::getFencing() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t TermStatus::Builder::getFencing() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void TermStatus::Builder::setFencing( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool TermStatus::Reader::hasHolder() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool TermStatus::Builder::hasHolder() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader TermStatus::Reader::getHolder() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder TermStatus::Builder::getHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void TermStatus::Builder::setHolder( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder TermStatus::Builder::initHolder(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void TermStatus::Builder::adoptHolder(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<1>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> TermStatus::Builder::disownHolder()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline ::int64_t TermStatus::Reader::getLeaseNanoseconds() const
-{
-    return _reader.getDataField<::int64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline ::int64_t TermStatus::Builder::getLeaseNanoseconds()
-{
-    return _builder.getDataField<::int64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void TermStatus::Builder::setLeaseNanoseconds(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint64_t KeeperReport::Reader::getKeeper() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t KeeperReport::Builder::getKeeper()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void KeeperReport::Builder::setKeeper(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool KeeperReport::Reader::hasIdentity() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool KeeperReport::Builder::hasIdentity()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::Data::Reader KeeperReport::Reader::getIdentity() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(_reader.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Data::Builder KeeperReport::Builder::getIdentity()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::get(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void KeeperReport::Builder::setIdentity(::capnp::Data::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::Data::Builder KeeperReport::Builder::initIdentity(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> TermStatus::Builder::disownHolder() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t TermStatus::Reader::getLeaseNanoseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t TermStatus::Builder::getLeaseNanoseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void TermStatus::Builder::setLeaseNanoseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t KeeperReport::Reader::getKeeper() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t KeeperReport::Builder::getKeeper() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void KeeperReport::Builder::setKeeper( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool KeeperReport::Reader::hasIdentity() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeeperReport::Builder::hasIdentity() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader KeeperReport::Reader::getIdentity() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder KeeperReport::Builder::getIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void KeeperReport::Builder::setIdentity( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder KeeperReport::Builder::initIdentity(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void KeeperReport::Builder::adoptIdentity(
-    ::capnp::Orphan<::capnp::Data>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Data>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
-        kj::mv(value));
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Data> KeeperReport::Builder::disownIdentity()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Data>::disown(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Data> KeeperReport::Builder::disownIdentity() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline ::uint64_t KeeperReport::Reader::getLeader() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Reader::getLeader() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t KeeperReport::Builder::getLeader()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Builder::getLeader() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void KeeperReport::Builder::setLeader(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void KeeperReport::Builder::setLeader( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t KeeperReport::Reader::getTerm() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Reader::getTerm() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t KeeperReport::Builder::getTerm()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Builder::getTerm() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void KeeperReport::Builder::setTerm(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void KeeperReport::Builder::setTerm( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t KeeperReport::Reader::getCommitted() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Reader::getCommitted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t KeeperReport::Builder::getCommitted()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Builder::getCommitted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void KeeperReport::Builder::setCommitted(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void KeeperReport::Builder::setCommitted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint64_t KeeperReport::Reader::getVersion() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Reader::getVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint64_t KeeperReport::Builder::getVersion()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::uint64_t KeeperReport::Builder::getVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void KeeperReport::Builder::setVersion(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void KeeperReport::Builder::setVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool KeeperReport::Reader::hasMembers() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<1>() * ::capnp::POINTERS)
-                .isNull();
+inline bool KeeperReport::Reader::hasMembers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool KeeperReport::Builder::hasMembers()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<1>() * ::capnp::POINTERS)
-                .isNull();
+inline bool KeeperReport::Builder::hasMembers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Reader KeeperReport::Reader::getMembers() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Reader KeeperReport::Reader::getMembers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline ::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::getMembers()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::getMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void KeeperReport::Builder::setMembers(::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-                                                                                                                        ::capnp::bounded<1>() * ::capnp::POINTERS),
-        value);
+inline void KeeperReport::Builder::setMembers( ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::initMembers(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-                                                                                                                                ::capnp::bounded<1>() * ::capnp::POINTERS),
-        size);
+inline  ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::initMembers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void KeeperReport::Builder::adoptMembers(
-    ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-                                                                                                                          ::capnp::bounded<1>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>> KeeperReport::Builder::disownMembers()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::MemberStatus, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool KeeperReport::Reader::hasInForce() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<2>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool KeeperReport::Builder::hasInForce()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<2>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Reader KeeperReport::Reader::getInForce() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-        ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::getInForce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-        ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void KeeperReport::Builder::setInForce(::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-                                                                                                                       ::capnp::bounded<2>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::initInForce(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-                                                                                                                               ::capnp::bounded<2>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>> KeeperReport::Builder::disownMembers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::MemberStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool KeeperReport::Reader::hasInForce() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeeperReport::Builder::hasInForce() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Reader KeeperReport::Reader::getInForce() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::getInForce() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void KeeperReport::Builder::setInForce( ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::initInForce(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void KeeperReport::Builder::adoptInForce(
-    ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-                                                                                                                         ::capnp::bounded<2>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>> KeeperReport::Builder::disownInForce()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::HostVersion, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-        ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-
-inline bool KeeperReport::Reader::hasTerms() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<3>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool KeeperReport::Builder::hasTerms()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<3>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Reader KeeperReport::Reader::getTerms() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-        ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline ::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::getTerms()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-        ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-inline void KeeperReport::Builder::setTerms(::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-                                                                                                                      ::capnp::bounded<3>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::initTerms(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-                                                                                                                              ::capnp::bounded<3>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>> KeeperReport::Builder::disownInForce() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::HostVersion,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool KeeperReport::Reader::hasTerms() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool KeeperReport::Builder::hasTerms() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Reader KeeperReport::Reader::getTerms() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::getTerms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void KeeperReport::Builder::setTerms( ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>::Builder KeeperReport::Builder::initTerms(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void KeeperReport::Builder::adoptTerms(
-    ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-                                                                                                                        ::capnp::bounded<3>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>> KeeperReport::Builder::disownTerms()
-{
-    return ::capnp::_::PointerHelpers<::capnp::List<::hemlockchute::keeperwire::TermStatus, ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-        ::capnp::bounded<3>() * ::capnp::POINTERS));
-}
-
-inline ::uint64_t MemberChange::Reader::getRemove() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t MemberChange::Builder::getRemove()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void MemberChange::Builder::setRemove(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline ::uint64_t MemberChange::Reader::getAdd() const
-{
-    return _reader.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline ::uint64_t MemberChange::Builder::getAdd()
-{
-    return _builder.getDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void MemberChange::Builder::setAdd(::uint64_t value)
-{
-    _builder.setDataField<::uint64_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool MemberChange::Reader::hasAddHost() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool MemberChange::Builder::hasAddHost()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::Text::Reader MemberChange::Reader::getAddHost() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder MemberChange::Builder::getAddHost()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void MemberChange::Builder::setAddHost(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::Text::Builder MemberChange::Builder::initAddHost(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>> KeeperReport::Builder::disownTerms() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::keeperwire::TermStatus,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t MemberChange::Reader::getRemove() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberChange::Builder::getRemove() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void MemberChange::Builder::setRemove( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t MemberChange::Reader::getAdd() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberChange::Builder::getAdd() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void MemberChange::Builder::setAdd( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool MemberChange::Reader::hasAddHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberChange::Builder::hasAddHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberChange::Reader::getAddHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberChange::Builder::getAddHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void MemberChange::Builder::setAddHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberChange::Builder::initAddHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void MemberChange::Builder::adoptAddHost(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> MemberChange::Builder::disownAddHost()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool MemberChange::Reader::hasAddDataCentre() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<1>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool MemberChange::Builder::hasAddDataCentre()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<1>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::Text::Reader MemberChange::Reader::getAddDataCentre() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder MemberChange::Builder::getAddDataCentre()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void MemberChange::Builder::setAddDataCentre(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<1>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::Text::Builder MemberChange::Builder::initAddDataCentre(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<1>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberChange::Builder::disownAddHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool MemberChange::Reader::hasAddDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberChange::Builder::hasAddDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberChange::Reader::getAddDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberChange::Builder::getAddDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void MemberChange::Builder::setAddDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberChange::Builder::initAddDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
 inline void MemberChange::Builder::adoptAddDataCentre(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<1>() * ::capnp::POINTERS),
-        kj::mv(value));
-}
-inline ::capnp::Orphan<::capnp::Text> MemberChange::Builder::disownAddDataCentre()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool MemberChange::Reader::hasAddPeer() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<2>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline bool MemberChange::Builder::hasAddPeer()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<2>() * ::capnp::POINTERS)
-                .isNull();
-}
-inline ::capnp::Text::Reader MemberChange::Reader::getAddPeer() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline ::capnp::Text::Builder MemberChange::Builder::getAddPeer()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void MemberChange::Builder::setAddPeer(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<2>() * ::capnp::POINTERS),
-        value);
-}
-inline ::capnp::Text::Builder MemberChange::Builder::initAddPeer(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<2>() * ::capnp::POINTERS),
-        size);
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> MemberChange::Builder::disownAddDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool MemberChange::Reader::hasAddPeer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool MemberChange::Builder::hasAddPeer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader MemberChange::Reader::getAddPeer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder MemberChange::Builder::getAddPeer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void MemberChange::Builder::setAddPeer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder MemberChange::Builder::initAddPeer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
 inline void MemberChange::Builder::adoptAddPeer(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<2>() * ::capnp::POINTERS),
-        kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberChange::Builder::disownAddPeer()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<2>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberChange::Builder::disownAddPeer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline ::int64_t MemberChange::Reader::getTimeoutNanoseconds() const
-{
-    return _reader.getDataField<::int64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t MemberChange::Reader::getTimeoutNanoseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
 
-inline ::int64_t MemberChange::Builder::getTimeoutNanoseconds()
-{
-    return _builder.getDataField<::int64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t MemberChange::Builder::getTimeoutNanoseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
 }
-inline void MemberChange::Builder::setTimeoutNanoseconds(::int64_t value)
-{
-    _builder.setDataField<::int64_t>(
-        ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void MemberChange::Builder::setTimeoutNanoseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberChangeReply::Reader::getDone() const
-{
-    return _reader.getDataField<bool>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberChangeReply::Reader::getDone() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline bool MemberChangeReply::Builder::getDone()
-{
-    return _builder.getDataField<bool>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool MemberChangeReply::Builder::getDone() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void MemberChangeReply::Builder::setDone(bool value)
-{
-    _builder.setDataField<bool>(
-        ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline void MemberChangeReply::Builder::setDone(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline ::uint8_t MemberChangeReply::Reader::getCode() const
-{
-    return _reader.getDataField<::uint8_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MemberChangeReply::Reader::getCode() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline ::uint8_t MemberChangeReply::Builder::getCode()
-{
-    return _builder.getDataField<::uint8_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::uint8_t MemberChangeReply::Builder::getCode() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void MemberChangeReply::Builder::setCode(::uint8_t value)
-{
-    _builder.setDataField<::uint8_t>(
-        ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline void MemberChangeReply::Builder::setCode( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool MemberChangeReply::Reader::hasDetail() const
-{
-    return !_reader.getPointerField(
-                       ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
+inline bool MemberChangeReply::Reader::hasDetail() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool MemberChangeReply::Builder::hasDetail()
-{
-    return !_builder.getPointerField(
-                        ::capnp::bounded<0>() * ::capnp::POINTERS)
-                .isNull();
+inline bool MemberChangeReply::Builder::hasDetail() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline ::capnp::Text::Reader MemberChangeReply::Reader::getDetail() const
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_reader.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Reader MemberChangeReply::Reader::getDetail() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline ::capnp::Text::Builder MemberChangeReply::Builder::getDetail()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::get(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::Text::Builder MemberChangeReply::Builder::getDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void MemberChangeReply::Builder::setDetail(::capnp::Text::Reader value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::set(_builder.getPointerField(
-                                                       ::capnp::bounded<0>() * ::capnp::POINTERS),
-        value);
+inline void MemberChangeReply::Builder::setDetail( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline ::capnp::Text::Builder MemberChangeReply::Builder::initDetail(unsigned int size)
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::init(_builder.getPointerField(
-                                                               ::capnp::bounded<0>() * ::capnp::POINTERS),
-        size);
+inline  ::capnp::Text::Builder MemberChangeReply::Builder::initDetail(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
 inline void MemberChangeReply::Builder::adoptDetail(
-    ::capnp::Orphan<::capnp::Text>&& value)
-{
-    ::capnp::_::PointerHelpers<::capnp::Text>::adopt(_builder.getPointerField(
-                                                         ::capnp::bounded<0>() * ::capnp::POINTERS),
-        kj::mv(value));
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan<::capnp::Text> MemberChangeReply::Builder::disownDetail()
-{
-    return ::capnp::_::PointerHelpers<::capnp::Text>::disown(_builder.getPointerField(
-        ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline ::capnp::Orphan< ::capnp::Text> MemberChangeReply::Builder::disownDetail() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-} // namespace keeperwire
-} // namespace hemlockchute
+}  // namespace
+}  // namespace
 
 CAPNP_END_HEADER
+
