Load elsewhere when an engine dies in the middle of a load

Cause: the load on the dead engine stayed the one in flight for its model, and the one load from the store that the data centre may have at once, until the platform dropped the engine. Ruled out: the permit (a second one was free) and the request's place in the queue.

--- a/modules/hc_controller/controller/Controller.cpp
+++ b/modules/hc_controller/controller/Controller.cpp
@@ -293,7 +293,7 @@
     text += line("document_version", m_context->documents.current()->version.value());
     text += line("orders_sent_total", m_term ? m_term->ordersSent() : 0);
     text += line("orders_unsettled", m_term && m_term->book().hasUnsettledOrders() ? 1 : 0);
-    text += line("store_loads_in_flight", m_term ? m_term->book().storeLoadsInFlight() : 0);
+    text += line("store_loads_in_flight", m_term ? m_term->book().storeLoadsInFlight(now) : 0);
     text += line("models_waited_for", m_context->demand.waitingModels(now));
     return HttpResponse::text(200, text);
 }
--- a/modules/hc_controller/controller/OrderBook.cpp
+++ b/modules/hc_controller/controller/OrderBook.cpp
@@ -374,9 +374,15 @@
     return std::max(counted, reported + notInState);
 }
 
-unsigned OrderBook::storeLoadsInFlight() const
+unsigned OrderBook::storeLoadsInFlight(Instant now) const
 {
-    return static_cast<unsigned>(m_storeLoads.size());
+    return static_cast<unsigned>(std::count_if(m_storeLoads.begin(), m_storeLoads.end(), [&](const auto& load) { return isAnswering(load.first, now); }));
+}
+
+bool OrderBook::isAnswering(const BackendServerName& name, Instant now) const
+{
+    const Engine* engine = find(name);
+    return engine && now - engine->lastHeard < m_options.answersWithin;
 }
 
 unsigned OrderBook::adapterLoadsInFlight() const
@@ -413,7 +419,8 @@
         entry.memory = engine.state->memory;
         entry.memoryReserved = reservedMemory(name);
         bool isLeaving = engine.server.isLeaving || engine.state->isLeaving || !engine.isListed || m_document->drains.contains(name);
-        entry.takesNewWork = !isLeaving && mayOrder(name, now);
+        entry.isAnswering = isAnswering(name, now);
+        entry.takesNewWork = !isLeaving && entry.isAnswering && mayOrder(name, now);
         entry.cachedInMemory = engine.state->cachedInMemory;
         entry.cachedOnDisk = engine.state->cachedOnDisk;
         for (const auto& [model, possible] : possibleOn(engine)) {
--- a/modules/hc_controller/controller/PlacementTerm.cpp
+++ b/modules/hc_controller/controller/PlacementTerm.cpp
@@ -269,7 +269,7 @@
             input.permits[model] = m_book.possibleReplicas(model);
     }
     m_shares.setDemand(m_context->demand.waitingModels(now), m_context->demand.waitingAdapters(now));
-    input.storeLoadsAllowed = m_shares.storeLoadsAllowed(m_book.storeLoadsInFlight(), now);
+    input.storeLoadsAllowed = m_shares.storeLoadsAllowed(m_book.storeLoadsInFlight(now), now);
     input.adapterLoadsAllowed = m_shares.adapterLoadsAllowed(m_book.adapterLoadsInFlight(), now);
     return input;
 }
--- a/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
+++ b/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
@@ -65,6 +65,8 @@
         unsigned driftPerMille = 50;
         /** An engine that is not listed and not heard of for so long has left for good. */
         Duration goneAfter = 30s;
+        /** An engine whose state was not read for so long takes no new work. */
+        Duration answersWithin = 2s;
         /** An engine without a newer state is given no loads. */
         Duration freshness = 5s;
 
@@ -134,11 +136,13 @@
     std::set<ModelName> possibleModels() const;
     /** Memory of an engine that may be in use. */
     ByteCount reservedMemory(const BackendServerName&) const;
-    /** Loads from the store whose end is not known. */
-    unsigned storeLoadsInFlight() const;
+    /** Loads from the store whose end is not known, on engines whose state is being read. */
+    unsigned storeLoadsInFlight(Instant now) const;
     /** Adapter loads whose end is not known. */
     unsigned adapterLoadsInFlight() const;
     bool hasUnsettledOrders() const { return !m_orders.empty(); }
+    /** True while an engine's state is being read. */
+    bool isAnswering(const BackendServerName&, Instant now) const;
     /** True while an engine has an order whose outcome is not known, or a model that is neither loaded nor gone. */
     bool isChanging(const BackendServerName&) const;
     /** True when the engine's state is known well enough to order anything. */
--- a/modules/hc_policy/include/hemlockchute/policy/PlacementPlanner.h
+++ b/modules/hc_policy/include/hemlockchute/policy/PlacementPlanner.h
@@ -39,6 +39,8 @@
     /** Memory that may be in use: loaded, loading, unloading and ordered. */
     ByteCount memoryReserved;
     bool takesNewWork = true;
+    /** False once its state has not been read for a while: what may load there counts against permits and memory, but no other load waits for it. */
+    bool isAnswering = true;
     std::vector<PlannedModel> models;
     std::vector<ModelName> cachedInMemory;
     std::vector<ModelName> cachedOnDisk;
--- a/modules/hc_policy/policy/PlanBuilder.cpp
+++ b/modules/hc_policy/policy/PlanBuilder.cpp
@@ -21,7 +21,7 @@
         for (const PlannedModel& model : engine.models) {
             ModelState& known = m_models[model.model];
             ++known.replicas;
-            known.loading += model.isLoading ? 1 : 0;
+            known.loading += model.isLoading && engine.isAnswering ? 1 : 0;
             bool serves = model.isLoaded && !model.isUnloading && engine.takesNewWork;
             known.serving += serves ? 1 : 0;
             if (model.isUnloading)
--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -1,7 +1,6 @@
 #include "Deployment.h"
 
 #include <algorithm>
-#include <boost/asio/executor_work_guard.hpp>
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
@@ -20,6 +19,7 @@
 constexpr int backendPort = 9001;
 constexpr int platformPort = 9000;
 constexpr int storePort = 9002;
+constexpr int lockPort = 9999;
 constexpr int firstRelayPort = 10000;
 constexpr int firstNetwork = 20;
 constexpr int networkCount = 200;
@@ -39,12 +39,29 @@
     return parseEndpoint(text).value();
 }
 
+/** The first part of addresses that no other deployment on this machine uses; held as long as the acceptor is open. */
+std::string takeNetwork(boost::asio::ip::tcp::acceptor& lock)
+{
+    for (int i = 0; i < networkCount; ++i) {
+        std::string network = "127." + std::to_string(firstNetwork + (::getpid() + i) % networkCount);
+        Endpoint endpoint = endpointOf(joined(network + ".254.1", lockPort));
+        boost::system::error_code error;
+        lock.open(endpoint.protocol());
+        lock.bind(endpoint, error);
+        if (!error)
+            return network;
+        lock.close();
+    }
+    throw std::runtime_error("every network is taken");
+}
+
 } // namespace
 
 Deployment::Deployment(std::filesystem::path programs, std::filesystem::path folder)
     : m_programs(std::move(programs))
     , m_folder(std::move(folder))
-    , m_network("127." + std::to_string(firstNetwork + ::getpid() % networkCount))
+    , m_networkLock(m_context)
+    , m_network(takeNetwork(m_networkLock))
     , m_work(boost::asio::make_work_guard(m_context))
     , m_thread([this] { m_context.run(); })
 {
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -3,6 +3,8 @@
 #include "Process.h"
 #include "Relay.h"
 
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/json.hpp>
 #include <filesystem>
 #include <map>
@@ -107,6 +109,8 @@
 
     std::filesystem::path m_programs;
     std::filesystem::path m_folder;
+    boost::asio::io_context m_context;
+    boost::asio::ip::tcp::acceptor m_networkLock;
     std::string m_network;
     Duration m_delay {};
     int m_maximumWaiting = 4096;
@@ -118,7 +122,6 @@
     std::map<std::string, std::unique_ptr<Process>> m_processes;
     std::map<std::string, bool> m_leaving;
 
-    boost::asio::io_context m_context;
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
     std::thread m_thread;
     /** By the two data centres a relay joins and the address it leads to. */
