--- a/cmake/Modules.cmake
+++ b/cmake/Modules.cmake
@@ -24,7 +24,7 @@
     endforeach()
 
     file(GLOB test_sources CONFIGURE_DEPENDS ${folder}/tests/*.cpp)
-    if(test_sources)
+    if(test_sources AND HEMLOCKCHUTE_TESTS)
         add_executable(hc_${name}_tests ${test_sources} ${PROJECT_SOURCE_DIR}/tests/TestMain.cpp)
         target_include_directories(hc_${name}_tests PRIVATE ${folder} ${folder}/tests ${PROJECT_SOURCE_DIR}/tests)
         target_link_libraries(hc_${name}_tests PRIVATE hc_${name} Boost::unit_test_framework rapidcheck)
--- a/modules/hc_keeper/keeper/KeeperDisk.cpp
+++ b/modules/hc_agreement/agreement/KeeperDisk.cpp
@@ -1,4 +1,4 @@
-#include "keeper/KeeperDisk.h"
+#include "hemlockchute/agreement/KeeperDisk.h"
 
 namespace hemlockchute {
 namespace {
--- a/modules/hc_agreement/agreement/Replica.cpp
+++ b/modules/hc_agreement/agreement/Replica.cpp
@@ -121,6 +121,12 @@
     return m_impl->role == Impl::Role::Leader;
 }
 
+bool Replica::holdsLease(Instant now)
+{
+    m_impl->now = std::max(m_impl->now, now);
+    return m_impl->holdsLease();
+}
+
 std::optional<ReplicaId> Replica::leader() const
 {
     return m_impl->leader;
--- a/modules/hc_keeper/keeper/AgreementGroupRun.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
@@ -1,10 +1,10 @@
+#include "hemlockchute/agreement/ReplicatedGroup.h"
 #include "hemlockchute/core/EventLog.h"
-#include "keeper/AgreementGroup.h"
 
 namespace hemlockchute {
 
 /** The group's thread: one round of effects after the other. */
-void AgreementGroup::run()
+void ReplicatedGroup::run()
 {
     std::unique_lock guard(m_lock);
     while (!m_isStopping) {
@@ -30,7 +30,7 @@
 }
 
 /** Persist, send, apply, answer: in this order. */
-void AgreementGroup::carryOut(const Effects& effects)
+void ReplicatedGroup::carryOut(const Effects& effects)
 {
     if (effects.isOutdated)
         retire();
@@ -41,37 +41,34 @@
     for (const AgreementMessage& message : effects.messages)
         m_hooks.send(message);
     Answers answers;
-    DocumentPointer document;
+    bool hasAdvanced = false;
     {
         std::lock_guard guard(m_lock);
-        applyAll(effects, answers);
+        hasAdvanced = applyAll(effects, answers);
         answerReads(effects, answers);
         m_replica->persisted(m_clock.now());
         noteLeadership();
         if (!m_replica->isLeader())
             abandonProposals(answers);
-        if (m_state.document()->version > m_offered)
-            document = m_state.document();
-    }
-    if (document) {
-        m_offered = document->version;
-        m_hooks.documentChanged(document);
     }
+    if (hasAdvanced)
+        m_hooks.advanced();
     for (auto& [reply, answer] : answers)
         reply(std::move(answer));
     compactIfDue();
 }
 
 //==============================================================================
-void AgreementGroup::applyAll(const Effects& effects, Answers& answers)
+bool ReplicatedGroup::applyAll(const Effects& effects, Answers& answers)
 {
     if (effects.install)
         install(*effects.install, answers);
     for (const LogEntry& entry : effects.committed)
         apply(entry, answers);
+    return effects.install || !effects.committed.empty();
 }
 
-void AgreementGroup::apply(const LogEntry& entry, Answers& answers)
+void ReplicatedGroup::apply(const LogEntry& entry, Answers& answers)
 {
     if (entry.index <= m_applied)
         return;
@@ -79,28 +76,25 @@
     m_appliedBytes += ByteCount(entry.payload.size());
     if (entry.kind != LogEntry::Kind::Command)
         return;
-    auto command = decodeCommand(entry.payload);
-    if (!command)
-        m_hooks.fail(EventId::KeeperEntryUnreadable, "entry " + std::to_string(entry.index.value()) + ": " + command.error().detail);
-    Answer answer = m_state.apply(entry.index, *command);
+    auto answer = m_state.apply(entry);
+    if (!answer)
+        m_hooks.fail(EventId::KeeperEntryUnreadable, "entry " + std::to_string(entry.index.value()) + ": " + answer.error().detail);
     auto pending = m_proposals.find(entry.index);
     if (pending == m_proposals.end())
         return;
-    KeeperReply reply;
+    GroupReply reply;
     bool isOurs = pending->second.term == entry.term;
-    reply.kind = isOurs ? KeeperReply::Kind::Answered : KeeperReply::Kind::Unknown;
+    reply.kind = isOurs ? GroupReply::Kind::Answered : GroupReply::Kind::Unknown;
     if (isOurs)
-        reply.answer = encodeAnswer(answer);
+        reply.answer = std::move(*answer);
     answers.emplace_back(std::move(pending->second.reply), std::move(reply));
     m_proposals.erase(pending);
 }
 
-void AgreementGroup::install(const ReplicaSnapshot& snapshot, Answers& answers)
+void ReplicatedGroup::install(const ReplicaSnapshot& snapshot, Answers& answers)
 {
-    auto state = StateMachine::restore(snapshot.state, m_options.state);
-    if (!state)
-        m_hooks.fail(EventId::KeeperEntryUnreadable, "snapshot " + std::to_string(snapshot.lastIndex.value()) + ": " + state.error().detail);
-    m_state = std::move(*state);
+    if (auto restored = m_state.restore(snapshot.state); !restored)
+        m_hooks.fail(EventId::KeeperEntryUnreadable, "snapshot " + std::to_string(snapshot.lastIndex.value()) + ": " + restored.error().detail);
     m_applied = snapshot.lastIndex;
     m_compacted = snapshot.lastIndex;
     m_appliedBytes = {};
@@ -108,44 +102,40 @@
     logEvent(EventId::KeeperInstalled, { { "index", snapshot.lastIndex } });
 }
 
-void AgreementGroup::answerReads(const Effects& effects, Answers& answers)
+void ReplicatedGroup::answerReads(const Effects& effects, Answers& answers)
 {
-    auto take = [&](std::uint64_t token, KeeperReply answer) {
-        auto read = m_reads.find(token);
-        if (read == m_reads.end())
-            return;
-        answers.emplace_back(std::move(read->second.reply), std::move(answer));
-        m_reads.erase(read);
-    };
     for (std::uint64_t token : effects.readsReady) {
-        auto read = m_reads.find(token);
-        if (read != m_reads.end())
-            take(token, { KeeperReply::Kind::Answered, {}, encodeAnswer(m_state.run(read->second.key)) });
+        auto read = m_reads.extract(token);
+        if (!read.empty())
+            answers.emplace_back(std::move(read.mapped().reply), GroupReply { GroupReply::Kind::Answered, {}, read.mapped().read() });
+    }
+    for (std::uint64_t token : effects.readsFailed) {
+        auto read = m_reads.extract(token);
+        if (!read.empty())
+            answers.emplace_back(std::move(read.mapped().reply), notLeader());
     }
-    for (std::uint64_t token : effects.readsFailed)
-        take(token, notLeader());
 }
 
 /** A former leader cannot know which of its proposals will be agreed on. */
-void AgreementGroup::abandonProposals(Answers& answers)
+void ReplicatedGroup::abandonProposals(Answers& answers)
 {
     for (auto& [index, proposal] : m_proposals) {
-        KeeperReply reply = notLeader();
-        reply.kind = KeeperReply::Kind::Unknown;
+        GroupReply reply = notLeader();
+        reply.kind = GroupReply::Kind::Unknown;
         answers.emplace_back(std::move(proposal.reply), std::move(reply));
     }
     m_proposals.clear();
 }
 
 /** A data folder that lacks what was acknowledged must not vote as its former self. */
-void AgreementGroup::retire()
+void ReplicatedGroup::retire()
 {
     if (auto renewed = m_disk->renew(m_options.nextIncarnation); !renewed)
         m_hooks.fail(EventId::KeeperStorageFailed, renewed.error().detail);
     m_hooks.fail(EventId::KeeperFolderOutdated, "the leader knows of entries that this folder acknowledged and does not hold");
 }
 
-void AgreementGroup::compactIfDue()
+void ReplicatedGroup::compactIfDue()
 {
     std::optional<ReplicaSnapshot> snapshot;
     {
@@ -164,7 +154,7 @@
     logEvent(EventId::KeeperCompacted, { { "index", snapshot->lastIndex } });
 }
 
-void AgreementGroup::noteLeadership()
+void ReplicatedGroup::noteLeadership()
 {
     bool leads = m_replica->isLeader();
     if (leads == std::exchange(m_wasLeader, leads))
--- a/modules/hc_keeper/keeper/KeeperDisk.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/KeeperDisk.h
@@ -13,7 +13,7 @@
     error nothing more may be written; the process stops and opens the folder anew. Thread safety:
     one thread at a time.
 
-    @see AgreementGroup
+    @see ReplicatedGroup
 */
 class KeeperDisk {
 public:
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -122,6 +122,8 @@
 
     //==============================================================================
     bool isLeader() const;
+    /** True while this replica leads and no other can. */
+    bool holdsLease(Instant now);
     /** The leader as far as known. */
     std::optional<ReplicaId> leader() const;
     AgreementTerm term() const;
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -0,0 +1,338 @@
+#include "coordinator/Coordinator.h"
+
+#include "hemlockchute/core/EventLog.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <random>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int exitStorageFailed = 1;
+/** The group is let know of the time so often in each heartbeat interval. */
+constexpr int ticksPerHeartbeat = 3;
+constexpr Duration messageTimeout = 1s;
+/** More messages than these are not held for a coordinator that does not answer. */
+constexpr unsigned mostMessagesUnanswered = 64;
+/** A coordinator that has not known a leader for so long asks to be taken in. */
+constexpr Duration leaderless = 1s;
+constexpr Duration seekInterval = 500ms;
+constexpr Duration tendInterval = 200ms;
+/** Added to the lease between the orders of two hosts, for orders that were on their way. */
+constexpr Duration orderMargin = 500ms;
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    constexpr unsigned halfBits = 32;
+    return (std::uint64_t(device()) << halfBits) | device();
+}
+
+/** Ends the process at once: after a failed sync nothing that was written since can be trusted. */
+[[noreturn]] void endProcess(EventId event, const std::string& reason)
+{
+    logEvent(event, { { "reason", reason } });
+    std::_Exit(exitStorageFailed);
+}
+
+ReplicatedGroup::Options groupOptions(const CoordinatorSettings& settings, IncarnationId next)
+{
+    ReplicatedGroup::Options options;
+    options.replica = Replica::Options().withHeartbeatInterval(settings.heartbeatInterval).withElectionTimeout(settings.electionTimeout).withSeed(randomSeed());
+    options.nextIncarnation = next;
+    return options;
+}
+
+/** As many voters as outlive the losses that are to be borne, and no fewer than the group begins with. */
+VoterPolicy::Options voterOptions(const CoordinatorSettings& settings)
+{
+    VoterPolicy::Options options;
+    options.voters = std::max<std::size_t>(settings.seeds.size(), 2 * settings.toleratedLosses + 1);
+    return options;
+}
+
+PlacementDirector::Options directorOptions(const CoordinatorSettings& settings)
+{
+    PlacementDirector::Options options;
+    options.giver = settings.host;
+    options.placer = options.placer.withStoreLoadsAtOnce(settings.storeLoadsAtOnce);
+    return options;
+}
+
+} // namespace
+
+//==============================================================================
+Coordinator::Coordinator(asio::io_context& context, const CoordinatorSettings& settings, const FleetPlatform& platform, std::unique_ptr<KeeperDisk> disk, IncarnationId next)
+    : m_context(context)
+    , m_settings(settings)
+    , m_platform(platform)
+    , m_id(keeperIdOf(settings.peers))
+    , m_client(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" }, PeerClient::Options())
+    , m_server(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" })
+    , m_http(HttpClient::Options())
+    , m_group(m_id, std::move(disk), groupOptions(settings, next), m_clock, m_register,
+          { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { takeAgreed(); }); }, endProcess })
+    , m_voters(voterOptions(settings))
+    , m_director(context, platform, m_http, directorOptions(settings), [this] { return authority(); })
+    , m_listing(context, platform, m_http, settings.listing, ListingPoller::Options(), [this](const std::vector<ListedServer>& servers, Instant) { m_director.takeListing(servers); })
+    , m_operators(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); })
+    , m_timer(context)
+    , m_seeds(settings.seeds.begin(), settings.seeds.end())
+{
+}
+
+Coordinator::~Coordinator()
+{
+    m_group.stop();
+}
+
+Result<void, RoleErrorCode> Coordinator::start()
+{
+    if (auto started = m_group.start(); !started)
+        return failureBecause(RoleErrorCode::StateUnusable, started.error());
+    bool isFounder = m_settings.isFirstStart && m_group.identity().incarnation == foundingIncarnation();
+    if (isFounder) {
+        Membership founders;
+        for (const Endpoint& seed : m_settings.seeds)
+            founders.voters.insert({ keeperIdOf(seed), foundingIncarnation() });
+        m_group.begin(founders);
+    }
+    takeAgreed();
+    serveCalls();
+    if (auto listening = m_server.listen(m_settings.peers); !listening)
+        return failureBecause(RoleErrorCode::ListenFailed, listening.error());
+    if (auto listening = m_operators.listen(m_settings.operators); !listening)
+        return failureBecause(RoleErrorCode::ListenFailed, listening.error());
+    logEvent(EventId::CoordinatorStarted, { { "id", m_id }, { "incarnation", m_group.identity().incarnation }, { "founder", isFounder }, { "version", m_register.current()->version } });
+    m_leaderSeen = m_clock.now();
+    m_listing.setActive(false);
+    m_listing.start();
+    tick();
+    return {};
+}
+
+void Coordinator::reload(const CoordinatorSettings& settings)
+{
+    m_seeds.insert(settings.seeds.begin(), settings.seeds.end());
+}
+
+void Coordinator::stop(std::function<void()> done)
+{
+    m_isStopping = true;
+    m_timer.cancel();
+    m_listing.stop();
+    m_operators.drain([this, done = std::move(done)] {
+        m_group.stop();
+        m_server.close();
+        done();
+    });
+}
+
+//==============================================================================
+// The group
+
+void Coordinator::tick()
+{
+    if (m_isStopping)
+        return;
+    Instant now = m_clock.now();
+    m_group.tick();
+    seekMembership(now);
+    tendMembers(now);
+    tendOrders(now);
+    m_timer.expires_after(m_settings.heartbeatInterval / ticksPerHeartbeat);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            tick();
+    });
+}
+
+/** Runs on the group's thread. */
+void Coordinator::send(const AgreementMessage& message)
+{
+    KeeperId to = message.to.keeper;
+    {
+        std::lock_guard guard(m_sendLock);
+        if (m_unanswered[to] >= mostMessagesUnanswered)
+            return;
+        ++m_unanswered[to];
+    }
+    m_client.call(endpointOf(to), PeerMethod::Agreement, encodeMessage(message), messageTimeout, [this, to](const Result<ByteString, PeerErrorCode>&) {
+        std::lock_guard guard(m_sendLock);
+        --m_unanswered[to];
+    });
+}
+
+/** Asks the others to be taken into the group while no leader speaks to this coordinator. */
+void Coordinator::seekMembership(Instant now)
+{
+    GroupStatus status = m_group.status();
+    if (status.leader)
+        m_leaderSeen = now;
+    if (now - m_leaderSeen < leaderless || now < m_nextSeek)
+        return;
+    m_nextSeek = now + seekInterval;
+    ByteString self = encodeMembership({ {}, { status.self } });
+    for (const Endpoint& other : others()) {
+        m_client.call(other, PeerMethod::JoinGroup, self, messageTimeout, [this](const Result<ByteString, PeerErrorCode>& bytes) {
+            if (!bytes)
+                return;
+            auto reply = decodeKeeperReply(*bytes);
+            if (reply && !reply->leader.isNone())
+                m_seeds.insert(endpointOf(reply->leader));
+        });
+    }
+}
+
+void Coordinator::tendMembers(Instant now)
+{
+    if (now < m_nextTend || !m_group.holdsLease())
+        return;
+    m_nextTend = now + tendInterval;
+    GroupStatus status = m_group.status();
+    auto next = m_voters.next(status, now);
+    if (!next)
+        return;
+    auto changed = m_group.changeMembership(*next);
+    logEvent(EventId::CoordinatorMembersChanged, { { "voters", next->voters.size() }, { "learners", next->learners.size() }, { "former_voters", status.membership.voters.size() }, { "former_learners", status.membership.learners.size() }, { "outcome", changed ? "proposed" : changed.error().detail } });
+}
+
+/** Orders begin once those of an earlier leader are over, and end with the lease. */
+void Coordinator::tendOrders(Instant now)
+{
+    GroupStatus status = m_group.status();
+    if (status.isLeader && m_leadsIn != status.term) {
+        m_leadsIn = status.term;
+        m_leadsSince = now;
+        m_director.begin(status.term.value());
+    }
+    m_listing.setActive(status.isLeader);
+    bool gives = authority().has_value();
+    if (gives != std::exchange(m_givesOrders, gives))
+        logEvent(gives ? EventId::CoordinatorGivesOrders : EventId::CoordinatorOrdersEnded, { { "term", m_leadsIn } });
+    m_director.tick(std::chrono::steady_clock::now());
+}
+
+std::optional<FencingNumber> Coordinator::authority() const
+{
+    bool isOver = m_clock.now() - m_leadsSince < m_settings.orderLease + orderMargin;
+    if (m_leadsIn.isNone() || isOver || !m_group.holdsLease() || m_group.status().term != m_leadsIn)
+        return std::nullopt;
+    return FencingNumber(m_leadsIn.value());
+}
+
+void Coordinator::takeAgreed()
+{
+    auto agreed = m_register.current();
+    if (agreed->version.isNone())
+        return;
+    auto configuration = m_platform.decodeConfiguration(agreed->body);
+    if (configuration)
+        m_director.takeConfiguration(std::move(*configuration));
+    else
+        logEvent(EventId::GatewayConfigurationUnreadable, { { "version", agreed->version }, { "reason", configuration.error().detail } });
+}
+
+std::vector<Endpoint> Coordinator::others() const
+{
+    std::set<Endpoint> all = m_seeds;
+    Membership membership = m_group.status().membership;
+    for (const ReplicaId& id : membership.voters)
+        all.insert(endpointOf(id.keeper));
+    for (const ReplicaId& id : membership.learners)
+        all.insert(endpointOf(id.keeper));
+    all.erase(m_settings.peers);
+    return { all.begin(), all.end() };
+}
+
+//==============================================================================
+// Other processes
+
+void Coordinator::serveCalls()
+{
+    m_server.handle(PeerMethod::Agreement, [this](PeerCall call) { serveAgreement(std::move(call)); });
+    m_server.handle(PeerMethod::FollowFleet, [this](PeerCall call) { serveFollow(std::move(call)); });
+    m_server.handle(PeerMethod::JoinGroup, [this](PeerCall call) { serveJoin(std::move(call)); });
+    m_server.handle(PeerMethod::SubmitConfiguration, [this](PeerCall call) { servePropose(std::move(call)); });
+    m_server.handle(PeerMethod::ReadConfiguration, [this](PeerCall call) { serveRead(std::move(call)); });
+}
+
+void Coordinator::serveAgreement(PeerCall call)
+{
+    auto message = decodeMessage(call.payload);
+    if (!message || call.callerRole != "coordinator") {
+        call.reply(failure(PeerErrorCode::Rejected, message ? "only coordinators take part in the agreement" : message.error().detail));
+        return;
+    }
+    m_voters.noteHeard(message->from, m_clock.now());
+    m_group.receive(*message);
+    call.reply(ByteString());
+}
+
+void Coordinator::serveFollow(PeerCall call)
+{
+    auto request = decodeFollowRequest(call.payload);
+    if (!request) {
+        call.reply(failureBecause(PeerErrorCode::Rejected, request.error()));
+        return;
+    }
+    GroupStatus status = m_group.status();
+    auto agreed = m_register.current();
+    FollowReply reply;
+    reply.isCurrent = m_group.holdsLease();
+    if (status.leader)
+        reply.leader = status.leader->keeper;
+    for (const ReplicaId& id : status.membership.voters)
+        reply.coordinators.push_back(id.keeper);
+    for (const ReplicaId& id : status.membership.learners)
+        reply.coordinators.push_back(id.keeper);
+    reply.version = agreed->version;
+    if (agreed->version > request->configuration)
+        reply.configuration = agreed->body;
+    if (reply.isCurrent) {
+        Instant now = std::chrono::steady_clock::now();
+        m_director.takeDemand(*request, now);
+        m_director.fill(reply, *request, now);
+    }
+    call.reply(encodeFollowReply(reply));
+}
+
+void Coordinator::serveJoin(PeerCall call)
+{
+    auto newcomer = decodeMembership(call.payload);
+    if (!newcomer || newcomer->learners.size() != 1 || call.callerRole != "coordinator") {
+        call.reply(failure(PeerErrorCode::Rejected, "not a coordinator that asks to be taken in"));
+        return;
+    }
+    m_voters.noteNewcomer(*newcomer->learners.begin(), m_clock.now());
+    GroupStatus status = m_group.status();
+    KeeperReply reply;
+    if (status.leader)
+        reply.leader = status.leader->keeper;
+    call.reply(encodeKeeperReply(reply));
+}
+
+void Coordinator::servePropose(PeerCall call)
+{
+    proposeHere(call.payload, [reply = std::move(call.reply)](GroupReply answer) { reply(encodeKeeperReply(keeperReply(std::move(answer)))); });
+}
+
+void Coordinator::serveRead(PeerCall call)
+{
+    readHere([reply = std::move(call.reply)](GroupReply answer) { reply(encodeKeeperReply(keeperReply(std::move(answer)))); });
+}
+
+void Coordinator::proposeHere(const ByteString& body, ReplicatedGroup::Reply reply)
+{
+    m_group.propose(body, std::move(reply));
+}
+
+void Coordinator::readHere(ReplicatedGroup::Reply reply)
+{
+    m_group.read([this] { return encodeConfigurationBody(*m_register.current()); }, std::move(reply));
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "coordinator/ConfigurationRegister.h"
+#include "coordinator/CoordinatorSettings.h"
+#include "coordinator/PlacementDirector.h"
+#include "coordinator/VoterPolicy.h"
+#include "hemlockchute/core/RoleService.h"
+#include "hemlockchute/fleet/CoordinatorAddress.h"
+#include "hemlockchute/fleet/ListingPoller.h"
+#include "hemlockchute/http/HttpServer.h"
+#include "hemlockchute/peer/KeeperClient.h"
+#include "hemlockchute/peer/PeerClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    A running coordinator: its part in the agreement, the operators' calls, and, while it leads,
+    the members of the group and the orders to backend servers.
+
+    Thread safety: only on the io_context, which runs one thread.
+
+    @see ReplicatedGroup, PlacementDirector, VoterPolicy
+*/
+class Coordinator {
+public:
+    /** The second incarnation is what the data folder becomes when it turns out to be older than it was. */
+    Coordinator(boost::asio::io_context&, const CoordinatorSettings&, const FleetPlatform&, std::unique_ptr<KeeperDisk>, IncarnationId next);
+    ~Coordinator();
+
+    Result<void, RoleErrorCode> start();
+    /** Takes what may change while the process runs. */
+    void reload(const CoordinatorSettings&);
+    void stop(std::function<void()> done);
+
+    /** The incarnation of a coordinator that founds the group, with an empty disk. */
+    static IncarnationId foundingIncarnation() { return IncarnationId(1); }
+
+private:
+    using Reply = std::optional<KeeperReply>;
+
+    // The group
+    void tick();
+    void send(const AgreementMessage&);
+    void seekMembership(Instant now);
+    void tendMembers(Instant now);
+    void tendOrders(Instant now);
+    std::optional<FencingNumber> authority() const;
+    void takeAgreed();
+    std::vector<Endpoint> others() const;
+
+    // Other processes
+    void serveCalls();
+    void serveAgreement(PeerCall);
+    void serveFollow(PeerCall);
+    void serveJoin(PeerCall);
+    void servePropose(PeerCall);
+    void serveRead(PeerCall);
+
+    // Operators
+    boost::asio::awaitable<void> answer(HttpExchange&);
+    boost::asio::awaitable<void> takeSubmission(HttpExchange&);
+    boost::asio::awaitable<void> showConfiguration(HttpExchange&);
+    boost::asio::awaitable<Reply> askLeader(PeerMethod, ByteString payload);
+    boost::asio::awaitable<Reply> askHere(PeerMethod, ByteString payload, Instant deadline);
+    void proposeHere(const ByteString& body, ReplicatedGroup::Reply);
+    void readHere(ReplicatedGroup::Reply);
+
+    boost::asio::io_context& m_context;
+    CoordinatorSettings m_settings;
+    const FleetPlatform& m_platform;
+    SuspendAwareClock m_clock;
+    KeeperId m_id;
+    PeerClient m_client;
+    PeerServer m_server;
+    HttpClient m_http;
+    ConfigurationRegister m_register;
+    ReplicatedGroup m_group;
+    VoterPolicy m_voters;
+    PlacementDirector m_director;
+    ListingPoller m_listing;
+    HttpServer m_operators;
+    boost::asio::steady_timer m_timer;
+    std::mutex m_sendLock;
+    std::map<KeeperId, unsigned> m_unanswered;
+    std::set<Endpoint> m_seeds;
+    /** The term in which this coordinator leads, and since when. */
+    AgreementTerm m_leadsIn;
+    Instant m_leadsSince {};
+    bool m_givesOrders = false;
+    Instant m_leaderSeen {};
+    Instant m_nextSeek {};
+    Instant m_nextTend {};
+    bool m_isStopping = false;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
@@ -0,0 +1,163 @@
+#include "coordinator/Coordinator.h"
+
+#include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/fleet/PendingResult.h"
+
+#include <boost/json.hpp>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusInvalid = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusNotAllowed = 405;
+constexpr unsigned statusUnavailable = 503;
+
+/** Operators turn to another host when they have waited for a second. */
+constexpr Duration operatorPatience = 900ms;
+constexpr Duration leaderPause = 50ms;
+
+HttpResponse problem(unsigned status, std::string_view title)
+{
+    boost::json::object body { { "title", title } };
+    return { status, { { "Content-Type", "application/problem+json" } }, boost::json::serialize(body) };
+}
+
+std::optional<KeeperReply> readReply(const Result<ByteString, PeerErrorCode>& bytes)
+{
+    if (!bytes)
+        return std::nullopt;
+    auto reply = decodeKeeperReply(*bytes);
+    return reply ? std::optional(std::move(*reply)) : std::nullopt;
+}
+
+ByteString commandOf(ConfigurationVersion version, const ByteString& body)
+{
+    return encodeConfigurationBody({ version, body });
+}
+
+// Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
+
+void noteRefused(ConfigurationVersion version, unsigned status, std::string_view reason)
+{
+    logEvent(EventId::CoordinatorConfigurationRefused, { { "version", version }, { "status", status }, { "reason", reason } });
+}
+
+template <typename Version>
+void noteAgreed(ConfigurationVersion version, const Version& inForce, bool hasChanged)
+{
+    logEvent(EventId::CoordinatorConfigurationAgreed, { { "version", version }, { "in_force", inForce }, { "changed", hasChanged } });
+}
+
+} // namespace
+
+asio::awaitable<void> Coordinator::answer(HttpExchange& exchange)
+{
+    const HttpRequest& request = exchange.request();
+    bool isKnown = m_platform.isConfigurationPath(request.target);
+    if (isKnown && request.method == "PUT") {
+        co_await takeSubmission(exchange);
+        co_return;
+    }
+    if (isKnown && request.method == "GET") {
+        co_await showConfiguration(exchange);
+        co_return;
+    }
+    HttpResponse response = isKnown ? problem(statusNotAllowed, "the configuration can be read and replaced") : problem(statusNotFound, "nothing here");
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> Coordinator::takeSubmission(HttpExchange& exchange)
+{
+    const ByteString& body = exchange.request().body;
+    auto configuration = m_platform.decodeConfiguration(body);
+    if (!configuration) {
+        noteRefused(ConfigurationVersion(), statusInvalid, configuration.error().detail);
+        HttpResponse response = problem(statusInvalid, configuration.error().detail);
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    ConfigurationVersion version = (*configuration)->version();
+    if (version <= m_register.current()->version) {
+        noteAgreed(version, m_register.current()->version.value(), false);
+        HttpResponse response = HttpResponse::json(statusOk, "{}");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    ByteString command = commandOf(version, body);
+    auto reply = co_await askLeader(PeerMethod::SubmitConfiguration, std::move(command));
+    bool isAgreed = reply && reply->kind == KeeperReply::Kind::Answered;
+    if (!isAgreed) {
+        noteRefused(version, statusUnavailable, "not agreed on in time");
+        HttpResponse response = problem(statusUnavailable, "the configuration was not agreed on in time; it may yet come into force");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    noteAgreed(version, reply->answer, true);
+    HttpResponse response = HttpResponse::json(statusOk, "{}");
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> Coordinator::showConfiguration(HttpExchange& exchange)
+{
+    ByteString nothing;
+    auto reply = co_await askLeader(PeerMethod::ReadConfiguration, std::move(nothing));
+    bool isRead = reply && reply->kind == KeeperReply::Kind::Answered;
+    std::string reason = "no leader answered in time";
+    if (isRead) {
+        auto configuration = decodeConfigurationBody(reply->answer);
+        if (configuration && !configuration->version.isNone()) {
+            HttpResponse response = HttpResponse::json(statusOk, std::move(configuration->body));
+            co_await exchange.respond(std::move(response));
+            co_return;
+        }
+        reason = configuration ? "there is no configuration yet" : configuration.error().detail;
+    }
+    HttpResponse response = problem(statusUnavailable, reason);
+    co_await exchange.respond(std::move(response));
+}
+
+//==============================================================================
+/** Asks the leader, wherever it is, until it answers or the operator's patience ends. */
+asio::awaitable<Coordinator::Reply> Coordinator::askLeader(PeerMethod method, ByteString payload)
+{
+    Instant deadline = std::chrono::steady_clock::now() + operatorPatience;
+    Reply reply;
+    while (std::chrono::steady_clock::now() < deadline) {
+        GroupStatus status = m_group.status();
+        if (status.isLeader)
+            reply = co_await askHere(method, payload, deadline);
+        else if (status.leader) {
+            Endpoint leader = endpointOf(status.leader->keeper);
+            Duration left = deadline - std::chrono::steady_clock::now();
+            auto bytes = co_await m_client.call(leader, method, payload, left);
+            reply = readReply(bytes);
+        }
+        if (reply && reply->kind == KeeperReply::Kind::Answered)
+            co_return reply;
+        asio::steady_timer timer(m_context);
+        timer.expires_after(leaderPause);
+        boost::system::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return reply;
+}
+
+asio::awaitable<Coordinator::Reply> Coordinator::askHere(PeerMethod method, ByteString payload, Instant deadline)
+{
+    auto pending = std::make_shared<PendingResult<GroupReply>>(m_context.get_executor());
+    ReplicatedGroup::Reply take = [pending](GroupReply reply) { pending->set(std::move(reply)); };
+    if (method == PeerMethod::SubmitConfiguration)
+        proposeHere(payload, take);
+    else
+        readHere(take);
+    auto reply = co_await pending->wait(deadline);
+    if (!reply)
+        co_return std::nullopt;
+    co_return keeperReply(std::move(*reply));
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "hemlockchute/settings/settings.h"
+
+#include <string>
+#include <vector>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    A coordinator's settings. docs/SETTINGS.md explains each.
+
+    Thread safety: a plain value.
+*/
+struct CoordinatorSettings {
+    HostName host;
+    DataCentreName dataCentre;
+    std::string clusterName;
+    std::string clusterKey;
+    /** Where operators and the system's other processes connect. */
+    Endpoint operators;
+    Endpoint peers;
+    /** Coordinators that the group begins with, or that a newcomer asks first. */
+    std::vector<Endpoint> seeds;
+    /** True when the whole system starts for the first time. */
+    bool isFirstStart = false;
+    /** Disks that may be lost at once; the group grows to as many voters as that takes. */
+    unsigned toleratedLosses = 1;
+    std::filesystem::path dataFolder;
+    Duration heartbeatInterval = 150ms;
+    Duration electionTimeout = 900ms;
+    std::string platform;
+    Endpoint listing;
+    /** Orders of two hosts to one server are at least so far apart. */
+    Duration orderLease = 3s;
+    unsigned storeLoadsAtOnce = 4;
+    LogOptions log;
+
+    /** Reads the file; every fault is added. Thread safety: any thread. */
+    static CoordinatorSettings read(const std::filesystem::path&, std::vector<std::string>& faults);
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -0,0 +1,368 @@
+#include "coordinator/PlacementDirector.h"
+
+#include "hemlockchute/core/EventLog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned statusOk = 200;
+
+Instant currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+std::string_view nameOf(std::optional<OrderOutcome> outcome)
+{
+    static constexpr std::string_view names[] = { "accepted", "already-holds", "conflict", "wrong-server", "fenced", "rejected" };
+    return outcome ? names[static_cast<std::size_t>(*outcome)] : "no-answer";
+}
+
+std::string_view nameOf(const PlacementStep& step)
+{
+    static constexpr std::string_view names[] = { "load", "unload" };
+    return names[static_cast<std::size_t>(step.operation)];
+}
+
+std::string_view nameOf(PlacementStep::Source source)
+{
+    static constexpr std::string_view names[] = { "memory", "disk", "store" };
+    return names[static_cast<std::size_t>(source)];
+}
+
+} // namespace
+
+// Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
+
+void PlacementDirector::noteOrder(const PlacementOrder& order, const PlacementStep& step, std::optional<OrderOutcome> outcome, Duration took)
+{
+    logEvent(EventId::CoordinatorOrder, { { "server", order.server }, { "operation", nameOf(step) }, { "model", step.model }, { "adapter", step.adapter }, { "source", nameOf(step.source) }, { "makes_room_for", step.makesRoomFor }, { "accepted_before", order.ordersAcceptedBefore }, { "fence", order.fence }, { "outcome", nameOf(outcome) }, { "took_ms", milliseconds(took) } });
+}
+
+void PlacementDirector::noteTaken(const BackendServerName& server, const PlacementStep& step, Duration took)
+{
+    logEvent(EventId::CoordinatorModelTaken, { { "server", server }, { "model", step.model }, { "source", nameOf(step.source) }, { "took_ms", milliseconds(took) } });
+}
+
+void PlacementDirector::noteUnreported(const BackendServerName& server, std::string_view reason)
+{
+    logEvent(EventId::CoordinatorReportUnavailable, { { "server", server }, { "reason", reason } });
+}
+
+PlacementDirector::PlacementDirector(asio::io_context& context, const FleetPlatform& platform, HttpClient& client, Options options, Authority authority)
+    : m_context(context)
+    , m_platform(platform)
+    , m_client(client)
+    , m_options(std::move(options))
+    , m_authority(std::move(authority))
+{
+}
+
+void PlacementDirector::takeConfiguration(RouteConfigurationPointer configuration)
+{
+    m_configuration = std::move(configuration);
+    for (const auto& [name, service] : m_configuration->services()) {
+        if (service.engine)
+            m_services.try_emplace(name, m_options.placer);
+    }
+}
+
+/** A server that was listed anew, or began another life, is asked what it holds. */
+void PlacementDirector::takeListing(const std::vector<ListedServer>& listing)
+{
+    std::map<BackendServerName, Server> servers;
+    for (const ListedServer& listed : listing) {
+        auto known = m_servers.extract(listed.id);
+        bool isSame = !known.empty() && known.mapped().listed.startedAt == listed.startedAt && known.mapped().listed.address == listed.address;
+        Server server = isSame ? std::move(known.mapped()) : Server();
+        server.listed = listed;
+        servers.insert_or_assign(listed.id, std::move(server));
+    }
+    m_servers = std::move(servers);
+}
+
+void PlacementDirector::takeDemand(const FollowRequest& request, Instant now)
+{
+    m_demand.take(request, now);
+}
+
+void PlacementDirector::begin(std::uint64_t epoch)
+{
+    m_epoch = epoch;
+    m_revision = 0;
+    for (auto& [id, server] : m_servers)
+        noteUnknown(server);
+    for (auto& [name, service] : m_services)
+        service.placer.reset();
+}
+
+//==============================================================================
+void PlacementDirector::fill(FollowReply& reply, const FollowRequest& request, Instant now) const
+{
+    reply.epoch = m_epoch;
+    reply.revision = m_revision;
+    reply.gateways = m_demand.gateways(now);
+    std::uint64_t known = request.epoch == m_epoch ? request.revision : 0;
+    for (const auto& [id, server] : m_servers) {
+        if (server.isKnown && server.revision > known)
+            reply.placements.push_back({ id, server.listed.startedAt, sendable(server) });
+    }
+    for (const auto& [id, count] : m_demand.outstanding(now))
+        reply.outstanding.push_back({ id, count });
+    for (const auto& [name, service] : m_services) {
+        for (const auto& [model, at] : service.placer.expected())
+            reply.expectations.push_back({ name, model, std::max<Duration>(at - now, Duration::zero()) });
+    }
+}
+
+/** What gateways may send to a server: what it holds, but for what is about to go. */
+HeldModels PlacementDirector::sendable(const Server& server) const
+{
+    HeldModels models = server.state.models;
+    if (server.withdrawnAdapter.isEmpty())
+        models.erase(server.withdrawn);
+    else if (auto held = models.find(server.withdrawn); held != models.end())
+        held->second.erase(server.withdrawnAdapter);
+    return models;
+}
+
+//==============================================================================
+void PlacementDirector::tick(Instant now)
+{
+    if (!m_configuration || !m_authority())
+        return;
+    for (auto& [name, service] : m_services) {
+        const RoutedService* spec = m_configuration->findService(name);
+        if (!spec || !spec->engine)
+            continue;
+        for (auto& [id, server] : m_servers) {
+            bool isDue = server.listed.service == name && !server.listed.isLeaving && !server.isKnown && !server.isOccupied && now >= server.nextReport;
+            if (!isDue)
+                continue;
+            server.isOccupied = true;
+            asio::co_spawn(m_context, refresh(id), asio::detached);
+        }
+        decide(name, *spec->engine, service, now);
+    }
+}
+
+void PlacementDirector::decide(const ServiceName& name, const EngineSpec& engine, Service& service, Instant now)
+{
+    std::map<BackendServerName, unsigned> outstanding = m_demand.outstanding(now);
+    ModelPlacer::Servers placed;
+    for (const auto& [id, server] : m_servers) {
+        if (server.listed.service != name || server.listed.isLeaving || !server.isKnown)
+            continue;
+        PlacedServer each;
+        each.id = id;
+        each.models = server.state.models;
+        each.inMemory = server.state.inMemory;
+        each.onDisk = server.state.onDisk;
+        each.adaptersOnTheWay = server.state.adaptersOnTheWay;
+        each.mayTakeOrder = !server.isOccupied;
+        each.loading = server.loading;
+        each.isLoadingFromStore = server.isLoadingFromStore;
+        each.loadedAt = server.loadedAt;
+        each.outstanding = outstanding[id];
+        placed.push_back(std::move(each));
+    }
+    for (const PlacementStep& step : service.placer.decide(engine, placed, m_demand.demands(name, now), now)) {
+        m_servers.at(step.server).isOccupied = true;
+        asio::co_spawn(m_context, carryOut(step.server, step), asio::detached);
+    }
+}
+
+//==============================================================================
+/** The server in the life that it was in, or null when that is over. */
+PlacementDirector::Server* PlacementDirector::find(const BackendServerName& id, std::int64_t life)
+{
+    auto found = m_servers.find(id);
+    return found != m_servers.end() && found->second.listed.startedAt == life ? &found->second : nullptr;
+}
+
+void PlacementDirector::noteChanged(Server& server)
+{
+    server.revision = ++m_revision;
+}
+
+/** What the server holds is asked for before it gets another order. */
+void PlacementDirector::noteUnknown(Server& server)
+{
+    server.isKnown = false;
+    server.loading = ModelName();
+    server.isLoadingFromStore = false;
+}
+
+asio::awaitable<void> PlacementDirector::pause(Duration duration) const
+{
+    asio::steady_timer timer(m_context);
+    timer.expires_after(duration);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+PlacementOrder PlacementDirector::orderFor(const Server& server, const PlacementStep& step, FencingNumber fence) const
+{
+    PlacementOrder order;
+    order.operation = step.operation == PlacementStep::Operation::Load ? PlacementOrder::Operation::Load : PlacementOrder::Operation::Unload;
+    order.server = server.listed.id;
+    order.model = step.model;
+    order.adapter = step.adapter;
+    order.ordersAcceptedBefore = server.state.ordersAccepted;
+    order.giver = m_options.giver;
+    order.fence = fence;
+    return order;
+}
+
+asio::awaitable<std::optional<OrderOutcome>> PlacementDirector::give(const BackendServerName& id, const PlacementStep& step)
+{
+    auto found = m_servers.find(id);
+    auto fence = m_authority();
+    if (found == m_servers.end() || !fence)
+        co_return std::nullopt;
+    PlacementOrder order = orderFor(found->second, step, *fence);
+    HttpRequest request = m_platform.orderRequest(order);
+    Endpoint address = found->second.listed.address;
+    Instant sent = currentTime();
+    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout);
+    std::optional<OrderOutcome> outcome;
+    if (answer)
+        outcome = m_platform.decodeOrderAnswer(answer->status);
+    noteOrder(order, step, outcome, currentTime() - sent);
+    co_return outcome;
+}
+
+asio::awaitable<void> PlacementDirector::carryOut(BackendServerName id, PlacementStep step)
+{
+    std::int64_t life = m_servers.at(id).listed.startedAt;
+    if (step.operation == PlacementStep::Operation::Unload) {
+        Server& server = m_servers.at(id);
+        server.withdrawn = step.model;
+        server.withdrawnAdapter = step.adapter;
+        noteChanged(server);
+        co_await pause(m_options.withdrawal);
+    }
+    auto outcome = co_await give(id, step);
+    Server* server = find(id, life);
+    if (!server)
+        co_return;
+    server->withdrawn = ModelName();
+    server->withdrawnAdapter = AdapterName();
+    bool isTaken = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::AlreadyHolds;
+    if (!isTaken) {
+        noteUnknown(*server);
+        noteChanged(*server);
+        server->isOccupied = false;
+        server->nextReport = outcome ? currentTime() : currentTime() + m_options.reportPause;
+        co_return;
+    }
+    if (outcome == OrderOutcome::Accepted)
+        ++server->state.ordersAccepted;
+    co_await follow(id, life, step);
+    server = find(id, life);
+    if (!server)
+        co_return;
+    noteChanged(*server);
+    server->isOccupied = false;
+}
+
+/** Waits until an order that was accepted is carried out; the same order again is answered that it holds. */
+asio::awaitable<void> PlacementDirector::follow(BackendServerName id, std::int64_t life, PlacementStep step)
+{
+    Instant begun = currentTime();
+    bool isLoad = step.operation == PlacementStep::Operation::Load;
+    Server* server = find(id, life);
+    if (!step.adapter.isEmpty()) {
+        if (isLoad)
+            co_await pause(m_options.adapterTime);
+        server = find(id, life);
+        if (!server)
+            co_return;
+        auto held = server->state.models.find(step.model);
+        if (held == server->state.models.end())
+            co_return;
+        if (isLoad)
+            held->second.insert(step.adapter);
+        else
+            held->second.erase(step.adapter);
+        co_return;
+    }
+    Duration time = isLoad ? step.time : m_options.askAgain;
+    if (isLoad) {
+        server->loading = step.model;
+        server->isLoadingFromStore = step.source == PlacementStep::Source::Store;
+        server->loadedAt = begun + time;
+    } else {
+        server->state.models.erase(step.model);
+        noteChanged(*server);
+    }
+    co_await pause(time);
+    auto outcome = co_await give(id, step);
+    while (outcome == OrderOutcome::Conflict && currentTime() - begun < m_options.mostTimes * std::max<Duration>(time, 1s)) {
+        co_await pause(m_options.askAgain);
+        outcome = co_await give(id, step);
+    }
+    server = find(id, life);
+    if (!server)
+        co_return;
+    server->loading = ModelName();
+    server->isLoadingFromStore = false;
+    if (outcome != OrderOutcome::AlreadyHolds) {
+        noteUnknown(*server);
+        server->nextReport = currentTime();
+        co_return;
+    }
+    if (!isLoad)
+        co_return;
+    server->state.models.try_emplace(step.model);
+    server->state.onDisk.insert(step.model);
+    noteTaken(id, step, currentTime() - begun);
+}
+
+/** Asks a server what it holds. */
+asio::awaitable<void> PlacementDirector::refresh(BackendServerName id)
+{
+    std::int64_t life = m_servers.at(id).listed.startedAt;
+    Endpoint address = m_servers.at(id).listed.address;
+    HttpRequest request = m_platform.reportRequest();
+    auto answer = co_await m_client.send(address, std::move(request), currentTime() + m_options.orderTimeout);
+    Server* server = find(id, life);
+    if (!server)
+        co_return;
+    server->isOccupied = false;
+    server->nextReport = currentTime() + m_options.reportPause;
+    std::string reason;
+    if (!answer)
+        reason = answer.error().detail;
+    else if (answer->status != statusOk)
+        reason = "status " + std::to_string(answer->status);
+    else if (auto report = m_platform.decodeReport(answer->body); !report)
+        reason = report.error().detail;
+    else if (report->startedAt != life)
+        reason = "it is another life of the server";
+    else if (report->isBusy)
+        reason = "an order is in progress";
+    else {
+        server->state = std::move(*report);
+        server->isKnown = true;
+        noteChanged(*server);
+        co_return;
+    }
+    noteUnreported(id, reason);
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "coordinator/DemandBook.h"
+#include "hemlockchute/fleet/FleetPlatform.h"
+#include "hemlockchute/http/HttpClient.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <optional>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    Gives the backend servers their orders, and tells gateways what may be sent where.
+
+    Each order names the number of orders that its server has accepted before it, so that one whose
+    answer was lost can be carried out at most while nothing newer was accepted. Orders go out only
+    while `authority` gives a fencing number, which is asked for just before each of them. A model
+    is withdrawn from the gateways before its unload is ordered.
+    Thread safety: only on the io_context, which runs one thread.
+
+    @see ModelPlacer
+*/
+class PlacementDirector {
+public:
+    /** Time bounds. */
+    struct Options {
+        HostName giver;
+        ModelPlacer::Options placer;
+        Duration orderTimeout = 1s;
+        /** Gateways have heard of a withdrawn model after this; their link's interval. */
+        Duration withdrawal = 160ms;
+        /** An adapter is there at the latest after this, when few are on their way. */
+        Duration adapterTime = 20ms;
+        /** Between two questions whether an order was carried out. */
+        Duration askAgain = 40ms;
+        /** An order that takes longer than this times its expected time is looked into. */
+        int mostTimes = 4;
+        /** Between two tries to read what a server holds. */
+        Duration reportPause = 400ms;
+    };
+
+    /** Gives the fencing number while this host may give orders. */
+    using Authority = std::function<std::optional<FencingNumber>()>;
+
+    PlacementDirector(boost::asio::io_context&, const FleetPlatform&, HttpClient&, Options, Authority);
+
+    void takeConfiguration(RouteConfigurationPointer);
+    void takeListing(const std::vector<ListedServer>&);
+    void takeDemand(const FollowRequest&, Instant now);
+    /** Fills in placements, expectations and counts for one gateway. */
+    void fill(FollowReply&, const FollowRequest&, Instant now) const;
+    /** Decides and gives orders. Call often while this host has authority. */
+    void tick(Instant now);
+    /** Forgets what is known of the servers, under a new epoch, as when this host begins to lead. */
+    void begin(std::uint64_t epoch);
+
+private:
+    struct Server {
+        ListedServer listed;
+        /** False until the server said what it holds. */
+        bool isKnown = false;
+        bool isOccupied = false;
+        EngineReport state;
+        ModelName withdrawn;
+        AdapterName withdrawnAdapter;
+        ModelName loading;
+        bool isLoadingFromStore = false;
+        Instant loadedAt {};
+        Instant nextReport {};
+        /** When what gateways may send changed last. */
+        std::uint64_t revision = 0;
+    };
+
+    struct Service {
+        explicit Service(ModelPlacer::Options options)
+            : placer(options)
+        {
+        }
+
+        ModelPlacer placer;
+        Instant decided {};
+    };
+
+    void decide(const ServiceName&, const EngineSpec&, Service&, Instant now);
+    boost::asio::awaitable<void> carryOut(BackendServerName, PlacementStep);
+    boost::asio::awaitable<void> follow(BackendServerName, std::int64_t life, PlacementStep);
+    boost::asio::awaitable<void> refresh(BackendServerName);
+    boost::asio::awaitable<std::optional<OrderOutcome>> give(const BackendServerName&, const PlacementStep&);
+    boost::asio::awaitable<void> pause(Duration) const;
+    PlacementOrder orderFor(const Server&, const PlacementStep&, FencingNumber) const;
+    static void noteOrder(const PlacementOrder&, const PlacementStep&, std::optional<OrderOutcome>, Duration took);
+    static void noteTaken(const BackendServerName&, const PlacementStep&, Duration took);
+    static void noteUnreported(const BackendServerName&, std::string_view reason);
+    Server* find(const BackendServerName&, std::int64_t life);
+    void noteChanged(Server&);
+    void noteUnknown(Server&);
+    HeldModels sendable(const Server&) const;
+
+    boost::asio::io_context& m_context;
+    const FleetPlatform& m_platform;
+    HttpClient& m_client;
+    Options m_options;
+    Authority m_authority;
+    RouteConfigurationPointer m_configuration;
+    std::map<ServiceName, Service> m_services;
+    std::map<BackendServerName, Server> m_servers;
+    DemandBook m_demand { DemandBook::Options() };
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_revision = 0;
+};
+
+} // namespace hemlockchute
--- a/modules/hc_core/core/EventLog.cpp
+++ b/modules/hc_core/core/EventLog.cpp
@@ -121,6 +121,8 @@
 {
     if (file.empty())
         return { &std::cerr, boost::null_deleter() };
+    if (file == "-")
+        return { &std::cout, boost::null_deleter() };
     return boost::make_shared<std::ofstream>(file, std::ios::app);
 }
 
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -32,6 +32,9 @@
     { EventId::HostListChanged, Info, "host-list.changed", "The platform's list of backend servers changed." },
     { EventId::HostListUnavailable, Warning, "host-list.unavailable", "The platform's list could not be read; the last one stays in use." },
 
+    { EventId::HostListRegained, Info, "host-list.regained", "The platform's list can be read again." },
+    { EventId::HostListEntryUnreadable, Warning, "host-list.entry_unreadable", "Entries of the platform's list cannot be read and name no server to use; the first reason is given." },
+
     // 1600: router
     { EventId::RouterAttemptFailed, Info, "router.attempt-failed", "A backend server gave no whole answer to one attempt; the reason is given." },
     { EventId::RouterPlacementLost, Warning, "router.placement-lost", "No controller of the data centre answers; the last placement stays in use." },
@@ -66,6 +69,27 @@
 
     // 1900: report
 
+    // 2000: gateway
+    { EventId::GatewayAnswered, Info, "gateway.answered", "A backend server's answer was passed on whole." },
+    { EventId::GatewayRefused, Info, "gateway.refused", "A request was answered by the gateway itself; reason, time waited and time left are given." },
+    { EventId::GatewayAttemptFailed, Info, "gateway.attempt_failed", "A backend server gave no answer that can be passed on; says whether the request may have run." },
+    { EventId::GatewayBrokenOff, Warning, "gateway.broken_off", "An answer was begun and could not be completed; the caller sees it broken." },
+    { EventId::GatewayCallerGone, Info, "gateway.caller_gone", "The caller left before its answer was complete; the work at the backend server was cancelled." },
+    { EventId::GatewayConfigurationInForce, Info, "gateway.configuration_in_force", "The gateway works by a newer configuration." },
+    { EventId::GatewayConfigurationUnreadable, Error, "gateway.configuration_unreadable", "An agreed configuration cannot be read here; the last one stays in force." },
+    { EventId::GatewayCoordinatorLost, Warning, "gateway.coordinator_lost", "No coordinator that leads answers; configuration and placement stay as last heard." },
+    { EventId::GatewayCoordinatorRegained, Info, "gateway.coordinator_regained", "A coordinator that leads answers; its address is given." },
+
+    // 2100: coordinator
+    { EventId::CoordinatorStarted, Info, "coordinator.started", "The coordinator has read its data folder; identity, incarnation and version are given." },
+    { EventId::CoordinatorConfigurationAgreed, Info, "coordinator.configuration_agreed", "An operator's configuration was acknowledged; the version in force is given." },
+    { EventId::CoordinatorConfigurationRefused, Warning, "coordinator.configuration_refused", "An operator's configuration was not acknowledged; the reason is given." },
+    { EventId::CoordinatorMembersChanged, Info, "coordinator.members_changed", "The leader takes one step in the membership of the group." },
+    { EventId::CoordinatorGivesOrders, Info, "coordinator.gives_orders", "The orders of an earlier leader are over, and this host gives orders to servers." },
+    { EventId::CoordinatorOrdersEnded, Info, "coordinator.orders_ended", "This host does not lead any more and gives no orders." },
+    { EventId::CoordinatorOrder, Info, "coordinator.order", "An order was sent to a server; what it said, or that it said nothing, is given." },
+    { EventId::CoordinatorReportUnavailable, Warning, "coordinator.report_unavailable", "A server did not say what it holds; it is given no orders until it does." },
+    { EventId::CoordinatorModelTaken, Info, "coordinator.model_taken", "A server holds a model that was ordered; the time since the order is given." },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/Clock.h
+++ b/modules/hc_core/include/hemlockchute/core/Clock.h
@@ -41,6 +41,12 @@
     }
 };
 
+/** As SystemClock, but its monotonic time goes on while the machine is suspended: for leases. @see SystemClock */
+class SuspendAwareClock : public SystemClock {
+public:
+    Instant now() const override;
+};
+
 /** A clock that moves only when told to, for tests and experiments. @see SystemClock */
 class ManualClock : public Clock {
 public:
--- a/modules/hc_core/include/hemlockchute/core/EventLog.h
+++ b/modules/hc_core/include/hemlockchute/core/EventLog.h
@@ -40,7 +40,7 @@
 
     Severity level = Severity::Info;
     Format format = Format::KeyValue;
-    /** Empty: standard error. */
+    /** Empty: standard error; "-": standard output. */
     std::filesystem::path file;
 
     LogOptions withLevel(Severity value) const
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -37,6 +37,8 @@
     // 1500: backend servers
     HostListChanged = 1500,
     HostListUnavailable = 1501,
+    HostListRegained = 1502,
+    HostListEntryUnreadable = 1503,
 
     // 1600: router
     RouterAttemptFailed = 1600,
@@ -72,6 +74,27 @@
 
     // 1900: report
 
+    // 2000: gateway
+    GatewayAnswered = 2000,
+    GatewayRefused = 2001,
+    GatewayAttemptFailed = 2002,
+    GatewayBrokenOff = 2003,
+    GatewayCallerGone = 2004,
+    GatewayConfigurationInForce = 2005,
+    GatewayConfigurationUnreadable = 2006,
+    GatewayCoordinatorLost = 2007,
+    GatewayCoordinatorRegained = 2008,
+
+    // 2100: coordinator
+    CoordinatorStarted = 2100,
+    CoordinatorConfigurationAgreed = 2101,
+    CoordinatorConfigurationRefused = 2102,
+    CoordinatorMembersChanged = 2103,
+    CoordinatorGivesOrders = 2104,
+    CoordinatorOrdersEnded = 2105,
+    CoordinatorOrder = 2106,
+    CoordinatorReportUnavailable = 2107,
+    CoordinatorModelTaken = 2108
 };
 
 /** One row of the catalogue. */
--- /dev/null
+++ b/modules/hc_fleet/fleet/EventStreamSplitter.cpp
@@ -0,0 +1,57 @@
+#include "hemlockchute/fleet/EventStreamSplitter.h"
+
+#include <charconv>
+
+namespace hemlockchute {
+namespace {
+
+constexpr std::string_view idField = "id:";
+
+/** The id of one whole event, when it has one that is a number. */
+std::optional<std::uint64_t> idOf(std::string_view event)
+{
+    std::optional<std::uint64_t> id;
+    while (!event.empty()) {
+        std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(idField))
+            continue;
+        line.remove_prefix(idField.size());
+        while (line.starts_with(' '))
+            line.remove_prefix(1);
+        std::uint64_t value = 0;
+        if (std::from_chars(line.data(), line.data() + line.size(), value).ec == std::errc())
+            id = value;
+    }
+    return id;
+}
+
+/** Just behind the next empty line, in either kind of line end; npos when there is none. */
+std::size_t endOfEvent(std::string_view text, std::size_t from)
+{
+    std::size_t plain = text.find("\n\n", from);
+    std::size_t carriage = text.find("\n\r\n", from);
+    if (plain == std::string_view::npos && carriage == std::string_view::npos)
+        return std::string_view::npos;
+    return plain < carriage ? plain + 2 : carriage + 3;
+}
+
+} // namespace
+
+WholeEvents EventStreamSplitter::take(std::string_view bytes)
+{
+    m_partial += bytes;
+    WholeEvents events;
+    std::size_t taken = 0;
+    for (std::size_t end = endOfEvent(m_partial, 0); end != std::string_view::npos; end = endOfEvent(m_partial, taken)) {
+        if (auto id = idOf(std::string_view(m_partial).substr(taken, end - taken)))
+            events.lastId = id;
+        taken = end;
+    }
+    events.bytes = m_partial.substr(0, taken);
+    m_partial.erase(0, taken);
+    return events;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -0,0 +1,65 @@
+@0xd3a9417be05c62f1;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("hemlockchute::fleetwire");
+
+struct Demand {
+  service @0 :Text;
+  model @1 :Text;
+  adapter @2 :Text;
+  waiting @3 :UInt32;
+  active @4 :UInt32;
+  arrivals @5 :UInt32;
+  refused @6 :UInt32;
+  rank @7 :UInt32;
+}
+
+struct Outstanding {
+  server @0 :Text;
+  count @1 :UInt32;
+}
+
+struct FollowRequest {
+  host @0 :Text;
+  configuration @1 :UInt64;
+  epoch @2 :UInt64;
+  revision @3 :UInt64;
+  demands @4 :List(Demand);
+  outstanding @5 :List(Outstanding);
+}
+
+struct HeldModel {
+  model @0 :Text;
+  adapters @1 :List(Text);
+}
+
+struct Placement {
+  server @0 :Text;
+  startedAt @1 :Int64;
+  models @2 :List(HeldModel);
+}
+
+struct Expectation {
+  service @0 :Text;
+  model @1 :Text;
+  remainingNanoseconds @2 :Int64;
+}
+
+struct FollowReply {
+  isCurrent @0 :Bool;
+  leader @1 :UInt64;
+  coordinators @2 :List(UInt64);
+  version @3 :UInt64;
+  configuration @4 :Data;
+  epoch @5 :UInt64;
+  revision @6 :UInt64;
+  placements @7 :List(Placement);
+  expectations @8 :List(Expectation);
+  outstanding @9 :List(Outstanding);
+  gateways @10 :UInt32;
+}
+
+struct ConfigurationBody {
+  version @0 :UInt64;
+  body @1 :Data;
+}
--- /dev/null
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -0,0 +1,181 @@
+#include "hemlockchute/fleet/FleetMessages.h"
+
+#include "fleet/Fleet.capnp.h"
+#include "hemlockchute/peer/MessageBytes.h"
+
+namespace hemlockchute {
+namespace {
+
+template <typename Root, typename Value, typename Read>
+FleetMessageResult<Value> readFleetMessage(std::string_view bytes, Read&& read)
+{
+    return readMessage<Root, Value>(bytes, FleetMessageErrorCode::Malformed, std::forward<Read>(read));
+}
+
+unsigned sizeOf(const auto& list)
+{
+    return static_cast<unsigned>(list.size());
+}
+
+void write(fleetwire::Demand::Builder to, const ModelDemandReport& demand)
+{
+    to.setService(demand.key.service.text());
+    to.setModel(demand.key.model.text());
+    to.setAdapter(demand.key.adapter.text());
+    to.setWaiting(demand.waiting);
+    to.setActive(demand.active);
+    to.setArrivals(demand.arrivals);
+    to.setRefused(demand.refused);
+    to.setRank(demand.rank);
+}
+
+ModelDemandReport read(fleetwire::Demand::Reader from)
+{
+    ModelKey key { ServiceName(textOf(from.getService())), ModelName(textOf(from.getModel())), AdapterName(textOf(from.getAdapter())) };
+    return { std::move(key), from.getWaiting(), from.getActive(), from.getArrivals(), from.getRefused(), from.getRank() };
+}
+
+void write(capnp::List<fleetwire::Outstanding>::Builder to, const std::vector<ServerOutstanding>& from)
+{
+    for (unsigned i = 0; i < from.size(); ++i) {
+        to[i].setServer(from[i].server.text());
+        to[i].setCount(from[i].count);
+    }
+}
+
+std::vector<ServerOutstanding> read(capnp::List<fleetwire::Outstanding>::Reader from)
+{
+    std::vector<ServerOutstanding> all;
+    for (auto each : from)
+        all.push_back({ BackendServerName(textOf(each.getServer())), each.getCount() });
+    return all;
+}
+
+void write(fleetwire::Placement::Builder to, const ServerPlacement& placement)
+{
+    to.setServer(placement.server.text());
+    to.setStartedAt(placement.startedAt);
+    auto models = to.initModels(sizeOf(placement.models));
+    unsigned i = 0;
+    for (const auto& [model, adapters] : placement.models) {
+        models[i].setModel(model.text());
+        auto names = models[i].initAdapters(sizeOf(adapters));
+        unsigned j = 0;
+        for (const AdapterName& adapter : adapters)
+            names.set(j++, adapter.text());
+        ++i;
+    }
+}
+
+ServerPlacement read(fleetwire::Placement::Reader from)
+{
+    ServerPlacement placement { BackendServerName(textOf(from.getServer())), from.getStartedAt(), {} };
+    for (auto held : from.getModels()) {
+        std::set<AdapterName>& adapters = placement.models[ModelName(textOf(held.getModel()))];
+        for (auto name : held.getAdapters())
+            adapters.insert(AdapterName(textOf(name)));
+    }
+    return placement;
+}
+
+} // namespace
+
+//==============================================================================
+ByteString encodeFollowRequest(const FollowRequest& request)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<fleetwire::FollowRequest>();
+    root.setHost(request.host.text());
+    root.setConfiguration(request.configuration.value());
+    root.setEpoch(request.epoch);
+    root.setRevision(request.revision);
+    auto demands = root.initDemands(sizeOf(request.demands));
+    for (unsigned i = 0; i < request.demands.size(); ++i)
+        write(demands[i], request.demands[i]);
+    write(root.initOutstanding(sizeOf(request.outstanding)), request.outstanding);
+    return messageBytes(message);
+}
+
+FleetMessageResult<FollowRequest> decodeFollowRequest(std::string_view bytes)
+{
+    return readFleetMessage<fleetwire::FollowRequest, FollowRequest>(bytes, [](auto root) {
+        FollowRequest request;
+        request.host = HostName(textOf(root.getHost()));
+        request.configuration = ConfigurationVersion(root.getConfiguration());
+        request.epoch = root.getEpoch();
+        request.revision = root.getRevision();
+        for (auto demand : root.getDemands())
+            request.demands.push_back(read(demand));
+        request.outstanding = read(root.getOutstanding());
+        return request;
+    });
+}
+
+//==============================================================================
+ByteString encodeFollowReply(const FollowReply& reply)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<fleetwire::FollowReply>();
+    root.setIsCurrent(reply.isCurrent);
+    root.setLeader(reply.leader.value());
+    auto coordinators = root.initCoordinators(sizeOf(reply.coordinators));
+    for (unsigned i = 0; i < reply.coordinators.size(); ++i)
+        coordinators.set(i, reply.coordinators[i].value());
+    root.setVersion(reply.version.value());
+    root.setConfiguration(dataOf(reply.configuration));
+    root.setEpoch(reply.epoch);
+    root.setRevision(reply.revision);
+    auto placements = root.initPlacements(sizeOf(reply.placements));
+    for (unsigned i = 0; i < reply.placements.size(); ++i)
+        write(placements[i], reply.placements[i]);
+    auto expectations = root.initExpectations(sizeOf(reply.expectations));
+    for (unsigned i = 0; i < reply.expectations.size(); ++i) {
+        expectations[i].setService(reply.expectations[i].service.text());
+        expectations[i].setModel(reply.expectations[i].model.text());
+        expectations[i].setRemainingNanoseconds(reply.expectations[i].remaining.count());
+    }
+    write(root.initOutstanding(sizeOf(reply.outstanding)), reply.outstanding);
+    root.setGateways(reply.gateways);
+    return messageBytes(message);
+}
+
+FleetMessageResult<FollowReply> decodeFollowReply(std::string_view bytes)
+{
+    return readFleetMessage<fleetwire::FollowReply, FollowReply>(bytes, [](auto root) {
+        FollowReply reply;
+        reply.isCurrent = root.getIsCurrent();
+        reply.leader = KeeperId(root.getLeader());
+        for (std::uint64_t coordinator : root.getCoordinators())
+            reply.coordinators.emplace_back(coordinator);
+        reply.version = ConfigurationVersion(root.getVersion());
+        reply.configuration = bytesOf(root.getConfiguration());
+        reply.epoch = root.getEpoch();
+        reply.revision = root.getRevision();
+        for (auto placement : root.getPlacements())
+            reply.placements.push_back(read(placement));
+        for (auto expectation : root.getExpectations())
+            reply.expectations.push_back({ ServiceName(textOf(expectation.getService())), ModelName(textOf(expectation.getModel())), Duration(expectation.getRemainingNanoseconds()) });
+        reply.outstanding = read(root.getOutstanding());
+        reply.gateways = root.getGateways();
+        return reply;
+    });
+}
+
+//==============================================================================
+ByteString encodeConfigurationBody(const ConfigurationBody& configuration)
+{
+    capnp::MallocMessageBuilder message;
+    auto root = message.initRoot<fleetwire::ConfigurationBody>();
+    root.setVersion(configuration.version.value());
+    root.setBody(dataOf(configuration.body));
+    return messageBytes(message);
+}
+
+FleetMessageResult<ConfigurationBody> decodeConfigurationBody(std::string_view bytes)
+{
+    return readFleetMessage<fleetwire::ConfigurationBody, ConfigurationBody>(bytes, [](auto root) {
+        return ConfigurationBody { ConfigurationVersion(root.getVersion()), bytesOf(root.getBody()) };
+    });
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/fleet/ListingPoller.cpp
@@ -0,0 +1,123 @@
+#include "hemlockchute/fleet/ListingPoller.h"
+
+#include "hemlockchute/core/EventLog.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned statusOk = 200;
+/** Pages of one reading; a list that goes on for longer is not whole. */
+constexpr unsigned mostPages = 200;
+/** Each pause is lengthened by up to this part, so that hosts do not ask in step. */
+constexpr double jitterPart = 0.1;
+
+double drawPart()
+{
+    thread_local std::minstd_rand random { std::random_device {}() };
+    return std::uniform_real_distribution<>(0, jitterPart)(random);
+}
+
+} // namespace
+
+// Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
+
+void ListingPoller::noteUnavailable(std::string_view reason)
+{
+    logEvent(EventId::HostListUnavailable, { { "reason", reason } });
+}
+
+void ListingPoller::noteUnreadable(const std::vector<std::string>& reasons)
+{
+    logEvent(EventId::HostListEntryUnreadable, { { "entries", reasons.size() }, { "reason", reasons.front() } });
+}
+
+ListingPoller::ListingPoller(asio::io_context& context, const FleetPlatform& platform, HttpClient& client, Endpoint address, Options options, Handler handler)
+    : m_platform(platform)
+    , m_client(client)
+    , m_address(std::move(address))
+    , m_options(options)
+    , m_handler(std::move(handler))
+    , m_timer(context)
+{
+}
+
+void ListingPoller::start()
+{
+    asio::co_spawn(m_timer.get_executor(), run(), asio::detached);
+}
+
+void ListingPoller::stop()
+{
+    m_isStopping = true;
+    m_timer.cancel();
+}
+
+asio::awaitable<void> ListingPoller::run()
+{
+    while (!m_isStopping) {
+        bool succeeded = true;
+        if (m_isActive)
+            succeeded = co_await readOnce();
+        m_timer.expires_after(pauseAfter(succeeded));
+        boost::system::error_code ignored;
+        co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+}
+
+Duration ListingPoller::pauseAfter(bool succeeded)
+{
+    m_pause = succeeded ? m_options.interval : std::min(m_options.longestPause, std::max(m_options.interval, 2 * m_pause));
+    if (std::exchange(m_isUnavailable, !succeeded) && succeeded)
+        logEvent(EventId::HostListRegained);
+    return m_pause + std::chrono::duration_cast<Duration>(m_pause * drawPart());
+}
+
+asio::awaitable<bool> ListingPoller::readOnce()
+{
+    Instant asked = std::chrono::steady_clock::now();
+    std::vector<ListedServer> servers;
+    std::size_t unreadable = 0;
+    std::optional<std::string> page;
+    for (unsigned i = 0; i < mostPages; ++i) {
+        HttpRequest request = m_platform.listingRequest(page);
+        auto answer = co_await m_client.send(m_address, std::move(request), std::chrono::steady_clock::now() + m_options.timeout);
+        std::string reason;
+        if (!answer)
+            reason = answer.error().detail;
+        else if (answer->status != statusOk)
+            reason = "status " + std::to_string(answer->status);
+        if (!reason.empty()) {
+            noteUnavailable(reason);
+            co_return false;
+        }
+        auto listing = m_platform.decodeListing(answer->body);
+        if (!listing) {
+            noteUnavailable(listing.error().detail);
+            co_return false;
+        }
+        std::move(listing->servers.begin(), listing->servers.end(), std::back_inserter(servers));
+        unreadable += listing->unreadable.size();
+        if (!listing->unreadable.empty() && m_unreadable == 0)
+            noteUnreadable(listing->unreadable);
+        page = listing->next;
+        if (!page)
+            break;
+    }
+    if (page) {
+        noteUnavailable("the list does not end");
+        co_return false;
+    }
+    m_unreadable = unreadable;
+    m_handler(std::move(servers), asked);
+    co_return true;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -0,0 +1,378 @@
+#include "hemlockchute/fleet/ModelPlacer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace hemlockchute {
+namespace {
+
+/** Ranks below this one count alike. */
+constexpr unsigned lastWeightedRank = 2;
+/** A request of a rank weighs so much more than one of the next. */
+constexpr double rankStep = 2;
+/** Below this, refusals are too long ago to load a model for. */
+constexpr double leastRefused = 0.3;
+/** An unload and the order after it, when the unloaded model is idle. */
+constexpr Duration unloadTime = 150ms;
+/** A model that is planned for and has no server yet; one more round of unload and load. */
+constexpr Duration turnTime = 600ms;
+/** An intent that has not come about by then is dropped. */
+constexpr Duration longestIntent = 15s;
+
+double urgency(unsigned rank)
+{
+    return std::pow(rankStep, lastWeightedRank - std::min(rank, lastWeightedRank));
+}
+
+} // namespace
+
+ModelPlacer::Options ModelPlacer::Options::withStoreLoadsAtOnce(unsigned value) const
+{
+    Options copy = *this;
+    copy.storeLoadsAtOnce = value;
+    return copy;
+}
+
+//==============================================================================
+/** What is known and decided in one call of decide(). */
+struct ModelPlacer::Round {
+    const EngineSpec& engine;
+    const Servers& servers;
+    const Demands& demands;
+    Instant now;
+    /** The demand for each model, its adapters' included. */
+    std::map<ModelName, CombinedDemand> models {};
+    std::map<ModelName, unsigned> copies {};
+    std::map<ModelName, unsigned> coming {};
+    unsigned storeLoads = 0;
+    std::vector<PlacementStep> steps {};
+    std::set<BackendServerName> taken {};
+};
+
+/** A server that a model could go to. */
+struct ModelPlacer::Place {
+    const PlacedServer* server = nullptr;
+    PlacementStep::Source source = PlacementStep::Source::Store;
+    std::vector<ModelName> victims;
+    Duration cost {};
+};
+
+//==============================================================================
+std::vector<PlacementStep> ModelPlacer::decide(const EngineSpec& engine, const Servers& servers, const Demands& demands, Instant now)
+{
+    Round round { engine, servers, demands, now };
+    m_expected.clear();
+    prepare(round);
+    followIntents(round);
+    placeMissing(round);
+    addCopies(round);
+    placeAdapters(round);
+    return std::move(round.steps);
+}
+
+void ModelPlacer::reset()
+{
+    m_intents.clear();
+    m_heldSince.clear();
+    m_expected.clear();
+}
+
+void ModelPlacer::prepare(Round& round)
+{
+    for (const auto& [key, demand] : round.demands) {
+        auto [entry, isNew] = round.models.emplace(key.first, demand);
+        if (isNew)
+            continue;
+        CombinedDemand& sum = entry->second;
+        sum.waiting += demand.waiting;
+        sum.active += demand.active;
+        sum.rank = std::min(sum.rank, demand.rank);
+        sum.arrivalsPerSecond += demand.arrivalsPerSecond;
+        sum.refused += demand.refused;
+    }
+    std::map<std::pair<BackendServerName, ModelName>, Instant> heldSince;
+    for (const PlacedServer& server : round.servers) {
+        for (const auto& [model, adapters] : server.models) {
+            ++round.copies[model];
+            auto known = m_heldSince.find({ server.id, model });
+            heldSince[{ server.id, model }] = known == m_heldSince.end() ? round.now : known->second;
+        }
+        if (server.loading.isEmpty())
+            continue;
+        ++round.coming[server.loading];
+        round.storeLoads += server.isLoadingFromStore ? 1 : 0;
+        m_expected[server.loading] = std::max(server.loadedAt, round.now);
+    }
+    m_heldSince = std::move(heldSince);
+}
+
+/** Room that was made for a model is given to it before anything else is decided. */
+void ModelPlacer::followIntents(Round& round)
+{
+    std::erase_if(m_intents, [&](const auto& item) {
+        const auto& [id, intent] = item;
+        auto server = std::find_if(round.servers.begin(), round.servers.end(), [&](const PlacedServer& each) { return each.id == id; });
+        bool isDone = server == round.servers.end() || server->models.contains(intent.model) || server->loading == intent.model;
+        return isDone || round.now - intent.since > longestIntent;
+    });
+    for (const PlacedServer& server : round.servers) {
+        auto intent = m_intents.find(server.id);
+        if (intent == m_intents.end())
+            continue;
+        round.taken.insert(server.id);
+        ++round.coming[intent->second.model];
+        round.storeLoads += intent->second.source == PlacementStep::Source::Store ? 1 : 0;
+        const EngineModel& spec = round.engine.models.at(intent->second.model);
+        m_expected[intent->second.model] = round.now + unloadTime + (intent->second.source == PlacementStep::Source::Store ? spec.loadFromStore : spec.loadFromDisk);
+        if (!server.mayTakeOrder)
+            continue;
+        auto place = placeAt(round, server, intent->second.model, std::numeric_limits<double>::infinity());
+        if (place)
+            take(round, server, intent->second, place->victims);
+    }
+}
+
+void ModelPlacer::placeMissing(Round& round)
+{
+    std::vector<std::pair<double, ModelName>> missing;
+    for (const auto& [model, demand] : round.models) {
+        bool isWanted = demand.waiting > 0 || demand.refused > leastRefused;
+        if (isWanted && round.engine.models.contains(model) && round.copies[model] == 0 && round.coming[model] == 0)
+            missing.emplace_back((demand.waiting + demand.refused) * urgency(demand.rank), model);
+    }
+    std::sort(missing.begin(), missing.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<ModelName> unplaced;
+    for (const auto& [value, model] : missing) {
+        if (!place(round, model, value, true))
+            unplaced.push_back(model);
+    }
+    expectMissing(round, unplaced);
+}
+
+/** Another copy for models whose servers are all full, and for busy ones with a single copy. */
+void ModelPlacer::addCopies(Round& round)
+{
+    for (const auto& [model, demand] : round.models) {
+        if (round.copies[model] == 0 || round.coming[model] > 0)
+            continue;
+        unsigned least = std::numeric_limits<unsigned>::max();
+        for (const PlacedServer& server : round.servers) {
+            if (server.models.contains(model))
+                least = std::min(least, server.outstanding);
+        }
+        bool isFull = least >= m_options.fullPart * round.engine.slots && demand.arrivalsPerSecond > 1;
+        bool isExposed = round.copies[model] == 1 && demand.arrivalsPerSecond > m_options.secondCopyRate;
+        if (isFull || isExposed)
+            place(round, model, demand.arrivalsPerSecond / (round.copies[model] + 1) * urgency(demand.rank), round.storeLoads + 1 < m_options.storeLoadsAtOnce);
+    }
+}
+
+//==============================================================================
+bool ModelPlacer::place(Round& round, const ModelName& model, double value, bool mayUseStore)
+{
+    auto best = bestPlace(round, model, value, mayUseStore);
+    if (!best)
+        return false;
+    Intent intent { model, best->source, round.now };
+    m_intents[best->server->id] = intent;
+    round.taken.insert(best->server->id);
+    ++round.coming[model];
+    round.storeLoads += best->source == PlacementStep::Source::Store ? 1 : 0;
+    m_expected[model] = round.now + best->cost;
+    take(round, *best->server, intent, best->victims);
+    return true;
+}
+
+/** A copy at hand, whose server can make room though it is busy now, is waited for rather than loaded from the store. */
+std::optional<ModelPlacer::Place> ModelPlacer::bestPlace(const Round& round, const ModelName& model, double value, bool mayUseStore) const
+{
+    bool isAtHand = std::any_of(round.servers.begin(), round.servers.end(), [&](const PlacedServer& server) {
+        bool hasCopy = (server.inMemory.contains(model) || server.onDisk.contains(model)) && !server.models.contains(model);
+        return hasCopy && placeAt(round, server, model, value);
+    });
+    std::optional<Place> best;
+    for (const PlacedServer& server : round.servers) {
+        if (!server.mayTakeOrder || round.taken.contains(server.id) || server.models.contains(model))
+            continue;
+        auto place = placeAt(round, server, model, value);
+        if (!place)
+            continue;
+        bool isFromStore = place->source == PlacementStep::Source::Store;
+        if (isFromStore && (isAtHand || !mayUseStore || round.storeLoads >= m_options.storeLoadsAtOnce))
+            continue;
+        if (!best || place->cost < best->cost)
+            best = std::move(place);
+    }
+    return best;
+}
+
+std::optional<ModelPlacer::Place> ModelPlacer::placeAt(const Round& round, const PlacedServer& server, const ModelName& model, double value) const
+{
+    const EngineModel& spec = round.engine.models.at(model);
+    Place place { &server, PlacementStep::Source::Store, {}, spec.loadFromStore };
+    if (server.inMemory.contains(model)) {
+        place.source = PlacementStep::Source::Memory;
+        place.cost = spec.loadFromMemory;
+    } else if (server.onDisk.contains(model)) {
+        place.source = PlacementStep::Source::Disk;
+        place.cost = spec.loadFromDisk;
+    }
+    std::vector<std::pair<double, ModelName>> others;
+    for (const auto& [held, adapters] : server.models)
+        others.emplace_back(keepingValue(round, server, held), held);
+    std::sort(others.begin(), others.end());
+    ByteCount used = usedAt(round.engine, server);
+    double lost = 0;
+    for (auto other = others.begin(); used + spec.weights > round.engine.weightsCapacity; ++other) {
+        if (other == others.end())
+            return std::nullopt;
+        const EngineModel& victim = round.engine.models.at(other->second);
+        ByteCount freed = victim.weights + ByteCount(victim.adapterWeights.value() * server.models.at(other->second).size());
+        used -= freed;
+        lost += other->first;
+        place.victims.push_back(other->second);
+        place.cost += unloadTime;
+    }
+    if (lost >= value)
+        return std::nullopt;
+    if (std::isfinite(lost))
+        place.cost += std::chrono::duration_cast<Duration>(m_options.evictionCost * lost);
+    return place;
+}
+
+/** What would be lost with a model at a server; without bound while it must not go. */
+double ModelPlacer::keepingValue(const Round& round, const PlacedServer& server, const ModelName& model) const
+{
+    auto found = round.models.find(model);
+    if (!round.engine.models.contains(model) || found == round.models.end())
+        return 0;
+    const CombinedDemand& demand = found->second;
+    auto since = m_heldSince.find({ server.id, model });
+    bool isNew = since != m_heldSince.end() && round.now - since->second < m_options.leastResidence;
+    unsigned copies = round.copies.at(model);
+    double wanted = (demand.arrivalsPerSecond + demand.waiting) * urgency(demand.rank);
+    if (isNew && wanted > 0)
+        return std::numeric_limits<double>::infinity();
+    return wanted / copies + (copies == 1 ? demand.active : 0);
+}
+
+/** One step towards an intent: the first victim goes, or the model comes. */
+void ModelPlacer::take(Round& round, const PlacedServer& server, const Intent& intent, const std::vector<ModelName>& victims)
+{
+    PlacementStep step;
+    step.server = server.id;
+    if (!victims.empty()) {
+        step.operation = PlacementStep::Operation::Unload;
+        step.model = victims.front();
+        step.makesRoomFor = intent.model;
+    } else {
+        const EngineModel& spec = round.engine.models.at(intent.model);
+        step.model = intent.model;
+        step.source = intent.source;
+        static constexpr Duration EngineModel::*times[] = { &EngineModel::loadFromMemory, &EngineModel::loadFromDisk, &EngineModel::loadFromStore };
+        step.time = spec.*times[static_cast<std::size_t>(intent.source)];
+        if (intent.source == PlacementStep::Source::Store && round.storeLoads > m_options.storeLoadsAtOnce)
+            step.time = step.time * round.storeLoads / m_options.storeLoadsAtOnce;
+    }
+    round.steps.push_back(std::move(step));
+}
+
+/** Models without a place are expected in the order in which they will get one. */
+void ModelPlacer::expectMissing(Round& round, const std::vector<ModelName>& unplaced)
+{
+    std::vector<Instant> storeFree;
+    for (const PlacedServer& server : round.servers) {
+        if (server.isLoadingFromStore && !server.loading.isEmpty())
+            storeFree.push_back(std::max(server.loadedAt, round.now));
+    }
+    std::sort(storeFree.begin(), storeFree.end());
+    std::size_t turn = 0;
+    std::size_t storeTurn = 0;
+    for (const ModelName& model : unplaced) {
+        const EngineModel& spec = round.engine.models.at(model);
+        bool isAtHand = std::any_of(round.servers.begin(), round.servers.end(), [&](const PlacedServer& server) { return server.inMemory.contains(model) || server.onDisk.contains(model); });
+        if (isAtHand) {
+            m_expected[model] = round.now + turnTime * (1 + turn++ / std::max<std::size_t>(round.servers.size(), 1)) + spec.loadFromDisk;
+            continue;
+        }
+        std::size_t rounds = storeTurn / m_options.storeLoadsAtOnce;
+        Instant free = storeFree.empty() ? round.now : storeFree[storeTurn % storeFree.size()];
+        m_expected[model] = free + spec.loadFromStore * (rounds + 1) + unloadTime;
+        ++storeTurn;
+    }
+}
+
+//==============================================================================
+/** An adapter goes to the least loaded server that holds its model; an idle adapter makes way. */
+void ModelPlacer::placeAdapters(Round& round)
+{
+    for (const auto& [key, demand] : round.demands) {
+        const auto& [model, adapter] = key;
+        if (adapter.isEmpty() || demand.waiting == 0)
+            continue;
+        bool isThere = false;
+        const PlacedServer* best = nullptr;
+        for (const PlacedServer& server : round.servers) {
+            auto held = server.models.find(model);
+            if (held == server.models.end())
+                continue;
+            auto coming = server.adaptersOnTheWay.find(model);
+            isThere = isThere || held->second.contains(adapter) || (coming != server.adaptersOnTheWay.end() && coming->second.contains(adapter));
+            bool mayTake = server.mayTakeOrder && !round.taken.contains(server.id);
+            if (mayTake && (!best || server.outstanding < best->outstanding))
+                best = &server;
+        }
+        if (isThere || !best)
+            continue;
+        std::size_t places = 0;
+        for (const auto& [held, adapters] : best->models)
+            places += adapters.size();
+        for (const auto& [held, adapters] : best->adaptersOnTheWay)
+            places += adapters.size();
+        PlacementStep step { PlacementStep::Operation::Load, best->id, model, adapter };
+        ByteCount room = round.engine.weightsCapacity - usedAt(round.engine, *best);
+        if (places >= round.engine.adapterSlots || room < round.engine.models.at(model).adapterWeights) {
+            double least = std::numeric_limits<double>::infinity();
+            step.operation = PlacementStep::Operation::Unload;
+            step.adapter = AdapterName();
+            for (const auto& [held, adapters] : best->models) {
+                for (const AdapterName& other : adapters) {
+                    auto wanted = round.demands.find({ held, other });
+                    double value = wanted == round.demands.end() ? 0 : wanted->second.arrivalsPerSecond + wanted->second.active;
+                    if (value >= least)
+                        continue;
+                    least = value;
+                    step.model = held;
+                    step.adapter = other;
+                }
+            }
+            if (step.adapter.isEmpty())
+                continue;
+        }
+        round.taken.insert(best->id);
+        round.steps.push_back(std::move(step));
+    }
+}
+
+ByteCount ModelPlacer::usedAt(const EngineSpec& engine, const PlacedServer& server)
+{
+    ByteCount used;
+    auto add = [&](const ModelName& model, std::size_t adapters, bool withModel) {
+        auto spec = engine.models.find(model);
+        if (spec == engine.models.end())
+            return;
+        if (withModel)
+            used += spec->second.weights;
+        used += ByteCount(spec->second.adapterWeights.value() * adapters);
+    };
+    for (const auto& [model, adapters] : server.models)
+        add(model, adapters.size(), true);
+    for (const auto& [model, adapters] : server.adaptersOnTheWay)
+        add(model, adapters.size(), false);
+    if (!server.loading.isEmpty() && !server.models.contains(server.loading))
+        add(server.loading, 0, true);
+    return used;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/fleet/RetryBudget.cpp
@@ -0,0 +1,66 @@
+#include "hemlockchute/fleet/RetryBudget.h"
+
+namespace hemlockchute {
+
+RetryBudget::Options RetryBudget::Options::withRatio(double value) const
+{
+    Options copy = *this;
+    copy.ratio = value;
+    return copy;
+}
+
+RetryBudget::Options RetryBudget::Options::withAllowance(unsigned value) const
+{
+    Options copy = *this;
+    copy.allowance = value;
+    return copy;
+}
+
+RetryBudget::Options RetryBudget::Options::withWindow(Duration value) const
+{
+    Options copy = *this;
+    copy.window = value;
+    return copy;
+}
+
+void RetryBudget::noteRequest(const ServiceName& service, Instant now)
+{
+    ++current(m_windows[service], now).requests;
+}
+
+/** The slice under way is not yet a whole one, so one slice more than the window is never counted. */
+bool RetryBudget::tryResend(const ServiceName& service, Instant now)
+{
+    Window& window = m_windows[service];
+    Slice& slice = current(window, now);
+    std::int64_t oldest = numberOf(now) - static_cast<std::int64_t>(slices) + 1;
+    unsigned requests = 0;
+    unsigned resends = 0;
+    for (const Slice& each : window) {
+        if (each.number < oldest)
+            continue;
+        requests += each.requests;
+        resends += each.resends;
+    }
+    double allowed = m_options.spentPart * (m_options.ratio * requests + static_cast<double>(m_options.allowance) / static_cast<double>(m_hosts));
+    if (resends + 1 > allowed)
+        return false;
+    ++slice.resends;
+    return true;
+}
+
+RetryBudget::Slice& RetryBudget::current(Window& window, Instant now) const
+{
+    std::int64_t number = numberOf(now);
+    Slice& slice = window[static_cast<std::size_t>(number) % slices];
+    if (slice.number != number)
+        slice = { number, 0, 0 };
+    return slice;
+}
+
+std::int64_t RetryBudget::numberOf(Instant now) const
+{
+    return now.time_since_epoch() / (m_options.window / static_cast<std::int64_t>(slices));
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/fleet/RouteConfiguration.cpp
@@ -0,0 +1,74 @@
+#include "hemlockchute/fleet/RouteConfiguration.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+namespace {
+
+using Checked = Result<void, ConfigurationErrorCode>;
+
+Checked checkRoute(const Route& route, const std::map<ServiceName, RoutedService>& services)
+{
+    auto invalid = [&](const std::string& what) { return failure(ConfigurationErrorCode::Invalid, "route " + route.name + ": " + what); };
+    if (route.pathPrefix.empty() || route.pathPrefix.front() != '/' || route.pathPrefix.back() != '/')
+        return invalid("the path prefix must begin and end with a slash");
+    if (route.timeout <= Duration::zero())
+        return invalid("the timeout must be above 0");
+    unsigned weight = 0;
+    for (const WeightedService& share : route.services) {
+        if (!services.contains(share.service))
+            return invalid("service " + share.service.text() + " is not declared");
+        weight += share.weight;
+    }
+    if (weight == 0)
+        return invalid("the weights add up to 0");
+    return {};
+}
+
+} // namespace
+
+Result<RouteConfigurationPointer, ConfigurationErrorCode> RouteConfiguration::make(Parts parts)
+{
+    std::shared_ptr<RouteConfiguration> configuration(new RouteConfiguration(std::move(parts)));
+    const auto& routes = configuration->m_parts.routes;
+    for (std::size_t index = 0; index < routes.size(); ++index) {
+        const Route& route = routes[index];
+        if (auto checked = checkRoute(route, configuration->m_parts.services); !checked)
+            return tl::unexpected(checked.error());
+        if (!configuration->m_places.emplace(placeOf(route.host, route.pathPrefix), index).second)
+            return failure(ConfigurationErrorCode::Invalid, "route " + route.name + ": another route has the same host and prefix");
+    }
+    return RouteConfigurationPointer(std::move(configuration));
+}
+
+const Route* RouteConfiguration::findRoute(std::string_view host, std::string_view path) const
+{
+    std::size_t end = path.rfind('/');
+    while (end != std::string_view::npos) {
+        auto found = m_places.find(placeOf(host, path.substr(0, end + 1)));
+        if (found != m_places.end())
+            return &m_parts.routes[found->second];
+        if (end == 0)
+            break;
+        end = path.rfind('/', end - 1);
+    }
+    return nullptr;
+}
+
+const RoutedService* RouteConfiguration::findService(const ServiceName& name) const
+{
+    auto found = m_parts.services.find(name);
+    return found == m_parts.services.end() ? nullptr : &found->second;
+}
+
+/** Host names are compared without regard to case and never hold a line feed. */
+std::string RouteConfiguration::placeOf(std::string_view host, std::string_view prefix)
+{
+    std::string place(host);
+    std::transform(place.begin(), place.end(), place.begin(), [](unsigned char character) { return static_cast<char>(std::tolower(character)); });
+    place += '\n';
+    place += prefix;
+    return place;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/fleet/ServerChooser.cpp
@@ -0,0 +1,64 @@
+#include "hemlockchute/fleet/ServerChooser.h"
+
+#include "hemlockchute/core/Digest.h"
+
+#include <algorithm>
+#include <string>
+
+namespace hemlockchute {
+namespace {
+
+/** The parts that other requests share, as one text, and their tokens. */
+struct SharedPrompt {
+    std::string parts;
+    std::uint64_t tokens = 0;
+};
+
+SharedPrompt sharedPrompt(const RequestMetadata& request)
+{
+    SharedPrompt shared;
+    if (request.promptParts.size() < 2)
+        return shared;
+    for (std::size_t i = 0; i + 1 < request.promptParts.size(); ++i) {
+        shared.parts += request.promptParts[i].id;
+        shared.parts += ',';
+        shared.tokens += request.promptParts[i].tokens;
+    }
+    return shared;
+}
+
+} // namespace
+
+std::optional<std::size_t> ServerChooser::choose(const std::vector<ServerCandidate>& candidates, const RequestMetadata& request) const
+{
+    SharedPrompt shared = sharedPrompt(request);
+    std::optional<std::size_t> keeper;
+    std::uint64_t highest = 0;
+    for (std::size_t i = 0; shared.tokens > 0 && i < candidates.size(); ++i) {
+        std::uint64_t hash = Digest::of(shared.parts + candidates[i].id.text()).low();
+        if (!keeper || hash > highest) {
+            keeper = i;
+            highest = hash;
+        }
+    }
+    Duration reading = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(static_cast<double>(shared.tokens) / m_options.tokensPerMillisecond));
+    std::optional<std::size_t> best;
+    Duration least {};
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        Duration delay = delayAt(candidates[i]) + (keeper == i ? Duration::zero() : reading);
+        if (!best || delay < least) {
+            best = i;
+            least = delay;
+        }
+    }
+    return best;
+}
+
+Duration ServerChooser::delayAt(const ServerCandidate& candidate) const
+{
+    unsigned running = std::min(candidate.outstanding, candidate.slots);
+    unsigned queued = candidate.outstanding - running;
+    return running * m_options.perRunning + queued * m_options.perQueued + (candidate.isLocal ? Duration::zero() : m_options.crossing);
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetPlatform.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "hemlockchute/core/Errors.h"
+#include "hemlockchute/fleet/ListedServer.h"
+#include "hemlockchute/fleet/RequestMetadata.h"
+#include "hemlockchute/fleet/RouteConfiguration.h"
+#include "hemlockchute/http/HttpMessage.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace hemlockchute {
+
+enum class PlatformErrorCode {
+    /** A message cannot be read. */
+    Malformed,
+    /** A request lacks what every request must have. */
+    Incomplete
+};
+
+/** An order to a server that runs models. */
+struct PlacementOrder {
+    enum class Operation {
+        Load,
+        Unload
+    };
+
+    Operation operation = Operation::Load;
+    BackendServerName server;
+    ModelName model;
+    /** Empty when the order is about the model itself. */
+    AdapterName adapter;
+    /** The server refuses the order unless it has accepted exactly so many before. */
+    std::uint64_t ordersAcceptedBefore = 0;
+    /** The host that gives the order. */
+    HostName giver;
+    FencingNumber fence;
+};
+
+/** What a server says to an order. */
+enum class OrderOutcome {
+    /** It is being carried out. */
+    Accepted,
+    /** What it asks for holds already. */
+    AlreadyHolds,
+    /** Another order is in progress, or another number of orders was accepted. */
+    Conflict,
+    /** Another server, or another life of it, has the address. */
+    WrongServer,
+    /** The fencing number is too low. */
+    Fenced,
+    /** The server does not know the order, or says something else. */
+    Rejected
+};
+
+//==============================================================================
+/**
+    How a platform names what the system exchanges with callers, operators, backend servers and the
+    platform's list. Translates and decides nothing.
+
+    One plug-in for each platform enters itself in PluginRegistry<FleetPlatform>. Thread safety:
+    stateless; every method may be called from any thread.
+*/
+class FleetPlatform {
+public:
+    virtual ~FleetPlatform() = default;
+
+    //==============================================================================
+    // Callers
+    /** True for the path under which the platform asks whether a host takes new connections. */
+    virtual bool isReadinessPath(std::string_view path) const = 0;
+    virtual Result<RequestMetadata, PlatformErrorCode> decodeRequest(const HttpRequest&) const = 0;
+    /** The request as it goes to a backend server. */
+    virtual HttpRequest forwardedRequest(const HttpRequest&, const ForwardingTerms&) const = 0;
+    virtual AnswerMetadata decodeAnswer(const HttpHeaders&) const = 0;
+    /** An answer's headers as they go to the caller. */
+    virtual HttpHeaders forwardedAnswerHeaders(const HttpHeaders&) const = 0;
+
+    //==============================================================================
+    // Operators
+    virtual bool isConfigurationPath(std::string_view path) const = 0;
+    virtual Result<RouteConfigurationPointer, ConfigurationErrorCode> decodeConfiguration(std::string_view body) const = 0;
+
+    //==============================================================================
+    // The list of backend servers
+    virtual HttpRequest listingRequest(const std::optional<std::string>& page) const = 0;
+    virtual Result<ListingPage, PlatformErrorCode> decodeListing(std::string_view body) const = 0;
+
+    //==============================================================================
+    // Orders to servers that run models
+    virtual HttpRequest reportRequest() const = 0;
+    virtual Result<EngineReport, PlatformErrorCode> decodeReport(std::string_view body) const = 0;
+    virtual HttpRequest orderRequest(const PlacementOrder&) const = 0;
+    virtual OrderOutcome decodeOrderAnswer(unsigned status) const = 0;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -0,0 +1,145 @@
+#pragma once
+
+#include "hemlockchute/fleet/FleetMessages.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace hemlockchute {
+
+/** What all gateways together want of a model or adapter. */
+struct CombinedDemand {
+    /** Requests that wait for it. */
+    unsigned waiting = 0;
+    /** Requests that run with it. */
+    unsigned active = 0;
+    /** The most urgent rank that wants it. */
+    unsigned rank = 0;
+    /** Requests a second, averaged over some seconds. */
+    double arrivalsPerSecond = 0;
+    /** Requests refused for want of it, fading over some seconds. */
+    double refused = 0;
+};
+
+/** A server that runs models, as the placer sees it. */
+struct PlacedServer {
+    BackendServerName id;
+    HeldModels models;
+    std::set<ModelName> inMemory;
+    std::set<ModelName> onDisk;
+    /** Adapters ordered and not there yet; they take places. */
+    std::map<ModelName, std::set<AdapterName>> adaptersOnTheWay;
+    /** True when it may be given an order: its state is known and no order is in progress. */
+    bool mayTakeOrder = false;
+    /** The model that is being loaded, which takes up room already. */
+    ModelName loading;
+    /** True when that load comes from the weight store. */
+    bool isLoadingFromStore = false;
+    /** When that load is expected to end. */
+    Instant loadedAt {};
+    /** Requests at it from all gateways. */
+    unsigned outstanding = 0;
+};
+
+/** One order that the placer wants given. */
+struct PlacementStep {
+    enum class Operation {
+        Load,
+        Unload
+    };
+
+    Operation operation = Operation::Load;
+    BackendServerName server;
+    ModelName model;
+    /** Empty when the step is about the model itself. */
+    AdapterName adapter;
+    /** Where a model's weights come from. */
+    enum class Source {
+        Memory,
+        Disk,
+        Store
+    } source
+        = Source::Store;
+    /** How long a load takes when nothing delays it. */
+    Duration time {};
+    /** The model for which room is made by an unload. */
+    ModelName makesRoomFor;
+};
+
+//==============================================================================
+/**
+    Decides which models the servers of one service hold.
+
+    Answers the load in which far more models are asked for than fit: models that are asked for
+    often keep their places, and the others take turns in the rest. A model that nobody holds and
+    that requests wait for goes where its weights are at hand and where the least wanted model
+    makes way; loads from the weight store, which are slow and few at once, go to the models that
+    the most, and the most urgent, requests want. Models whose servers are full get another copy.
+    Thread safety: one thread at a time.
+*/
+class ModelPlacer {
+public:
+    /** Bounds and weights. */
+    struct Options {
+        /** Loads from the weight store at once; more only slow each other down. */
+        unsigned storeLoadsAtOnce = 4;
+        /** A model stays at least so long after it was loaded, while it is wanted at all. */
+        Duration leastResidence = 800ms;
+        /** A further copy is loaded when requests at the emptiest server pass this part of its slots. */
+        double fullPart = 0.75;
+        /** A model with more requests a second than this gets a second copy, against the loss of the first. */
+        double secondCopyRate = 4;
+        /** Delay of a load that weighs as much as losing a model that gets one request a second. */
+        Duration evictionCost = 400ms;
+
+        Options withStoreLoadsAtOnce(unsigned) const;
+    };
+
+    explicit ModelPlacer(Options options)
+        : m_options(options)
+    {
+    }
+
+    using Servers = std::vector<PlacedServer>;
+    /** By model, and by adapter for requests that need one. */
+    using Demands = std::map<std::pair<ModelName, AdapterName>, CombinedDemand>;
+
+    /** The orders to give now, at most one for each server. */
+    std::vector<PlacementStep> decide(const EngineSpec&, const Servers&, const Demands&, Instant now);
+    /** When models that are wanted and not held are expected, as of the last decision. */
+    const std::map<ModelName, Instant>& expected() const { return m_expected; }
+    /** Forgets what was meant for servers, as after a change of the order-giver. */
+    void reset();
+
+private:
+    /** A model that is to be held by a server once room is made. */
+    struct Intent {
+        ModelName model;
+        PlacementStep::Source source = PlacementStep::Source::Store;
+        Instant since {};
+    };
+
+    struct Round;
+    struct Place;
+
+    void prepare(Round&);
+    void followIntents(Round&);
+    void placeMissing(Round&);
+    void addCopies(Round&);
+    void placeAdapters(Round&);
+    bool place(Round&, const ModelName&, double value, bool mayUseStore);
+    std::optional<Place> bestPlace(const Round&, const ModelName&, double value, bool mayUseStore) const;
+    std::optional<Place> placeAt(const Round&, const PlacedServer&, const ModelName&, double value) const;
+    double keepingValue(const Round&, const PlacedServer&, const ModelName&) const;
+    void take(Round&, const PlacedServer&, const Intent&, const std::vector<ModelName>& victims);
+    void expectMissing(Round&, const std::vector<ModelName>& unplaced);
+    static ByteCount usedAt(const EngineSpec&, const PlacedServer&);
+
+    Options m_options;
+    std::map<BackendServerName, Intent> m_intents;
+    std::map<std::pair<BackendServerName, ModelName>, Instant> m_heldSince;
+    std::map<ModelName, Instant> m_expected;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "gateway/DemandLedger.h"
+#include "gateway/ServerTable.h"
+#include "hemlockchute/peer/PeerClient.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <set>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    Keeps in touch with the coordinator that leads: tells it the demand, and hears of it the
+    configuration, the placement and when missing models are expected.
+
+    Thread safety: only on the io_context, which runs one thread.
+*/
+class CoordinatorLink {
+public:
+    /** How often to ask and when to give up on an answer. */
+    struct Options {
+        Duration interval = 150ms;
+        /** Between two calls when something urgent came up. */
+        Duration shortestInterval = 20ms;
+        /** The interval grows by this for each gateway, so that a coordinator's load does not follow their number. */
+        Duration intervalPerGateway = 8ms;
+        Duration timeout = 500ms;
+        /** After so long without a leader, the configuration of any coordinator will do for a gateway that has none. */
+        Duration patience = 3s;
+    };
+
+    /** What the link hands on. */
+    struct Hooks {
+        /** A newer configuration. */
+        std::function<void(ConfigurationVersion, ByteString)> configuration;
+        /** Placement, counts or expectations were heard. */
+        std::function<void()> changed;
+    };
+
+    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, std::vector<Endpoint> seeds, Options, ServerTable&, DemandLedger&, Hooks);
+
+    void start();
+    void stop();
+    /** Asks soon, as when a request waits for a model that nobody has asked for yet. */
+    void hurry();
+    void setSeeds(const std::vector<Endpoint>& seeds);
+    void noteVersion(ConfigurationVersion version) { m_version = version; }
+
+    /** When a model is expected, as last heard; nothing when the coordinator has said nothing of it. */
+    std::optional<Instant> expected(const ServiceName&, const ModelName&) const;
+    /** Gateways that the coordinator hears of; nothing until it said so. */
+    std::optional<unsigned> gateways() const { return m_gateways; }
+    /** How long ago a coordinator that leads has answered. */
+    std::optional<Duration> age(Instant now) const;
+
+private:
+    boost::asio::awaitable<void> run();
+    boost::asio::awaitable<void> askOnce();
+    ByteString nextRequest();
+    void noteIfLost(const Endpoint& asked, const std::string& fault, Instant now);
+    void take(const FollowReply&, Instant now);
+    void takeConfiguration(const FollowReply&, Instant now);
+    void turnTo(std::optional<Endpoint>);
+    Duration pause(Instant asked) const;
+
+    PeerClient& m_client;
+    HostName m_self;
+    Options m_options;
+    ServerTable& m_servers;
+    DemandLedger& m_demand;
+    Hooks m_hooks;
+    boost::asio::steady_timer m_timer;
+    std::set<Endpoint> m_coordinators;
+    std::optional<Endpoint> m_target;
+    ConfigurationVersion m_version;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_revision = 0;
+    std::map<std::pair<ServiceName, ModelName>, Instant> m_expected;
+    std::optional<unsigned> m_gateways;
+    std::optional<Instant> m_heard;
+    Instant m_begun {};
+    bool m_isLost = false;
+    bool m_isHurried = false;
+    bool m_isStopping = false;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/DemandLedger.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "hemlockchute/fleet/FleetMessages.h"
+
+#include <map>
+#include <vector>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    Counts what callers want of each model, for the coordinator.
+
+    Thread safety: one thread at a time.
+*/
+class DemandLedger {
+public:
+    void noteArrival(const ModelKey&, unsigned rank);
+    void noteRefused(const ModelKey&);
+    void addWaiting(const ModelKey& key, int change) { add(m_entries[key].waiting, change); }
+    void addActive(const ModelKey& key, int change) { add(m_entries[key].active, change); }
+
+    /** The counts since the last call; models that nobody wants any more are left out and forgotten. */
+    std::vector<ModelDemandReport> takeReports();
+
+private:
+    struct Entry {
+        unsigned waiting = 0;
+        unsigned active = 0;
+        unsigned arrivals = 0;
+        unsigned refused = 0;
+        unsigned rank = 0;
+    };
+
+    static void add(unsigned& count, int change) { count = static_cast<unsigned>(static_cast<int>(count) + change); }
+
+    std::map<ModelKey, Entry> m_entries;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -0,0 +1,157 @@
+#include "gateway/Gateway.h"
+
+#include "gateway/RequestForwarder.h"
+#include "hemlockchute/core/EventLog.h"
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned statusOk = 200;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusUnavailable = 503;
+
+/** A connection to a server that is not there by then is given up, while there is time for another server. */
+constexpr Duration connectTimeout = 300ms;
+/** Bytes that a server's host does not acknowledge for so long mean that it is gone. */
+constexpr std::chrono::milliseconds acknowledgeTimeout { 2000 };
+/** Idle connections kept to each server, enough for the requests of one host at a busy moment. */
+constexpr std::size_t idleConnections = 24;
+/** Servers that fail twice in a row are left out for a second at first, for four at the longest. */
+constexpr EjectionTable::Options ejection { 2, 1s, 4s, 500 };
+/** The platform asks once a second and needs two answers to send no more new connections. */
+constexpr Duration newConnectionsEnd = 3s;
+/** A read timeout above the header's leaves time for the body. */
+constexpr unsigned bodyTimeoutFactor = 4;
+
+HttpClient::Options clientOptions()
+{
+    return HttpClient::Options().withConnectTimeout(connectTimeout).withMaximumIdle(idleConnections).withAcknowledgeTimeout(acknowledgeTimeout);
+}
+
+ServerTable::Options tableOptions()
+{
+    ServerTable::Options options;
+    options.ejection = ejection;
+    return options;
+}
+
+ListingPoller::Options listingOptions()
+{
+    ListingPoller::Options options;
+    options.longestPause = options.interval;
+    return options;
+}
+
+} // namespace
+
+Gateway::Gateway(asio::io_context& context, const GatewaySettings& settings, const FleetPlatform& platform)
+    : m_settings(settings)
+    , m_platform(platform)
+    , m_client(clientOptions())
+    , m_peers(context, { settings.clusterName, settings.clusterKey, settings.host, "gateway" }, PeerClient::Options())
+    , m_servers(settings.dataCentre, tableOptions())
+    , m_link(context, m_peers, settings.host, settings.seeds, CoordinatorLink::Options(), m_servers, m_demand,
+          { [this](ConfigurationVersion version, const ByteString& body) { takeConfiguration(version, body); },
+              [this] {
+                  m_core.retries.setHostCount(std::max(1U, m_link.gateways().value_or(1)));
+                  m_core.waiting.notifyAll();
+              } })
+    , m_core(platform, settings, m_client, m_link, m_servers, m_demand)
+    , m_listing(context, platform, m_client, settings.listing, listingOptions(), [this](std::vector<ListedServer> servers, Instant) { takeListing(std::move(servers)); })
+    , m_callers(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); })
+    , m_readiness(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); })
+    , m_metrics(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
+    , m_stopTimer(context)
+{
+}
+
+Result<void, RoleErrorCode> Gateway::start()
+{
+    std::vector<std::pair<HttpServer*, Endpoint>> servers { { &m_callers, m_settings.callers }, { &m_readiness, m_settings.readiness } };
+    if (m_settings.metrics)
+        servers.emplace_back(&m_metrics, *m_settings.metrics);
+    for (auto& [server, endpoint] : servers) {
+        if (auto listening = server->listen(endpoint); !listening)
+            return failureBecause(RoleErrorCode::ListenFailed, listening.error());
+    }
+    m_link.start();
+    m_listing.start();
+    return {};
+}
+
+void Gateway::reload(const GatewaySettings& settings)
+{
+    m_link.setSeeds(settings.seeds);
+    m_settings.grace = settings.grace;
+}
+
+void Gateway::stop(std::function<void()> done)
+{
+    m_core.stopsAt = std::chrono::steady_clock::now() + m_settings.grace;
+    m_callers.announceClose();
+    m_stopTimer.expires_after(newConnectionsEnd);
+    m_stopTimer.async_wait([this, done = std::move(done)](const boost::system::error_code&) mutable {
+        m_core.waiting.notifyAll();
+        m_callers.drain([this, done = std::move(done)] {
+            m_link.stop();
+            m_listing.stop();
+            done();
+        });
+    });
+}
+
+//==============================================================================
+asio::awaitable<void> Gateway::serve(HttpExchange& exchange)
+{
+    RequestForwarder forwarder(m_core, exchange);
+    co_await forwarder.run();
+}
+
+bool Gateway::isReady() const
+{
+    return m_core.configuration && m_servers.hasListing() && !m_core.stopsAt;
+}
+
+asio::awaitable<void> Gateway::answerReadiness(HttpExchange& exchange)
+{
+    if (!m_platform.isReadinessPath(exchange.request().target)) {
+        co_await exchange.respond(HttpResponse::text(statusNotFound, "nothing here\n"));
+        co_return;
+    }
+    bool ready = isReady();
+    co_await exchange.respond(HttpResponse::text(ready ? statusOk : statusUnavailable, ready ? "ready\n" : "not ready\n"));
+}
+
+asio::awaitable<void> Gateway::answerMetrics(HttpExchange& exchange)
+{
+    co_await exchange.respond(HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText()));
+}
+
+//==============================================================================
+/** Versions only rise in the life of a process. */
+void Gateway::takeConfiguration(ConfigurationVersion version, const ByteString& body)
+{
+    if (m_core.configuration && version <= m_core.configuration->version())
+        return;
+    auto configuration = m_platform.decodeConfiguration(body);
+    if (!configuration) {
+        logEvent(EventId::GatewayConfigurationUnreadable, { { "version", version }, { "reason", configuration.error().detail } });
+        return;
+    }
+    m_core.configuration = std::move(*configuration);
+    m_link.noteVersion(version);
+    const CallerLimits& limits = m_core.configuration->limits();
+    m_callers.setOptions(HttpServer::Options().withSingleThread().withMaximumHeaderBytes(limits.headerBytes).withMaximumBodyBytes(limits.bodyBytes).withReadTimeout(bodyTimeoutFactor * limits.headerTimeout).withIdleTimeout(limits.idleTimeout));
+    logEvent(EventId::GatewayConfigurationInForce, { { "version", version }, { "routes", m_core.configuration->routes().size() } });
+}
+
+void Gateway::takeListing(std::vector<ListedServer> servers)
+{
+    for (const Endpoint& gone : m_servers.takeListing(std::move(servers)))
+        m_client.forget(gone);
+    m_core.waiting.notifyAll();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "gateway/GatewayCore.h"
+#include "hemlockchute/core/RoleService.h"
+#include "hemlockchute/http/HttpServer.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    A running gateway: forwards callers' requests by the agreed routes.
+
+    Thread safety: only on the io_context, which runs one thread.
+
+    @see RequestForwarder, CoordinatorLink
+*/
+class Gateway {
+public:
+    Gateway(boost::asio::io_context&, const GatewaySettings&, const FleetPlatform&);
+
+    Result<void, RoleErrorCode> start();
+    /** Takes what may change while the process runs. */
+    void reload(const GatewaySettings&);
+    /** Says that it is not ready, serves on until new connections stay away, finishes what runs, then calls `done` once. */
+    void stop(std::function<void()> done);
+
+private:
+    boost::asio::awaitable<void> serve(HttpExchange&);
+    boost::asio::awaitable<void> answerReadiness(HttpExchange&);
+    boost::asio::awaitable<void> answerMetrics(HttpExchange&);
+    void takeConfiguration(ConfigurationVersion, const ByteString&);
+    void takeListing(std::vector<ListedServer>);
+    bool isReady() const;
+
+    GatewaySettings m_settings;
+    const FleetPlatform& m_platform;
+    HttpClient m_client;
+    PeerClient m_peers;
+    ServerTable m_servers;
+    DemandLedger m_demand;
+    CoordinatorLink m_link;
+    GatewayCore m_core;
+    ListingPoller m_listing;
+    HttpServer m_callers;
+    HttpServer m_readiness;
+    HttpServer m_metrics;
+    boost::asio::steady_timer m_stopTimer;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "gateway/CoordinatorLink.h"
+#include "gateway/DemandLedger.h"
+#include "gateway/GatewaySettings.h"
+#include "gateway/ServerTable.h"
+#include "gateway/WaitingRoom.h"
+#include "hemlockchute/http/HttpClient.h"
+#include "hemlockchute/report/Metrics.h"
+
+#include <random>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    What the requests at one gateway share.
+
+    Thread safety: one thread.
+
+    @see RequestForwarder
+*/
+struct GatewayCore {
+    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandLedger& demandLedger)
+        : platform(fleetPlatform)
+        , client(httpClient)
+        , link(coordinatorLink)
+        , servers(serverTable)
+        , demand(demandLedger)
+        , retries(settings.retries)
+    {
+    }
+
+    const FleetPlatform& platform;
+    HttpClient& client;
+    CoordinatorLink& link;
+    ServerTable& servers;
+    DemandLedger& demand;
+    RetryBudget retries;
+    ServerChooser chooser { ServerChooser::Options() };
+    WaitingRoom waiting;
+    Metrics metrics;
+    /** Null until the first one is heard. */
+    RouteConfigurationPointer configuration;
+    /** Set when the process stops: requests that have not run by then are refused. */
+    std::optional<Instant> stopsAt;
+    std::minstd_rand random { std::random_device {}() };
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -0,0 +1,47 @@
+#include "gateway/GatewaySettings.h"
+
+namespace hemlockchute {
+namespace {
+
+constexpr std::int64_t largestAllowance = 100'000;
+constexpr std::int64_t largestPort = 65535;
+
+} // namespace
+
+GatewaySettings GatewaySettings::read(const std::filesystem::path& path, std::vector<std::string>& faults)
+{
+    SettingsFile file = SettingsFile::load(path);
+    GatewaySettings settings;
+    SettingsTable host = file.root().table("host");
+    settings.host = HostName(host.text("name"));
+    settings.dataCentre = DataCentreName(host.text("data_centre"));
+    SettingsTable cluster = file.root().table("cluster");
+    settings.clusterName = cluster.text("name");
+    settings.clusterKey = cluster.text("key");
+    auto port = static_cast<unsigned short>(cluster.integer("port", 0, 1, largestPort));
+    for (const std::string& seed : cluster.texts("seeds")) {
+        if (auto endpoint = parseEndpoint(seed))
+            settings.seeds.emplace_back(endpoint->address(), port);
+        else
+            cluster.addFault("seeds", "holds " + seed + ", which is not an address and port");
+    }
+    if (settings.seeds.empty())
+        cluster.addFault("seeds", "must name a coordinator");
+    SettingsTable listen = file.root().table("listen");
+    settings.callers = listen.endpoint("callers");
+    settings.readiness = listen.endpoint("readiness");
+    settings.metrics = listen.optionalEndpoint("metrics");
+    SettingsTable platform = file.root().table("platform");
+    settings.platform = platform.text("plugin");
+    settings.listing = platform.endpoint("list");
+    SettingsTable retries = file.root().table("retries");
+    settings.retries = settings.retries.withRatio(retries.number("ratio", settings.retries.ratio, 0, 1));
+    settings.retries = settings.retries.withAllowance(static_cast<unsigned>(retries.integer("allowance", settings.retries.allowance, 0, largestAllowance)));
+    settings.retries = settings.retries.withWindow(retries.duration("window", settings.retries.window));
+    settings.grace = file.root().table("stop").duration("grace", settings.grace);
+    settings.log = readLogOptions(file.root().table("log"));
+    faults = file.faults();
+    return settings;
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -0,0 +1,497 @@
+#include "gateway/RequestForwarder.h"
+
+#include "hemlockchute/core/EventLog.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+#include <cstdio>
+
+namespace hemlockchute {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr unsigned statusBadRequest = 400;
+constexpr unsigned statusNotFound = 404;
+constexpr unsigned statusBadGateway = 502;
+constexpr unsigned statusUnavailable = 503;
+constexpr unsigned statusTimedOut = 504;
+constexpr unsigned firstFailure = 500;
+
+/** A server answers at its deadline by itself; its answer may take this much longer to arrive. */
+constexpr Duration answerSlack = 100ms;
+/** A request that waits looks again at least this often. */
+constexpr Duration waitStep = 100ms;
+/** Time that a request needs at a server at the least; one with less left cannot be served. */
+constexpr Duration leastService = 20ms;
+/** An attempt that may be repeated is given up after so many times its target, and not before this. */
+constexpr unsigned targetsPerAttempt = 4;
+constexpr Duration shortestAttempt = 1200ms;
+/** A caller may return after this when nothing better is known. */
+constexpr Duration shortReturn = 300ms;
+constexpr Duration configurationReturn = 1s;
+/** Servers that a request is offered to, those that could not be reached included. */
+constexpr unsigned mostTries = 5;
+/** Requests that have not run when the process has only this long left are refused. */
+constexpr Duration stopMargin = 2s;
+
+constexpr MetricDefinition requestsMetric { "hemlock_gateway_requests_total", "Requests by rank and outcome." };
+constexpr MetricDefinition waitMetric { "hemlock_gateway_wait_seconds", "Time from a request to its first attempt at a server." };
+constexpr MetricDefinition firstByteMetric { "hemlock_gateway_first_byte_seconds", "Time from a request to the first byte of its answer." };
+constexpr MetricDefinition wholeMetric { "hemlock_gateway_answer_seconds", "Time from a request to the end of its answer." };
+constexpr MetricDefinition attemptsMetric { "hemlock_gateway_failed_attempts_total", "Attempts at servers without an answer to pass on, by what is known of them." };
+
+Instant currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/** Seconds with three digits behind the point. */
+std::string secondsText(Duration duration)
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(duration).count());
+    return text;
+}
+
+std::string_view pathOf(const HttpRequest& request)
+{
+    return std::string_view(request.target).substr(0, request.target.find('?'));
+}
+
+/** The Host header without its port. */
+std::string hostOf(const HttpRequest& request)
+{
+    std::string host = request.headers.find("Host").value_or("");
+    return host.substr(0, host.find(':'));
+}
+
+HttpResponse refusal(unsigned status, std::string_view reason, std::optional<Duration> retryAfter)
+{
+    bool isNotRun = status != statusBadGateway && status != statusTimedOut;
+    boost::json::object body { { "title", reason }, { "outcome", isNotRun ? "not-run" : "outcome-unknown" } };
+    HttpResponse response { status, { { "Content-Type", "application/problem+json" } }, boost::json::serialize(body) };
+    if (retryAfter)
+        response.headers.set("Retry-After", secondsText(*retryAfter));
+    return response;
+}
+
+} // namespace
+
+//==============================================================================
+struct RequestForwarder::CallState {
+    std::shared_ptr<HttpCallHandle> handle = std::make_shared<HttpCallHandle>();
+    HttpResponseStream* answer = nullptr;
+    bool isGone = false;
+
+    void noteGone()
+    {
+        isGone = true;
+        handle->cancel();
+        if (answer)
+            answer->close();
+    }
+};
+
+RequestForwarder::RequestForwarder(GatewayCore& core, HttpExchange& exchange)
+    : m_core(core)
+    , m_exchange(exchange)
+    , m_received(currentTime())
+    , m_configuration(core.configuration)
+    , m_call(std::make_shared<CallState>())
+{
+}
+
+RequestForwarder::~RequestForwarder()
+{
+    m_call->answer = nullptr;
+}
+
+asio::awaitable<void> RequestForwarder::run()
+{
+    m_exchange.onCallerGone([call = m_call, &waiting = m_core.waiting] {
+        call->noteGone();
+        waiting.notifyAll();
+    });
+    auto metadata = m_core.platform.decodeRequest(m_exchange.request());
+    if (!metadata) {
+        co_await refuse(statusBadRequest, metadata.error().detail);
+        co_return;
+    }
+    m_metadata = std::move(*metadata);
+    if (!m_configuration) {
+        co_await refuse(statusUnavailable, "no configuration is known yet", configurationReturn);
+        co_return;
+    }
+    m_route = m_configuration->findRoute(hostOf(m_exchange.request()), pathOf(m_exchange.request()));
+    if (!m_route) {
+        co_await refuse(statusNotFound, "no route matches");
+        co_return;
+    }
+    if (!prepare()) {
+        co_await refuse(statusUnavailable, "the service does not declare the model", shortReturn);
+        co_return;
+    }
+    co_await forward();
+}
+
+/** Draws the service and sets the deadline; false when the service runs models and not this one. */
+bool RequestForwarder::prepare()
+{
+    unsigned total = 0;
+    for (const WeightedService& share : m_route->services)
+        total += share.weight;
+    unsigned drawn = std::uniform_int_distribution<unsigned>(0, total - 1)(m_core.random);
+    for (const WeightedService& share : m_route->services) {
+        m_key.service = share.service;
+        if (drawn < share.weight)
+            break;
+        drawn -= share.weight;
+    }
+    Duration patience = std::min(m_route->timeout, m_metadata.deadline.value_or(m_route->timeout));
+    m_deadline = m_received + patience;
+    m_core.retries.noteRequest(m_key.service, m_received);
+    const RoutedService* service = m_configuration->findService(m_key.service);
+    if (!service->engine)
+        return true;
+    m_key.model = m_metadata.model;
+    m_key.adapter = m_metadata.adapter;
+    if (!service->engine->models.contains(m_key.model))
+        return false;
+    m_core.demand.noteArrival(m_key, m_route->rank);
+    return true;
+}
+
+asio::awaitable<void> RequestForwarder::forward()
+{
+    while (true) {
+        auto server = co_await awaitServer();
+        if (m_call->isGone) {
+            noteCallerGone();
+            co_return;
+        }
+        if (!server) {
+            co_await conclude();
+            co_return;
+        }
+        if (m_tries == 0)
+            m_core.metrics.observe(waitMetric, waited());
+        ++m_tries;
+        m_tried.insert(*server);
+        m_core.servers.noteSent(*server);
+        if (hasModel())
+            m_core.demand.addActive(m_key, 1);
+        Outcome outcome = co_await sendTo(*server);
+        m_core.servers.noteEnded(*server);
+        if (hasModel())
+            m_core.demand.addActive(m_key, -1);
+        if (m_call->isGone && outcome != Outcome::Answered)
+            outcome = Outcome::CallerGone;
+        if (outcome == Outcome::CallerGone) {
+            noteCallerGone();
+            co_return;
+        }
+        if (outcome == Outcome::Answered)
+            co_return;
+        m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
+        bool again = mayResend(outcome);
+        if (!again) {
+            co_await conclude();
+            co_return;
+        }
+    }
+}
+
+//==============================================================================
+// Waiting for a server
+
+/** A server that can take the request; nothing when it cannot be served, or the caller has left. */
+asio::awaitable<std::optional<BackendServerName>> RequestForwarder::awaitServer()
+{
+    if (auto server = pickServer())
+        co_return server;
+    if (!hasModel()) {
+        m_lastFault = "no server of the service is usable";
+        co_return std::nullopt;
+    }
+    m_core.demand.addWaiting(m_key, 1);
+    m_core.link.hurry();
+    std::optional<BackendServerName> server;
+    while (!server && !m_call->isGone && !isUnservable(currentTime())) {
+        co_await m_core.waiting.wait(std::min(m_deadline, currentTime() + waitStep));
+        server = pickServer();
+    }
+    m_core.demand.addWaiting(m_key, -1);
+    if (!server && !m_call->isGone)
+        m_core.demand.noteRefused(m_key);
+    co_return server;
+}
+
+/** Servers that were tried before are only asked again when no other is left and they did not run it. */
+std::optional<BackendServerName> RequestForwarder::pickServer() const
+{
+    auto candidates = m_core.servers.candidates(m_key, m_tried, currentTime());
+    auto best = m_core.chooser.choose(candidates, m_metadata);
+    return best ? std::optional(candidates[*best].id) : std::nullopt;
+}
+
+/** True when it is known that the model will not be there in time. */
+bool RequestForwarder::isUnservable(Instant now)
+{
+    if (now + leastService >= m_deadline) {
+        m_lastFault = "the deadline passed while the model was waited for";
+        return true;
+    }
+    if (m_core.stopsAt && now + stopMargin > *m_core.stopsAt) {
+        m_lastFault = "the gateway stops";
+        return true;
+    }
+    auto expected = m_core.link.expected(m_key.service, m_key.model);
+    if (expected && *expected + leastService > m_deadline) {
+        m_lastFault = "the model is expected in " + secondsText(*expected - now) + " s";
+        return true;
+    }
+    return false;
+}
+
+//==============================================================================
+// One attempt
+
+/** When an attempt is given up unless its next byte has come. Repeatable requests leave time for another server; others keep all the time there is. */
+Instant RequestForwarder::attemptDeadline() const
+{
+    Instant last = m_deadline + answerSlack;
+    bool isLastSend = m_sends >= m_route->maximumAttempts || !m_route->isRepeatable();
+    if (isLastSend)
+        return last;
+    Duration target = m_hasBegun ? m_route->eventGap : m_route->target;
+    return std::min(last, currentTime() + std::max<Duration>(shortestAttempt, targetsPerAttempt * target));
+}
+
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::sendTo(const BackendServerName& name)
+{
+    const ListedServer* server = m_core.servers.find(name);
+    HttpRequest request = m_core.platform.forwardedRequest(m_exchange.request(), termsFor(name));
+    HttpClient::ConnectionUse use = m_route->isRepeatable() ? HttpClient::ConnectionUse::Pooled : HttpClient::ConnectionUse::Recent;
+    ++m_sends;
+    auto answer = co_await m_core.client.open(server->address, std::move(request), attemptDeadline(), use, m_call->handle);
+    if (m_call->isGone)
+        co_return Outcome::CallerGone;
+    if (!answer) {
+        bool isNotSent = isCertainlyNotSent(answer.error().code);
+        if (isNotSent)
+            --m_sends;
+        co_return noteFault(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
+    }
+    m_call->answer = answer->get();
+    Outcome outcome = co_await receive(name, std::move(*answer));
+    m_call->answer = nullptr;
+    co_return outcome;
+}
+
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receive(const BackendServerName& name, std::unique_ptr<HttpResponseStream> answer)
+{
+    static constexpr unsigned promises[] = { 408, 421, 429, 503 };
+    constexpr unsigned wrongServer = 421;
+    AnswerMetadata said = m_core.platform.decodeAnswer(answer->headers());
+    unsigned status = answer->status();
+    bool isOther = said.attempt && *said.attempt != m_metadata.attempt;
+    bool isSuccess = status < firstFailure && !said.isNotRun && std::find(std::begin(promises), std::end(promises), status) == std::end(promises);
+    if (isOther || (isSuccess && !said.attempt))
+        co_return noteFault(name, Outcome::Unknown, "the answer belongs to another request");
+    if (said.isNotRun || status == wrongServer) {
+        if (hasModel())
+            m_core.servers.noteMissing(name, m_key, currentTime());
+        co_return noteFault(name, Outcome::NotRun, "status " + std::to_string(status));
+    }
+    if (std::find(std::begin(promises), std::end(promises), status) != std::end(promises))
+        co_return noteFault(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
+    if (status >= firstFailure)
+        co_return co_await receiveWhole(name, *answer);
+    if (m_route->kind == RequestKind::Stream)
+        co_return co_await passEvents(name, *answer);
+    co_return co_await receiveWhole(name, *answer);
+}
+
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveWhole(const BackendServerName& name, HttpResponseStream& answer)
+{
+    HttpResponse response;
+    response.status = answer.status();
+    response.headers = m_core.platform.forwardedAnswerHeaders(answer.headers());
+    while (true) {
+        auto piece = co_await answer.read(m_deadline + answerSlack);
+        if (!piece)
+            co_return noteFault(name, Outcome::Unknown, "the answer broke off: " + piece.error().detail);
+        if (!*piece)
+            break;
+        response.body += **piece;
+    }
+    if (response.status >= firstFailure) {
+        m_failure = std::move(response);
+        m_failedAt = name;
+        co_return noteFault(name, Outcome::Failed, "status " + std::to_string(m_failure->status));
+    }
+    m_core.servers.noteSuccess(name);
+    m_firstByte = waited();
+    unsigned status = response.status;
+    bool isSent = co_await m_exchange.respond(std::move(response));
+    if (!isSent)
+        co_return Outcome::CallerGone;
+    noteAnswered(name, status);
+    co_return Outcome::Answered;
+}
+
+/** Passes whole events on as they come; the answer's header goes with the first of them. */
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::passEvents(const BackendServerName& name, HttpResponseStream& answer)
+{
+    EventStreamSplitter splitter;
+    while (true) {
+        auto piece = co_await answer.read(attemptDeadline());
+        if (m_call->isGone)
+            co_return Outcome::CallerGone;
+        if (!piece || (!*piece && splitter.hasPartialEvent()))
+            co_return noteFault(name, Outcome::Unknown, piece ? "the stream ends within an event" : "the stream broke off: " + piece.error().detail);
+        WholeEvents events;
+        if (*piece)
+            events = splitter.take(**piece);
+        if (*piece && events.bytes.empty())
+            continue;
+        if (events.lastId)
+            m_lastEvent = events.lastId;
+        bool isSent = true;
+        if (!m_hasBegun) {
+            m_hasBegun = true;
+            m_firstByte = waited();
+            isSent = co_await m_exchange.startStream(answer.status(), m_core.platform.forwardedAnswerHeaders(answer.headers()), std::move(events.bytes));
+        } else if (*piece)
+            isSent = co_await m_exchange.write(std::move(events.bytes));
+        if (!*piece) {
+            m_core.servers.noteSuccess(name);
+            if (isSent)
+                isSent = co_await m_exchange.finish();
+        }
+        if (!isSent)
+            co_return Outcome::CallerGone;
+        if (!*piece) {
+            noteAnswered(name, answer.status());
+            co_return Outcome::Answered;
+        }
+    }
+}
+
+//==============================================================================
+// What follows from an attempt
+
+RequestForwarder::Outcome RequestForwarder::noteFault(const BackendServerName& name, Outcome outcome, std::string_view reason)
+{
+    static constexpr std::string_view names[] = { "answered", "not-sent", "not-run", "unknown", "failed", "caller-gone" };
+    std::string_view what = names[static_cast<std::size_t>(outcome)];
+    if (outcome != Outcome::NotRun && !m_call->isGone)
+        m_core.servers.noteFailure(name, currentTime());
+    m_lastFault = std::string(what) + " at " + name.text() + ": " + std::string(reason);
+    m_core.metrics.add(attemptsMetric, { { "outcome", std::string(what) } });
+    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "outcome", what }, { "reason", reason }, { "send", m_sends }, { "after_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) } });
+    return outcome;
+}
+
+/** A request that ran, or may have, is sent again only where its route allows it; each arrival after the first takes from the budget. */
+bool RequestForwarder::mayResend(Outcome outcome)
+{
+    if (m_tries >= mostTries || left() <= leastService)
+        return false;
+    if (outcome == Outcome::NotSent)
+        return true;
+    bool mayHaveRun = outcome == Outcome::Unknown || outcome == Outcome::Failed;
+    if (mayHaveRun && !m_route->isRepeatable())
+        return false;
+    if (m_hasBegun && !m_lastEvent)
+        return false;
+    return m_sends < m_route->maximumAttempts && m_core.retries.tryResend(m_key.service, currentTime());
+}
+
+asio::awaitable<void> RequestForwarder::conclude()
+{
+    if (m_hasBegun) {
+        breakOff(m_lastFault);
+        co_return;
+    }
+    if (m_failure) {
+        unsigned status = m_failure->status;
+        bool isSent = co_await m_exchange.respond(std::move(*m_failure));
+        if (isSent)
+            noteAnswered(m_failedAt, status);
+        co_return;
+    }
+    if (!m_mayHaveRun) {
+        Duration back = shortReturn;
+        if (auto expected = m_core.link.expected(m_key.service, m_key.model))
+            back = std::max<Duration>(*expected - currentTime(), shortReturn);
+        co_await refuse(statusUnavailable, m_lastFault, back);
+        co_return;
+    }
+    co_await refuse(left() <= Duration::zero() ? statusTimedOut : statusBadGateway, m_lastFault);
+}
+
+asio::awaitable<void> RequestForwarder::refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter)
+{
+    noteRefused(status, reason, retryAfter.value_or(Duration::zero()));
+    HttpResponse response = refusal(status, reason, retryAfter);
+    co_await m_exchange.respond(std::move(response));
+}
+
+/** Leaves the answer without its end, so that the caller sees it broken. */
+void RequestForwarder::breakOff(std::string_view reason)
+{
+    logEvent(EventId::GatewayBrokenOff, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "reason", reason }, { "last_event", m_lastEvent.value_or(0) }, { "after_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends } });
+    countOutcome("broken-off");
+}
+
+//==============================================================================
+Duration RequestForwarder::left() const
+{
+    return m_deadline - currentTime();
+}
+
+Duration RequestForwarder::waited() const
+{
+    return currentTime() - m_received;
+}
+
+ForwardingTerms RequestForwarder::termsFor(const BackendServerName& server) const
+{
+    return { left(), server, m_route->rank, m_lastEvent };
+}
+
+void RequestForwarder::noteRefused(unsigned status, std::string_view reason, Duration retryAfter)
+{
+    Duration age = m_core.link.age(currentTime()).value_or(Duration(-1ms));
+    logEvent(EventId::GatewayRefused, { { "request", m_metadata.attempt }, { "route", m_route ? m_route->name : std::string() }, { "version", m_configuration ? m_configuration->version().value() : 0 }, { "model", m_key.model }, { "status", status }, { "reason", reason }, { "waited_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends }, { "retry_after_ms", milliseconds(retryAfter) }, { "placement_age_ms", milliseconds(age) } });
+    countOutcome(std::to_string(status));
+}
+
+void RequestForwarder::noteCallerGone()
+{
+    logEvent(EventId::GatewayCallerGone, { { "request", m_metadata.attempt }, { "after_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends }, { "last_event", m_lastEvent.value_or(0) } });
+    countOutcome("caller-gone");
+}
+
+void RequestForwarder::noteAnswered(const BackendServerName& server, unsigned status)
+{
+    MetricLabels rank { { "rank", std::to_string(m_route->rank) } };
+    m_core.metrics.observe(firstByteMetric, m_firstByte, rank);
+    m_core.metrics.observe(wholeMetric, waited(), rank);
+    countOutcome(std::to_string(status));
+    logEvent(EventId::GatewayAnswered, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "version", m_configuration->version() }, { "model", m_key.model }, { "server", server }, { "status", status }, { "sends", m_sends }, { "first_ms", milliseconds(m_firstByte) }, { "whole_ms", milliseconds(waited()) } });
+}
+
+void RequestForwarder::countOutcome(std::string_view outcome)
+{
+    m_core.metrics.add(requestsMetric, { { "rank", m_route ? std::to_string(m_route->rank) : "none" }, { "outcome", std::string(outcome) } });
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "gateway/GatewayCore.h"
+#include "hemlockchute/http/HttpServer.h"
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    The way of one request: route, wait for its model, forward, pass the answer on.
+
+    What may have run is never sent again unless its route allows it; a refusal that says that the
+    request has not run is only made when no server can have run it. Thread safety: one thread.
+
+    @see GatewayCore
+*/
+class RequestForwarder {
+public:
+    RequestForwarder(GatewayCore&, HttpExchange&);
+    ~RequestForwarder();
+
+    /** Answers the request. Call once. */
+    boost::asio::awaitable<void> run();
+
+private:
+    /** What came of sending the request to one server. */
+    enum class Outcome {
+        /** The answer went to the caller, whole or broken off. */
+        Answered,
+        /** No byte of the request can have reached the server. */
+        NotSent,
+        /** The server said that it did not run the request. */
+        NotRun,
+        /** The request may have run, and there is no answer to pass on. */
+        Unknown,
+        /** The server failed the request; its answer is kept to be passed on. */
+        Failed,
+        CallerGone
+    };
+
+    /** What outlives the forwarder when the caller leaves. */
+    struct CallState;
+
+    bool prepare();
+    boost::asio::awaitable<void> forward();
+    boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
+    std::optional<BackendServerName> pickServer() const;
+    boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
+    boost::asio::awaitable<Outcome> receive(const BackendServerName&, std::unique_ptr<HttpResponseStream>);
+    boost::asio::awaitable<Outcome> receiveWhole(const BackendServerName&, HttpResponseStream&);
+    boost::asio::awaitable<Outcome> passEvents(const BackendServerName&, HttpResponseStream&);
+    boost::asio::awaitable<void> conclude();
+    boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
+    void breakOff(std::string_view reason);
+    ForwardingTerms termsFor(const BackendServerName&) const;
+    void noteRefused(unsigned status, std::string_view reason, Duration retryAfter);
+    void noteCallerGone();
+    Outcome noteFault(const BackendServerName&, Outcome, std::string_view reason);
+    bool mayResend(Outcome);
+    bool isUnservable(Instant now);
+    Instant attemptDeadline() const;
+    bool hasModel() const { return !m_key.model.isEmpty(); }
+    Duration left() const;
+    Duration waited() const;
+    void noteAnswered(const BackendServerName&, unsigned status);
+    void countOutcome(std::string_view outcome);
+
+    GatewayCore& m_core;
+    HttpExchange& m_exchange;
+    Instant m_received;
+    RouteConfigurationPointer m_configuration;
+    const Route* m_route = nullptr;
+    RequestMetadata m_metadata;
+    ModelKey m_key;
+    Instant m_deadline {};
+    std::shared_ptr<CallState> m_call;
+    std::set<BackendServerName> m_tried;
+    unsigned m_sends = 0;
+    unsigned m_tries = 0;
+    /** True once a server may have run the request. */
+    bool m_mayHaveRun = false;
+    /** A server's failure that is passed on when nobody else answers. */
+    std::optional<HttpResponse> m_failure;
+    BackendServerName m_failedAt;
+    /** The last event that went to the caller; set once the answer has begun. */
+    bool m_hasBegun = false;
+    std::optional<std::uint64_t> m_lastEvent;
+    Duration m_firstByte {};
+    std::string m_lastFault;
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include "hemlockchute/fleet/fleet.h"
+#include "hemlockchute/policy/EjectionTable.h"
+
+#include <map>
+#include <set>
+#include <vector>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    What this gateway knows of the backend servers: the platform's list, the placement that the
+    coordinator tells, and what it sees itself. What it sees itself goes first.
+
+    Thread safety: one thread at a time.
+*/
+class ServerTable {
+public:
+    /** Times after which what was heard counts for less. */
+    struct Options {
+        /** The coordinator's placement is used for so long after it was heard; then the list's models are. */
+        Duration placementLifetime = 2s;
+        /** A server that answered that it lacks a model is not asked again for so long. */
+        Duration missingLifetime = 1500ms;
+        EjectionTable::Options ejection;
+    };
+
+    explicit ServerTable(DataCentreName own, Options);
+
+    //==============================================================================
+    /** Takes a whole list; returns the addresses that no server has any more. */
+    std::vector<Endpoint> takeListing(std::vector<ListedServer>);
+    /** Takes the placements and the counts of a coordinator's reply. */
+    void takePlacements(const FollowReply&, Instant now);
+    /** Forgets placements, as when another coordinator tells them from the start. */
+    void forgetPlacements();
+
+    //==============================================================================
+    /** Servers of the service that may take a request now, those in `excluded` left out; empty names need no model. */
+    std::vector<ServerCandidate> candidates(const ModelKey&, const std::set<BackendServerName>& excluded, Instant now) const;
+    /** The server's entry, or null when it is not listed. */
+    const ListedServer* find(const BackendServerName&) const;
+    /** True once a list was taken in. */
+    bool hasListing() const { return m_hasListing; }
+
+    //==============================================================================
+    void noteSent(const BackendServerName&);
+    void noteEnded(const BackendServerName&);
+    void noteSuccess(const BackendServerName& server) { m_ejections.noteSuccess(server); }
+    void noteFailure(const BackendServerName& server, Instant now) { m_ejections.noteFailure(server, now); }
+    /** Notes that the server said it does not hold what a request needs. */
+    void noteMissing(const BackendServerName&, const ModelKey&, Instant now);
+    /** The requests of this gateway at each server. */
+    std::vector<ServerOutstanding> outstanding();
+
+private:
+    struct Server {
+        ListedServer listed;
+        bool hasPlacement = false;
+        HeldModels placed;
+        std::map<std::pair<ModelName, AdapterName>, Instant> missingUntil;
+        /** Requests of this gateway, and those of the others as last heard. */
+        unsigned own = 0;
+        unsigned reportedOwn = 0;
+        unsigned others = 0;
+    };
+
+    bool holds(const Server&, const ModelKey&, Instant now) const;
+
+    DataCentreName m_own;
+    Options m_options;
+    std::map<BackendServerName, Server> m_servers;
+    EjectionTable m_ejections;
+    bool m_hasListing = false;
+    Instant m_placementHeard {};
+};
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_gateway/gateway/WaitingRoom.cpp
@@ -0,0 +1,25 @@
+#include "gateway/WaitingRoom.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace hemlockchute {
+
+boost::asio::awaitable<void> WaitingRoom::wait(Instant deadline)
+{
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    timer.expires_at(deadline);
+    auto place = m_timers.insert(m_timers.end(), &timer);
+    boost::system::error_code ignored;
+    co_await timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
+    m_timers.erase(place);
+}
+
+void WaitingRoom::notifyAll()
+{
+    for (boost::asio::steady_timer* timer : m_timers)
+        timer->cancel();
+}
+
+} // namespace hemlockchute
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -11,8 +11,10 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <cstdlib>
 #include <map>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <vector>
 
 namespace hemlockchute {
@@ -48,8 +50,33 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Instant idleSince;
+    /** How long the other side keeps it while it is idle, when it says so. */
+    std::optional<Duration> idleLimit;
 };
 
+/** A request on its way; the answer may come before all of it has left. */
+struct RequestWrite {
+    http::request<http::string_body> message;
+    bool isDone = false;
+    bool hasFailed = false;
+};
+
+using AcknowledgeTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/** What is taken off the time that the other side keeps an idle connection. */
+constexpr Duration keepAliveMargin = 500ms;
+
+/** The time in "Keep-Alive: timeout=5", when there is one. */
+std::optional<Duration> keepAliveTime(const HttpHeaders& headers)
+{
+    constexpr std::string_view key = "timeout=";
+    auto text = headers.find("Keep-Alive");
+    std::size_t at = text ? text->find(key) : std::string::npos;
+    if (at == std::string::npos)
+        return std::nullopt;
+    return std::chrono::seconds(std::strtoul(text->c_str() + at + key.size(), nullptr, 10));
+}
+
 /** The same connection on another executor: its timers must run where its next user runs. */
 std::unique_ptr<ClientConnection> moveTo(const asio::any_io_executor& executor, std::unique_ptr<ClientConnection> connection)
 {
@@ -62,6 +89,8 @@
     if (error)
         return nullptr;
     auto moved = std::make_unique<ClientConnection>(executor);
+    moved->idleSince = connection->idleSince;
+    moved->idleLimit = connection->idleLimit;
     moved->stream.socket().assign(protocol, handle, error);
     return error ? nullptr : std::move(moved);
 }
@@ -80,6 +109,35 @@
 
 } // namespace
 
+//==============================================================================
+void HttpCallHandle::cancel()
+{
+    m_isCancelled = true;
+    if (auto close = std::exchange(m_close, nullptr))
+        close();
+}
+
+/** Ties a handle to a connection while a call uses it. */
+class ScopedHttpCall {
+public:
+    ScopedHttpCall(std::shared_ptr<HttpCallHandle> handle, ClientConnection& connection)
+        : m_handle(std::move(handle))
+    {
+        if (m_handle)
+            m_handle->m_close = [&connection] { connection.stream.close(); };
+    }
+    ~ScopedHttpCall()
+    {
+        if (m_handle)
+            m_handle->m_close = nullptr;
+    }
+    ScopedHttpCall(const ScopedHttpCall&) = delete;
+    ScopedHttpCall& operator=(const ScopedHttpCall&) = delete;
+
+private:
+    std::shared_ptr<HttpCallHandle> m_handle;
+};
+
 //==============================================================================
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
     explicit Impl(Options clientOptions)
@@ -88,7 +146,7 @@
     }
 
     /** The idle connection used last, of those on the executor if there are any: moving one costs system calls. */
-    std::unique_ptr<ClientConnection> takeIdle(const tcp::endpoint& endpoint, const asio::any_io_executor& executor)
+    std::unique_ptr<ClientConnection> takeIdle(const tcp::endpoint& endpoint, const asio::any_io_executor& executor, Duration longestIdle)
     {
         std::lock_guard guard(lock);
         auto& connections = idle[endpoint];
@@ -96,11 +154,12 @@
         auto own = std::find_if(connections.rbegin(), connections.rend(), isOwn);
         if (own != connections.rend())
             std::swap(*own, connections.back());
-        Instant oldest = std::chrono::steady_clock::now() - options.idleTimeout;
+        Instant now = std::chrono::steady_clock::now();
         while (!connections.empty()) {
             auto connection = std::move(connections.back());
             connections.pop_back();
-            if (connection->idleSince > oldest && isQuiet(*connection))
+            Duration limit = std::min(longestIdle, connection->idleLimit.value_or(longestIdle));
+            if (now - connection->idleSince < limit && isQuiet(*connection))
                 return connection;
         }
         return nullptr;
@@ -124,17 +183,18 @@
     }
 
     /** An idle connection, or a new one dialled before the deadline. */
-    asio::awaitable<Result<std::unique_ptr<ClientConnection>, HttpClientErrorCode>> connect(tcp::endpoint endpoint, Instant deadline, ConnectionUse use)
+    asio::awaitable<Result<std::unique_ptr<ClientConnection>, HttpClientErrorCode>> connect(tcp::endpoint endpoint, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
     {
         auto executor = co_await asio::this_coro::executor;
-        if (use == ConnectionUse::Pooled) {
-            auto idleConnection = takeIdle(endpoint, executor);
+        if (use != ConnectionUse::Fresh) {
+            auto idleConnection = takeIdle(endpoint, executor, use == ConnectionUse::Recent ? options.recentWithin : options.idleTimeout);
             if (idleConnection)
                 idleConnection = moveTo(executor, std::move(idleConnection));
             if (idleConnection)
                 co_return idleConnection;
         }
         auto connection = std::make_unique<ClientConnection>(executor);
+        ScopedHttpCall call(handle, *connection);
         connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
         beast::error_code error;
         co_await connection->stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
@@ -142,6 +202,8 @@
             co_return failure(HttpClientErrorCode::NotConnected, error.message());
         beast::error_code ignored;
         connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        if (options.acknowledgeTimeout.count() > 0)
+            connection->stream.socket().set_option(AcknowledgeTimeout(static_cast<int>(options.acknowledgeTimeout.count())), ignored);
         co_return connection;
     }
 
@@ -156,10 +218,11 @@
 template <typename ClientImpl>
 class BeastResponseStream : public HttpResponseStream {
 public:
-    BeastResponseStream(std::shared_ptr<ClientImpl> client, tcp::endpoint endpoint, std::unique_ptr<ClientConnection> connection)
+    BeastResponseStream(std::shared_ptr<ClientImpl> client, tcp::endpoint endpoint, std::unique_ptr<ClientConnection> connection, std::shared_ptr<RequestWrite> write)
         : m_client(std::move(client))
         , m_endpoint(std::move(endpoint))
         , m_connection(std::move(connection))
+        , m_write(std::move(write))
     {
         m_parser.header_limit(static_cast<std::uint32_t>(m_client->options.maximumHeaderBytes));
         m_parser.body_limit(m_client->options.maximumBodyBytes);
@@ -173,6 +236,8 @@
         if (error)
             co_return fail(error);
         m_headers = headersFromBeast(m_parser.get());
+        if (auto time = keepAliveTime(m_headers))
+            m_connection->idleLimit = std::max<Duration>(*time - keepAliveMargin, Duration::zero());
         co_return Result<void, HttpClientErrorCode> {};
     }
 
@@ -219,8 +284,10 @@
 
     void releaseConnection()
     {
-        m_connection->stream.expires_never();
-        if (m_parser.keep_alive())
+        bool isWritten = m_write->isDone && !m_write->hasFailed;
+        if (isWritten)
+            m_connection->stream.expires_never();
+        if (m_parser.keep_alive() && isWritten)
             m_client->giveBack(m_endpoint, std::move(m_connection));
         m_connection.reset();
     }
@@ -228,6 +295,7 @@
     std::shared_ptr<ClientImpl> m_client;
     tcp::endpoint m_endpoint;
     std::unique_ptr<ClientConnection> m_connection;
+    std::shared_ptr<RequestWrite> m_write;
     http::response_parser<http::buffer_body> m_parser;
     HttpHeaders m_headers;
 };
@@ -239,7 +307,8 @@
     message.target(request.target);
     message.version(httpVersion);
     headersToBeast(request.headers, message);
-    message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
+    if (message.find(http::field::host) == message.end())
+        message.set(http::field::host, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()));
     message.body() = std::move(request.body);
     message.prepare_payload();
     return message;
@@ -254,23 +323,29 @@
 
 HttpClient::~HttpClient() = default;
 
-asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> HttpClient::open(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use)
+asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> HttpClient::open(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
 {
     auto impl = m_impl;
-    auto connection = co_await impl->connect(endpoint, deadline, use);
+    if (handle && handle->isCancelled())
+        co_return failure(HttpClientErrorCode::NotConnected, "given up before it was sent");
+    auto connection = co_await impl->connect(endpoint, deadline, use, handle);
     if (!connection)
         co_return tl::unexpected(connection.error());
-    auto message = toBeast(std::move(request), endpoint);
-    beast::error_code error;
+    ScopedHttpCall call(handle, **connection);
+    auto write = std::make_shared<RequestWrite>();
+    write->message = toBeast(std::move(request), endpoint);
     (*connection)->stream.expires_at(deadline);
-    co_await http::async_write((*connection)->stream, message, asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-        impl->forget(endpoint);
-        co_return failure(codeFor(error), error.message());
-    }
-    auto stream = std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection));
-    if (auto header = co_await stream->readHeader(deadline); !header)
+    http::async_write((*connection)->stream, write->message, [write](beast::error_code error, std::size_t) {
+        write->isDone = true;
+        write->hasFailed = bool(error);
+    });
+    auto stream = std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection), write);
+    auto header = co_await stream->readHeader(deadline);
+    if (!header) {
+        if (write->hasFailed)
+            impl->forget(endpoint);
         co_return tl::unexpected(header.error());
+    }
     co_return stream;
 }
 
@@ -303,6 +378,13 @@
     return copy;
 }
 
+HttpClient::Options HttpClient::Options::withAcknowledgeTimeout(std::chrono::milliseconds value) const
+{
+    Options copy = *this;
+    copy.acknowledgeTimeout = value;
+    return copy;
+}
+
 HttpClient::Options HttpClient::Options::withMaximumIdle(std::size_t value) const
 {
     Options copy = *this;
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -60,6 +60,31 @@
     return text.str();
 }
 
+/** The bounds in force, which may change while connections are open. */
+class LiveOptions {
+public:
+    explicit LiveOptions(HttpServer::Options options)
+        : m_options(options)
+    {
+    }
+
+    HttpServer::Options load() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_options;
+    }
+
+    void store(HttpServer::Options options)
+    {
+        std::lock_guard guard(m_lock);
+        m_options = options;
+    }
+
+private:
+    mutable std::mutex m_lock;
+    HttpServer::Options m_options;
+};
+
 /** The connections open now, which drain() waits for. */
 class ConnectionTable {
 public:
@@ -99,6 +124,21 @@
         return {};
     }
 
+    /** Returns the connections open now; from now on each closes after its answer. */
+    std::set<std::shared_ptr<Connection>> announceClose()
+    {
+        std::lock_guard guard(m_lock);
+        m_isClosing = true;
+        return m_connections;
+    }
+
+    /** True when connections close after their answers. */
+    bool isClosing() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_isClosing || m_draining;
+    }
+
     bool isDraining() const
     {
         std::lock_guard guard(m_lock);
@@ -115,6 +155,7 @@
     mutable std::mutex m_lock;
     std::set<std::shared_ptr<Connection>> m_connections;
     bool m_draining = false;
+    bool m_isClosing = false;
     std::function<void()> m_done;
 };
 
@@ -122,13 +163,12 @@
 /** One accepted connection: reads requests one after the other and runs the handler for each. */
 class Connection : public HttpExchange, public std::enable_shared_from_this<Connection> {
 public:
-    Connection(tcp::socket socket, HttpServer::Options options, HttpServer::Handler handler, std::shared_ptr<ConnectionTable> table)
+    Connection(tcp::socket socket, std::shared_ptr<const LiveOptions> options, HttpServer::Handler handler, std::shared_ptr<ConnectionTable> table)
         : m_stream(std::move(socket))
-        , m_options(options)
+        , m_liveOptions(std::move(options))
         , m_handler(std::move(handler))
         , m_table(std::move(table))
     {
-        m_buffer.max_size(m_options.maximumHeaderBytes + m_options.maximumBodyBytes + readSize);
     }
 
     asio::awaitable<void> run()
@@ -223,7 +263,7 @@
     bool isCallerGone() const override { return m_gone; }
 
 private:
-    bool mayKeepAlive() const { return m_keepAlive && !m_table->isDraining(); }
+    bool mayKeepAlive() const { return m_keepAlive && !m_table->isClosing(); }
 
     template <typename Buffers>
     asio::awaitable<beast::error_code> send(Buffers buffers)
@@ -265,6 +305,8 @@
 
     asio::awaitable<bool> readRequest()
     {
+        m_options = m_liveOptions->load();
+        m_buffer.max_size(m_options.maximumHeaderBytes + m_options.maximumBodyBytes + readSize);
         bool hasBytes = m_buffer.size() > 0;
         if (!hasBytes)
             hasBytes = co_await waitForFirstByte();
@@ -324,7 +366,7 @@
         m_inRequest = false;
         beast::error_code ignored;
         m_stream.socket().cancel(ignored);
-        co_return m_finished && !m_broken && m_keepAlive;
+        co_return m_finished && !m_broken && mayKeepAlive();
     }
 
     /** Notices a caller that closes while its request is in progress. */
@@ -346,6 +388,7 @@
     static constexpr std::size_t readSize = 8192;
 
     beast::tcp_stream m_stream;
+    std::shared_ptr<const LiveOptions> m_liveOptions;
     HttpServer::Options m_options;
     HttpServer::Handler m_handler;
     std::shared_ptr<ConnectionTable> m_table;
@@ -366,7 +409,7 @@
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
     Impl(asio::io_context& ioContext, Options serverOptions, Handler requestHandler)
         : context(ioContext)
-        , options(serverOptions)
+        , options(std::make_shared<LiveOptions>(serverOptions))
         , handler(std::move(requestHandler))
         , acceptor(asio::make_strand(ioContext))
     {
@@ -377,7 +420,10 @@
         auto self = shared_from_this();
         while (acceptor.is_open()) {
             beast::error_code error;
-            tcp::socket socket = co_await acceptor.async_accept(asio::make_strand(context), asio::redirect_error(asio::use_awaitable, error));
+            asio::any_io_executor executor = context.get_executor();
+            if (!options->load().isSingleThreaded)
+                executor = asio::make_strand(context);
+            tcp::socket socket = co_await acceptor.async_accept(executor, asio::redirect_error(asio::use_awaitable, error));
             if (error == asio::error::operation_aborted)
                 co_return;
             if (error) {
@@ -401,14 +447,14 @@
         socket.set_option(tcp::no_delay(true), ignored);
         auto executor = socket.get_executor();
         auto connection = std::make_shared<Connection>(std::move(socket), options, handler, table);
-        if (!table->add(connection, options.maximumConnections))
+        if (!table->add(connection, options->load().maximumConnections))
             return;
         asio::co_spawn(
             executor, [connection] { return connection->run(); }, [connection](const std::exception_ptr&) { connection->end(); });
     }
 
     asio::io_context& context;
-    Options options;
+    std::shared_ptr<LiveOptions> options;
     Handler handler;
     tcp::acceptor acceptor;
     std::shared_ptr<ConnectionTable> table = std::make_shared<ConnectionTable>();
@@ -444,6 +490,17 @@
     return acceptor.local_endpoint();
 }
 
+void HttpServer::setOptions(Options options)
+{
+    m_impl->options->store(options);
+}
+
+void HttpServer::announceClose()
+{
+    for (const auto& connection : m_impl->table->announceClose())
+        connection->closeIfIdle();
+}
+
 void HttpServer::drain(std::function<void()> done)
 {
     asio::post(m_impl->acceptor.get_executor(), [impl = m_impl, done = std::move(done)]() mutable {
--- a/modules/hc_http/http/HttpServerOptions.cpp
+++ b/modules/hc_http/http/HttpServerOptions.cpp
@@ -44,4 +44,11 @@
     return copy;
 }
 
+HttpServer::Options HttpServer::Options::withSingleThread() const
+{
+    Options copy = *this;
+    copy.isSingleThreaded = true;
+    return copy;
+}
+
 } // namespace hemlockchute
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 
@@ -50,13 +51,32 @@
     virtual void close() = 0;
 };
 
+//==============================================================================
+/**
+    Lets the caller of HttpClient::open() give up while it waits.
+
+    Thread safety: on the executor of the waiting coroutine.
+*/
+class HttpCallHandle {
+public:
+    /** Closes the connection; the call fails, as does one that has not begun. */
+    void cancel();
+    bool isCancelled() const { return m_isCancelled; }
+
+private:
+    friend class ScopedHttpCall;
+    bool m_isCancelled = false;
+    std::function<void()> m_close;
+};
+
 //==============================================================================
 /**
     Sends requests over pooled connections, one pool per endpoint.
 
     A pooled connection that went silent is found out by its deadline and closed together with
-    every idle connection to that endpoint, so that the next request dials anew. The client never
-    repeats a request by itself. Thread safety: every method may be called from any thread; a
+    every idle connection to that endpoint, so that the next request dials anew. The time that the
+    other side says it keeps an idle connection is kept to. The client never repeats a request by
+    itself. Thread safety: every method may be called from any thread; a
     coroutine must run on a strand or on a single thread.
 */
 class HttpClient {
@@ -68,10 +88,15 @@
         std::size_t maximumIdle = 32;
         /** A pooled connection idle for longer is closed instead of used. */
         Duration idleTimeout = 20s;
+        /** A connection used within this time counts as known to be open. */
+        Duration recentWithin = 300ms;
+        /** Bytes that the other side's host does not acknowledge for so long end the connection; 0 leaves it to the system. */
+        std::chrono::milliseconds acknowledgeTimeout { 0 };
         std::size_t maximumHeaderBytes = 16U << 10U;
         std::size_t maximumBodyBytes = 16U << 20U;
 
         Options withConnectTimeout(Duration) const;
+        Options withAcknowledgeTimeout(std::chrono::milliseconds) const;
         Options withMaximumIdle(std::size_t) const;
         Options withIdleTimeout(Duration) const;
         Options withMaximumBodyBytes(std::size_t) const;
@@ -79,6 +104,8 @@
 
     enum class ConnectionUse {
         Pooled,
+        /** An idle connection only if it was used just now: for requests whose loss would leave their outcome unknown. */
+        Recent,
         /** Dials a connection of its own: for requests that may not be repeated, and to tell a silent connection from a dead host. */
         Fresh
     };
@@ -88,8 +115,8 @@
 
     /** Sends a request and reads the whole answer. */
     boost::asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> send(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled);
-    /** Sends a request and reads the answer up to the end of its header. */
-    boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled);
+    /** Sends a request and reads the answer up to the end of its header; the rest of a long request goes on meanwhile. A Host header of the request's own is kept. */
+    boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
     /** Closes the idle connections to an endpoint, as when its host has left. */
     void forget(const boost::asio::ip::tcp::endpoint&);
 
--- a/modules/hc_http/include/hemlockchute/http/HttpServer.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpServer.h
@@ -70,6 +70,8 @@
         Duration idleTimeout = 60s;
         Duration readTimeout = 10s;
         Duration writeTimeout = 10s;
+        /** True when the io_context runs one thread, so that connections need no strands. */
+        bool isSingleThreaded = false;
 
         Options withMaximumHeaderBytes(std::size_t) const;
         Options withMaximumBodyBytes(std::size_t) const;
@@ -77,6 +79,7 @@
         Options withIdleTimeout(Duration) const;
         Options withReadTimeout(Duration) const;
         Options withWriteTimeout(Duration) const;
+        Options withSingleThread() const;
     };
 
     HttpServer(boost::asio::io_context&, Options, Handler);
@@ -84,6 +87,10 @@
 
     /** Listens and begins to accept. Port 0 takes any free port. Precondition: not listening yet. */
     Result<boost::asio::ip::tcp::endpoint, HttpServerErrorCode> listen(const boost::asio::ip::tcp::endpoint&);
+    /** Sets the bounds for requests read from now on. */
+    void setOptions(Options);
+    /** Closes idle connections, and every other one after its answer; goes on accepting. */
+    void announceClose();
     /** Accepts no more, lets the requests in progress end, closes idle connections, then calls `done` once. */
     void drain(std::function<void()> done);
     /** Connections open now. */
--- a/modules/hc_peer/include/hemlockchute/peer/KeeperClient.h
+++ b/modules/hc_peer/include/hemlockchute/peer/KeeperClient.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockchute/agreement/ReplicatedGroup.h"
 #include "hemlockchute/peer/PeerClient.h"
 #include "hemlockchute/settings/HostSettings.h"
 #include "hemlockchute/state/Commands.h"
@@ -57,6 +58,8 @@
     ByteString answer;
 };
 
+/** A group's reply as it goes to another process. */
+KeeperReply keeperReply(GroupReply);
 ByteString encodeKeeperReply(const KeeperReply&);
 Result<KeeperReply, PeerErrorCode> decodeKeeperReply(std::string_view bytes);
 
--- a/modules/hc_peer/include/hemlockchute/peer/PeerMethod.h
+++ b/modules/hc_peer/include/hemlockchute/peer/PeerMethod.h
@@ -28,6 +28,14 @@
     ExchangeShares = 14,
     /** Router to router: virtual times and backlogs by rank. */
     ExchangeBacklog = 20,
+    /** Gateway to coordinator: demand by model; answered with configuration, placement and expectations. */
+    FollowFleet = 40,
+    /** Coordinator to coordinator: an operator's configuration, to be agreed on. */
+    SubmitConfiguration = 41,
+    /** Coordinator to coordinator: the configuration in force, current as of the call. */
+    ReadConfiguration = 42,
+    /** Coordinator to coordinator: a request to be taken into the group. */
+    JoinGroup = 43,
     /** Keeper administration: change of members. */
     ChangeMembers = 30
 };
--- a/modules/hc_peer/peer/KeeperReply.cpp
+++ b/modules/hc_peer/peer/KeeperReply.cpp
@@ -9,6 +9,12 @@
 
 } // namespace
 
+KeeperReply keeperReply(GroupReply reply)
+{
+    static constexpr KeeperReply::Kind kinds[] = { KeeperReply::Kind::Answered, KeeperReply::Kind::NotLeader, KeeperReply::Kind::Unknown };
+    return { kinds[static_cast<std::size_t>(reply.kind)], reply.leader.value_or(KeeperId()), std::move(reply.answer) };
+}
+
 ByteString encodeKeeperReply(const KeeperReply& reply)
 {
     capnp::MallocMessageBuilder message;
--- a/modules/hc_settings/include/hemlockchute/settings/HostSettings.h
+++ b/modules/hc_settings/include/hemlockchute/settings/HostSettings.h
@@ -24,6 +24,9 @@
     Endpoint peer;
 };
 
+/** Reads level, format and file of a log table; the file "-" is standard output. Thread safety: one thread per file. */
+LogOptions readLogOptions(const SettingsTable& log);
+
 //==============================================================================
 /**
     What every role's settings hold: who this host is and who else belongs to the system.
--- a/modules/hc_settings/include/hemlockchute/settings/SettingsFile.h
+++ b/modules/hc_settings/include/hemlockchute/settings/SettingsFile.h
@@ -50,6 +50,8 @@
     std::string choice(std::string_view key, const std::vector<std::string>& allowed, std::string_view fallback) const;
     /** A whole number within the bounds, or the fallback when the key is missing. */
     std::int64_t integer(std::string_view key, std::int64_t fallback, std::int64_t least, std::int64_t most) const;
+    /** A number within the bounds, or the fallback when the key is missing. */
+    double number(std::string_view key, double fallback, double least, double most) const;
     /** A truth value, or the fallback when the key is missing. */
     bool flag(std::string_view key, bool fallback) const;
     /** A time such as "250ms", "5s", "2m" or "1h", or the fallback when the key is missing. */
--- a/modules/hc_settings/settings/HostSettings.cpp
+++ b/modules/hc_settings/settings/HostSettings.cpp
@@ -52,7 +52,9 @@
     return keepers;
 }
 
-LogOptions readLog(const SettingsTable& log)
+} // namespace
+
+LogOptions readLogOptions(const SettingsTable& log)
 {
     const std::vector<std::string> levels { "debug", "info", "warning", "error" };
     std::string level = log.choice("level", levels, "info");
@@ -64,8 +66,6 @@
         .withFile(log.text("file", ""));
 }
 
-} // namespace
-
 HostSettings HostSettings::read(const SettingsFile& file, const std::filesystem::path& settingsFile)
 {
     HostSettings settings;
@@ -77,7 +77,7 @@
     settings.clusterKey = readClusterKey(cluster, settingsFile);
     settings.entryHosts = readEntryHosts(cluster);
     settings.keepers = readKeepers(cluster);
-    settings.log = readLog(file.root().table("log"));
+    settings.log = readLogOptions(file.root().table("log"));
     return settings;
 }
 
--- a/modules/hc_settings/settings/SettingsFile.cpp
+++ b/modules/hc_settings/settings/SettingsFile.cpp
@@ -190,6 +190,15 @@
     return fallback;
 }
 
+double SettingsTable::number(std::string_view key, double fallback, double least, double most) const
+{
+    double number = m_impl->value<double>(key, "a number").value_or(fallback);
+    if (number >= least && number <= most)
+        return number;
+    addFault(key, "is " + std::to_string(number) + ", but must lie from " + std::to_string(least) + " to " + std::to_string(most));
+    return fallback;
+}
+
 bool SettingsTable::flag(std::string_view key, bool fallback) const
 {
     return m_impl->value<bool>(key, "true or false").value_or(fallback);
