Fill the store's idle time, and copy models that cannot be reached

Cause: models of which no server has a copy cost six seconds at their first request while the store stands idle before; and requests that wait for a model whose only server they cannot reach waited to the end, since it counted as held.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -15,6 +15,8 @@
 namespace asio = boost::asio;
 
 constexpr unsigned statusOk = 200;
+/** A load is asked after so long after its declared time, when its end has reached the server's own books. */
+constexpr Duration loadSlack = 5ms;
 
 Instant currentTime()
 {
@@ -313,9 +315,10 @@
         server->loadedAt = begun + time;
     } else {
         server->state.models.erase(step.model);
+        server->state.onDisk.insert(step.model);
         noteChanged(*server);
     }
-    co_await pause(time);
+    co_await pause(time + loadSlack);
     auto outcome = co_await give(id, step);
     while (isInProgress(outcome) && currentTime() - begun < m_options.mostTimes * std::max<Duration>(time, 1s)) {
         co_await pause(m_options.askAgain);
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -65,9 +65,11 @@
     m_expected.clear();
     prepare(round);
     followIntents(round);
+    noteWaiting(round);
     placeMissing(round);
     addCopies(round);
     placeAdapters(round);
+    fillStore(round);
     return std::move(round.steps);
 }
 
@@ -75,6 +77,7 @@
 {
     m_intents.clear();
     m_heldSince.clear();
+    m_waitingSince.clear();
     m_expected.clear();
 }
 
@@ -133,6 +136,18 @@
     }
 }
 
+void ModelPlacer::noteWaiting(Round& round)
+{
+    std::map<ModelName, Instant> since;
+    for (const auto& [model, demand] : round.models) {
+        if (demand.waiting == 0 || round.copies[model] == 0)
+            continue;
+        auto known = m_waitingSince.find(model);
+        since[model] = known == m_waitingSince.end() ? round.now : known->second;
+    }
+    m_waitingSince = std::move(since);
+}
+
 void ModelPlacer::placeMissing(Round& round)
 {
     std::vector<std::pair<double, ModelName>> missing;
@@ -150,7 +165,7 @@
     expectMissing(round, unplaced);
 }
 
-/** Another copy for models whose servers are all full, and for busy ones with a single copy. */
+/** Another copy for models whose servers are all full or out of reach, and for busy ones with a single copy. */
 void ModelPlacer::addCopies(Round& round)
 {
     for (const auto& [model, demand] : round.models) {
@@ -161,6 +176,12 @@
             if (server.models.contains(model))
                 least = std::min(least, server.outstanding);
         }
+        auto waiting = m_waitingSince.find(model);
+        bool isUnreachable = waiting != m_waitingSince.end() && round.now - waiting->second >= m_options.unreachableAfter;
+        if (isUnreachable) {
+            place(round, model, demand.waiting * urgency(demand.rank), true);
+            continue;
+        }
         bool isFull = least >= m_options.fullPart * round.engine.slots && demand.arrivalsPerSecond > 1;
         bool isExposed = round.copies[model] == 1 && demand.arrivalsPerSecond > m_options.secondCopyRate;
         if (isFull || isExposed)
@@ -168,6 +189,26 @@
     }
 }
 
+/** A model of which no server has a copy is loaded where nothing that is wanted makes way for it. */
+void ModelPlacer::fillStore(Round& round)
+{
+    if (round.storeLoads >= m_options.storeLoadsAtOnce)
+        return;
+    std::set<ModelName> known;
+    for (const PlacedServer& server : round.servers) {
+        known.insert(server.inMemory.begin(), server.inMemory.end());
+        known.insert(server.onDisk.begin(), server.onDisk.end());
+        for (const auto& [model, adapters] : server.models)
+            known.insert(model);
+    }
+    for (const auto& [model, spec] : round.engine.models) {
+        if (round.storeLoads >= m_options.storeLoadsAtOnce)
+            return;
+        if (!known.contains(model) && round.coming[model] == 0)
+            place(round, model, m_options.idleFill, true);
+    }
+}
+
 //==============================================================================
 bool ModelPlacer::place(Round& round, const ModelName& model, double value, bool mayUseStore)
 {
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -75,7 +75,9 @@
     often keep their places, and the others take turns in the rest. A model that nobody holds and
     that requests wait for goes where its weights are at hand and where the least wanted model
     makes way; loads from the weight store, which are slow and few at once, go to the models that
-    the most, and the most urgent, requests want. Models whose servers are full get another copy.
+    the most, and the most urgent, requests want. Models whose servers are full, or cannot be reached
+    by those who ask, get another copy. While the store has nothing to do, it gives models of which no
+    server has a copy, since from then on they are quick to load there.
     Thread safety: one thread at a time.
 */
 class ModelPlacer {
@@ -90,6 +92,10 @@
         double fullPart = 0.75;
         /** A model with more requests a second than this gets a second copy, against the loss of the first. */
         double secondCopyRate = 4;
+        /** Requests a second that may be lost to a load that nobody waits for. */
+        double idleFill = 0.5;
+        /** Requests that wait for a model for so long although a server holds it cannot reach that server. */
+        Duration unreachableAfter = 500ms;
         /** Delay of a load that weighs as much as losing a model that gets one request a second. */
         Duration evictionCost = 400ms;
 
@@ -126,7 +132,9 @@
     void prepare(Round&);
     void followIntents(Round&);
     void placeMissing(Round&);
+    void noteWaiting(Round&);
     void addCopies(Round&);
+    void fillStore(Round&);
     void placeAdapters(Round&);
     bool place(Round&, const ModelName&, double value, bool mayUseStore);
     std::optional<Place> bestPlace(const Round&, const ModelName&, double value, bool mayUseStore) const;
@@ -139,6 +147,8 @@
     Options m_options;
     std::map<BackendServerName, Intent> m_intents;
     std::map<std::pair<BackendServerName, ModelName>, Instant> m_heldSince;
+    /** Since when requests wait for models that are held. */
+    std::map<ModelName, Instant> m_waitingSince;
     std::map<ModelName, Instant> m_expected;
 };
 
