Spread prompts by unread tokens, elect sooner, give up what no coordinator can load

Cause: a long prompt stalls the tokens of the short ones in its batch, and gateways only counted requests; two data centres of three can be out of reach while only half of the servers could be left out; after a power loss nobody leads for up to 1.8 s; a request in a cut-off data centre waited for a load that nobody could order.

--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.h
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -28,8 +28,8 @@
     /** Disks that may be lost at once; the group grows to as many voters as that takes. */
     unsigned toleratedLosses = 1;
     std::filesystem::path dataFolder;
-    Duration heartbeatInterval = 150ms;
-    Duration electionTimeout = 900ms;
+    Duration heartbeatInterval = 100ms;
+    Duration electionTimeout = 600ms;
     std::string platform;
     Endpoint listing;
     /** Orders of two hosts to one server are at least so far apart. */
--- a/modules/hc_coordinator/coordinator/DemandBook.cpp
+++ b/modules/hc_coordinator/coordinator/DemandBook.cpp
@@ -56,14 +56,14 @@
     return demands;
 }
 
-std::map<BackendServerName, unsigned> DemandBook::outstanding(Instant now) const
+std::map<BackendServerName, ServerLoad> DemandBook::outstanding(Instant now) const
 {
-    std::map<BackendServerName, unsigned> all;
+    std::map<BackendServerName, ServerLoad> all;
     for (const auto& [host, gateway] : m_gateways) {
         if (now - gateway.heard >= m_options.gatewayLifetime)
             continue;
         for (const ServerOutstanding& each : gateway.outstanding)
-            all[each.server] += each.count;
+            all[each.server] = all[each.server] + each.load;
     }
     return all;
 }
--- a/modules/hc_coordinator/coordinator/DemandBook.h
+++ b/modules/hc_coordinator/coordinator/DemandBook.h
@@ -33,7 +33,7 @@
     /** The demand for one service's models, as of now. */
     ModelPlacer::Demands demands(const ServiceName&, Instant now);
     /** Requests at each server from all gateways. */
-    std::map<BackendServerName, unsigned> outstanding(Instant now) const;
+    std::map<BackendServerName, ServerLoad> outstanding(Instant now) const;
     /** Gateways heard of lately. */
     unsigned gateways(Instant now) const;
 
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -128,8 +128,8 @@
         if (server.isKnown && server.revision > known)
             reply.placements.push_back({ id, server.listed.startedAt, sendable(server) });
     }
-    for (const auto& [id, count] : m_demand.outstanding(now))
-        reply.outstanding.push_back({ id, count });
+    for (const auto& [id, load] : m_demand.outstanding(now))
+        reply.outstanding.push_back({ id, load });
     for (const auto& [name, service] : m_services) {
         for (const auto& [model, at] : service.placer.expected())
             reply.expectations.push_back({ name, model, std::max<Duration>(at - now, Duration::zero()) });
@@ -169,7 +169,7 @@
 
 void PlacementDirector::decide(const ServiceName& name, const EngineSpec& engine, Service& service, Instant now)
 {
-    std::map<BackendServerName, unsigned> outstanding = m_demand.outstanding(now);
+    std::map<BackendServerName, ServerLoad> outstanding = m_demand.outstanding(now);
     ModelPlacer::Servers placed;
     for (const auto& [id, server] : m_servers) {
         if (server.listed.service != name || server.listed.isLeaving || !server.isKnown)
@@ -184,7 +184,7 @@
         each.loading = server.loading;
         each.isLoadingFromStore = server.isLoadingFromStore;
         each.loadedAt = server.loadedAt;
-        each.outstanding = outstanding[id];
+        each.outstanding = outstanding[id].requests;
         placed.push_back(std::move(each));
     }
     for (const PlacementStep& step : service.placer.decide(engine, placed, m_demand.demands(name, now), now)) {
--- a/modules/hc_coordinator/tests/DemandBookTests.cpp
+++ b/modules/hc_coordinator/tests/DemandBookTests.cpp
@@ -13,7 +13,7 @@
     FollowRequest request;
     request.host = HostName(host);
     request.demands = { { { service, ModelName(model), AdapterName() }, waiting, 1, arrivals, 0, rank } };
-    request.outstanding = { { BackendServerName("s"), 2 } };
+    request.outstanding = { { BackendServerName("s"), { 2, 100 } } };
     return request;
 }
 
@@ -34,7 +34,7 @@
     book.take(report("b", "m", 1, 4, 0), now);
     BOOST_TEST((of(book, "m", now).waiting == 4 && of(book, "m", now).active == 2 && of(book, "m", now).rank == 0));
     BOOST_TEST(book.gateways(now) == 2U);
-    BOOST_TEST(book.outstanding(now).at(BackendServerName("s")) == 4U);
+    BOOST_TEST(book.outstanding(now).at(BackendServerName("s")).requests == 4U);
     now += 1500ms;
     book.take(report("a", "m", 2, 0, 2), now);
     now += 1s;
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -16,7 +16,8 @@
 
 struct Outstanding {
   server @0 :Text;
-  count @1 :UInt32;
+  requests @1 :UInt32;
+  unreadTokens @2 :UInt64;
 }
 
 struct FollowRequest {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -54,7 +54,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dfe76c0620fa37b1, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dfe76c0620fa37b1, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -299,7 +299,9 @@
   inline bool hasServer() const;
   inline  ::capnp::Text::Reader getServer() const;
 
-  inline  ::uint32_t getCount() const;
+  inline  ::uint32_t getRequests() const;
+
+  inline  ::uint64_t getUnreadTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -336,8 +338,11 @@
   inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownServer();
 
-  inline  ::uint32_t getCount();
-  inline void setCount( ::uint32_t value);
+  inline  ::uint32_t getRequests();
+  inline void setRequests( ::uint32_t value);
+
+  inline  ::uint64_t getUnreadTokens();
+  inline void setUnreadTokens( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1211,20 +1216,34 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Outstanding::Reader::getCount() const {
+inline  ::uint32_t Outstanding::Reader::getRequests() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Outstanding::Builder::getCount() {
+inline  ::uint32_t Outstanding::Builder::getRequests() {
   return _builder.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Outstanding::Builder::setCount( ::uint32_t value) {
+inline void Outstanding::Builder::setRequests( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Outstanding::Reader::getUnreadTokens() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Outstanding::Builder::getUnreadTokens() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Outstanding::Builder::setUnreadTokens( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -39,7 +39,8 @@
 {
     for (unsigned i = 0; i < from.size(); ++i) {
         to[i].setServer(from[i].server.text());
-        to[i].setCount(from[i].count);
+        to[i].setRequests(from[i].load.requests);
+        to[i].setUnreadTokens(from[i].load.unreadTokens);
     }
 }
 
@@ -47,7 +48,7 @@
 {
     std::vector<ServerOutstanding> all;
     for (auto each : from)
-        all.push_back({ BackendServerName(textOf(each.getServer())), each.getCount() });
+        all.push_back({ BackendServerName(textOf(each.getServer())), { each.getRequests(), each.getUnreadTokens() } });
     return all;
 }
 
--- a/modules/hc_fleet/fleet/ServerChooser.cpp
+++ b/modules/hc_fleet/fleet/ServerChooser.cpp
@@ -41,7 +41,7 @@
             highest = hash;
         }
     }
-    Duration reading = std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(static_cast<double>(shared.tokens) / m_options.tokensPerMillisecond));
+    Duration reading = readingTime(shared.tokens);
     std::optional<std::size_t> best;
     Duration least {};
     for (std::size_t i = 0; i < candidates.size(); ++i) {
@@ -56,9 +56,15 @@
 
 Duration ServerChooser::delayAt(const ServerCandidate& candidate) const
 {
-    unsigned running = std::min(candidate.outstanding, candidate.slots);
-    unsigned queued = candidate.outstanding - running;
-    return running * m_options.perRunning + queued * m_options.perQueued + (candidate.isLocal ? Duration::zero() : m_options.crossing);
+    unsigned running = std::min(candidate.load.requests, candidate.slots);
+    unsigned queued = candidate.load.requests - running;
+    return readingTime(candidate.load.unreadTokens) + running * m_options.perRunning + queued * m_options.perQueued + (candidate.isLocal ? Duration::zero() : m_options.crossing);
+}
+
+Duration ServerChooser::readingTime(std::uint64_t tokens) const
+{
+    std::chrono::duration<double, std::milli> time(static_cast<double>(tokens) / m_options.tokensPerMillisecond);
+    return std::chrono::duration_cast<Duration>(time);
 }
 
 } // namespace hemlockchute
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -4,6 +4,7 @@
 #include "hemlockchute/core/Units.h"
 #include "hemlockchute/fleet/ListedServer.h"
 #include "hemlockchute/fleet/RouteConfiguration.h"
+#include "hemlockchute/fleet/ServerChooser.h"
 
 #include <string_view>
 #include <vector>
@@ -37,7 +38,7 @@
 /** Requests at a server. */
 struct ServerOutstanding {
     BackendServerName server;
-    unsigned count = 0;
+    ServerLoad load;
 };
 
 /** What a gateway asks a coordinator for, again and again. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/ServerChooser.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ServerChooser.h
@@ -10,14 +10,27 @@
 
 namespace hemlockchute {
 
+/** Requests at a server, and the prompt tokens that it has still to read for them. */
+struct ServerLoad {
+    unsigned requests = 0;
+    std::uint64_t unreadTokens = 0;
+
+    friend ServerLoad operator+(ServerLoad a, ServerLoad b) { return { a.requests + b.requests, a.unreadTokens + b.unreadTokens }; }
+    /** Stops at nothing, since counts of others lag. */
+    friend ServerLoad operator-(ServerLoad a, ServerLoad b)
+    {
+        return { a.requests > b.requests ? a.requests - b.requests : 0, a.unreadTokens > b.unreadTokens ? a.unreadTokens - b.unreadTokens : 0 };
+    }
+};
+
 /** A backend server that could take a request. */
 struct ServerCandidate {
     BackendServerName id;
     /** True when it stands in this host's data centre. */
     bool isLocal = false;
     unsigned slots = 1;
-    /** Requests at it from all hosts, as far as known. */
-    unsigned outstanding = 0;
+    /** What it has to do for all hosts, as far as known. */
+    ServerLoad load;
 };
 
 //==============================================================================
@@ -25,7 +38,7 @@
     Picks the backend server with the least expected delay.
 
     Answers the load in which many hosts spread requests over servers that they share: a server's
-    delay counts the requests of all hosts, the way to another data centre, and the part of the
+    delay counts the requests of all hosts, the prompts that it has to read before, the way to another data centre, and the part of the
     prompt that the server has likely kept. Which server keeps a prompt follows from a hash of its
     shared parts, so that all hosts agree on it without asking each other.
     Thread safety: one thread at a time.
@@ -54,6 +67,7 @@
 
 private:
     Duration delayAt(const ServerCandidate&) const;
+    Duration readingTime(std::uint64_t tokens) const;
 
     Options m_options;
 };
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -15,7 +15,7 @@
     sent.epoch = 5;
     sent.revision = 6;
     sent.demands = { { { ServiceName("llm"), ModelName("m"), AdapterName("a") }, 1, 2, 3, 4, 5 } };
-    sent.outstanding = { { BackendServerName("s"), 7 } };
+    sent.outstanding = { { BackendServerName("s"), { 7, 800 } } };
     auto read = decodeFollowRequest(encodeFollowRequest(sent));
     BOOST_REQUIRE(read);
     BOOST_TEST((read->host == sent.host && read->configuration == sent.configuration && read->epoch == 5 && read->revision == 6));
@@ -23,7 +23,7 @@
     const ModelDemandReport& demand = read->demands.front();
     BOOST_TEST((demand.key == sent.demands.front().key));
     BOOST_TEST((demand.waiting == 1 && demand.active == 2 && demand.arrivals == 3 && demand.refused == 4 && demand.rank == 5));
-    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == BackendServerName("s") && read->outstanding.front().count == 7));
+    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == BackendServerName("s") && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
 }
 
 BOOST_AUTO_TEST_CASE(whatACoordinatorSaysArrives)
@@ -38,7 +38,7 @@
     sent.revision = 12;
     sent.placements = { { BackendServerName("s"), 99, { { ModelName("m"), { AdapterName("a1"), AdapterName("a2") } }, { ModelName("n"), {} } } } };
     sent.expectations = { { ServiceName("llm"), ModelName("x"), 1500ms } };
-    sent.outstanding = { { BackendServerName("s"), 2 } };
+    sent.outstanding = { { BackendServerName("s"), { 2, 0 } } };
     sent.gateways = 7;
     auto read = decodeFollowReply(encodeFollowReply(sent));
     BOOST_REQUIRE(read);
--- a/modules/hc_fleet/tests/ServerChooserTests.cpp
+++ b/modules/hc_fleet/tests/ServerChooserTests.cpp
@@ -7,9 +7,9 @@
 
 namespace {
 
-ServerCandidate server(const std::string& id, bool isLocal, unsigned outstanding)
+ServerCandidate server(const std::string& id, bool isLocal, unsigned requests, std::uint64_t unread = 0)
 {
-    return { BackendServerName(id), isLocal, 16, outstanding };
+    return { BackendServerName(id), isLocal, 16, { requests, unread } };
 }
 
 RequestMetadata prompt(const std::string& shared, std::uint64_t tokens)
@@ -29,6 +29,7 @@
     BOOST_TEST(!chooser.choose({}, {}));
     BOOST_TEST((chooser.choose({ server("far", false, 0), server("near", true, 0) }, {}) == 1U));
     BOOST_TEST((chooser.choose({ server("far", false, 0), server("near", true, 12) }, {}) == 0U));
+    BOOST_TEST((chooser.choose({ server("reading", true, 1, 9000), server("far", false, 8) }, {}) == 1U));
     BOOST_TEST((chooser.choose({ server("queued", true, 20), server("full", false, 16) }, {}) == 1U));
 }
 
@@ -40,7 +41,7 @@
     BOOST_REQUIRE(keeper);
     std::vector<ServerCandidate> turned { servers[2], servers[0], servers[1] };
     BOOST_TEST((turned[*chooser.choose(turned, prompt("p1", 6000))].id == servers[*keeper].id));
-    servers[*keeper].outstanding = 40;
+    servers[*keeper].load.requests = 40;
     BOOST_TEST((chooser.choose(servers, prompt("p1", 6000)) != keeper));
 }
 
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -59,11 +59,6 @@
     return found == m_expected.end() ? std::nullopt : std::optional(found->second);
 }
 
-std::optional<Duration> CoordinatorLink::age(Instant now) const
-{
-    return m_heard ? std::optional(now - *m_heard) : std::nullopt;
-}
-
 //==============================================================================
 asio::awaitable<void> CoordinatorLink::run()
 {
@@ -113,7 +108,7 @@
 
 void CoordinatorLink::noteIfLost(const Endpoint& asked, const std::string& fault, Instant now)
 {
-    bool isLost = now - m_heard.value_or(m_begun) > lostAfter;
+    bool isLost = silence(now) > lostAfter;
     if (isLost && !std::exchange(m_isLost, true))
         logEvent(EventId::GatewayCoordinatorLost, { { "asked", formatEndpoint(asked) }, { "reason", fault.empty() ? "it does not lead" : fault } });
 }
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -52,8 +52,8 @@
     std::optional<Instant> expected(const ServiceName&, const ModelName&) const;
     /** Gateways that the coordinator hears of; nothing until it said so. */
     std::optional<unsigned> gateways() const { return m_gateways; }
-    /** How long ago a coordinator that leads has answered. */
-    std::optional<Duration> age(Instant now) const;
+    /** How long ago a coordinator that leads has answered; since the start when none has. */
+    Duration silence(Instant now) const { return now - m_heard.value_or(m_begun); }
 
 private:
     boost::asio::awaitable<void> run();
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -18,8 +18,8 @@
 constexpr std::chrono::milliseconds acknowledgeTimeout { 2000 };
 /** Idle connections kept to each server, enough for the requests of one host at a busy moment. */
 constexpr std::size_t idleConnections = 24;
-/** Servers that fail twice in a row are left out for a second at first, for four at the longest. */
-constexpr EjectionTable::Options ejection { 2, 1s, 4s, 500 };
+/** Servers that fail twice in a row are left out for a second at first, for four at the longest; of three data centres two may be cut off. */
+constexpr EjectionTable::Options ejection { 2, 1s, 4s, 100 };
 /** The platform asks once a second and needs two answers to send no more new connections. */
 constexpr Duration newConnectionsEnd = 3s;
 /** A read timeout above the header's leaves time for the body. */
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -30,6 +30,8 @@
 /** A caller may return after this when nothing better is known. */
 constexpr Duration shortReturn = 300ms;
 constexpr Duration configurationReturn = 1s;
+/** A coordinator that leads is back within this time, unless this host is cut off from it. */
+constexpr Duration longestSilence = 2500ms;
 /** Servers that a request is offered to, those that could not be reached included. */
 constexpr unsigned mostTries = 5;
 /** Requests that have not run when the process has only this long left are refused. */
@@ -183,10 +185,11 @@
             m_core.metrics.observe(waitMetric, waited());
         ++m_tries;
         m_tried.insert(*server);
-        m_core.servers.noteSent(*server);
+        m_core.servers.noteSent(*server, m_metadata.promptTokens);
         if (hasModel())
             m_core.demand.addActive(m_key, 1);
         Outcome outcome = co_await sendTo(*server);
+        noteRead(*server);
         m_core.servers.noteEnded(*server);
         if (hasModel())
             m_core.demand.addActive(m_key, -1);
@@ -251,6 +254,10 @@
         m_lastFault = "the gateway stops";
         return true;
     }
+    if (m_core.link.silence(now) > longestSilence) {
+        m_lastFault = "no server here holds the model, and no coordinator can have it loaded";
+        return true;
+    }
     auto expected = m_core.link.expected(m_key.service, m_key.model);
     if (expected && *expected + leastService > m_deadline) {
         m_lastFault = "the model is expected in " + secondsText(*expected - now) + " s";
@@ -279,6 +286,7 @@
     HttpRequest request = m_core.platform.forwardedRequest(m_exchange.request(), termsFor(name));
     HttpClient::ConnectionUse use = m_route->isRepeatable() ? HttpClient::ConnectionUse::Pooled : HttpClient::ConnectionUse::Recent;
     ++m_sends;
+    m_isReading = true;
     auto answer = co_await m_core.client.open(server->address, std::move(request), attemptDeadline(), use, m_call->handle);
     if (m_call->isGone)
         co_return Outcome::CallerGone;
@@ -364,6 +372,7 @@
         if (events.lastId)
             m_lastEvent = events.lastId;
         bool isSent = true;
+        noteRead(name);
         if (!m_hasBegun) {
             m_hasBegun = true;
             m_firstByte = waited();
@@ -462,6 +471,13 @@
     return currentTime() - m_received;
 }
 
+/** The prompt is read once the first event has come, or the attempt has ended. */
+void RequestForwarder::noteRead(const BackendServerName& server)
+{
+    if (std::exchange(m_isReading, false))
+        m_core.servers.noteRead(server, m_metadata.promptTokens);
+}
+
 ForwardingTerms RequestForwarder::termsFor(const BackendServerName& server) const
 {
     return { left(), server, m_route->rank, m_lastEvent };
@@ -469,7 +485,7 @@
 
 void RequestForwarder::noteRefused(unsigned status, std::string_view reason, Duration retryAfter)
 {
-    Duration age = m_core.link.age(currentTime()).value_or(Duration(-1ms));
+    Duration age = m_core.link.silence(currentTime());
     logEvent(EventId::GatewayRefused, { { "request", m_metadata.attempt }, { "route", m_route ? m_route->name : std::string() }, { "version", m_configuration ? m_configuration->version().value() : 0 }, { "model", m_key.model }, { "status", status }, { "reason", reason }, { "waited_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends }, { "retry_after_ms", milliseconds(retryAfter) }, { "placement_age_ms", milliseconds(age) } });
     countOutcome(std::to_string(status));
 }
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -57,6 +57,7 @@
     boost::asio::awaitable<void> conclude();
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
     void breakOff(std::string_view reason);
+    void noteRead(const BackendServerName&);
     ForwardingTerms termsFor(const BackendServerName&) const;
     void noteRefused(unsigned status, std::string_view reason, Duration retryAfter);
     void noteCallerGone();
@@ -84,6 +85,8 @@
     unsigned m_tries = 0;
     /** True once a server may have run the request. */
     bool m_mayHaveRun = false;
+    /** True while a server may be reading the prompt. */
+    bool m_isReading = false;
     /** A server's failure that is passed on when nobody else answers. */
     std::optional<HttpResponse> m_failure;
     BackendServerName m_failedAt;
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -46,13 +46,11 @@
         server.placed = placement.models;
         server.missingUntil.clear();
     }
-    std::map<BackendServerName, unsigned> totals;
+    std::map<BackendServerName, ServerLoad> totals;
     for (const ServerOutstanding& each : reply.outstanding)
-        totals[each.server] = each.count;
-    for (auto& [id, server] : m_servers) {
-        unsigned total = totals[id];
-        server.others = total > server.reportedOwn ? total - server.reportedOwn : 0;
-    }
+        totals[each.server] = each.load;
+    for (auto& [id, server] : m_servers)
+        server.others = totals[id] - server.reportedOwn;
 }
 
 void ServerTable::forgetPlacements()
@@ -99,19 +97,26 @@
 }
 
 //==============================================================================
-void ServerTable::noteSent(const BackendServerName& id)
+void ServerTable::noteSent(const BackendServerName& id, std::uint64_t promptTokens)
 {
     auto found = m_servers.find(id);
     if (found != m_servers.end())
-        ++found->second.own;
+        found->second.own = found->second.own + ServerLoad { 1, promptTokens };
+}
+
+void ServerTable::noteRead(const BackendServerName& id, std::uint64_t promptTokens)
+{
+    auto found = m_servers.find(id);
+    if (found != m_servers.end())
+        found->second.own = found->second.own - ServerLoad { 0, promptTokens };
 }
 
 /** A server that was listed anew in between begins with no requests. */
 void ServerTable::noteEnded(const BackendServerName& id)
 {
     auto found = m_servers.find(id);
-    if (found != m_servers.end() && found->second.own > 0)
-        --found->second.own;
+    if (found != m_servers.end())
+        found->second.own = found->second.own - ServerLoad { 1, 0 };
 }
 
 void ServerTable::noteMissing(const BackendServerName& id, const ModelKey& key, Instant now)
@@ -126,7 +131,7 @@
     std::vector<ServerOutstanding> all;
     for (auto& [id, server] : m_servers) {
         server.reportedOwn = server.own;
-        if (server.own > 0)
+        if (server.own.requests > 0)
             all.push_back({ id, server.own });
     }
     return all;
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -46,7 +46,10 @@
     bool hasListing() const { return m_hasListing; }
 
     //==============================================================================
-    void noteSent(const BackendServerName&);
+    /** Notes a request and the tokens of its prompt. */
+    void noteSent(const BackendServerName&, std::uint64_t promptTokens);
+    /** Notes that the server has read a prompt. */
+    void noteRead(const BackendServerName&, std::uint64_t promptTokens);
     void noteEnded(const BackendServerName&);
     void noteSuccess(const BackendServerName& server) { m_ejections.noteSuccess(server); }
     void noteFailure(const BackendServerName& server, Instant now) { m_ejections.noteFailure(server, now); }
@@ -62,9 +65,9 @@
         HeldModels placed;
         std::map<std::pair<ModelName, AdapterName>, Instant> missingUntil;
         /** Requests of this gateway, and those of the others as last heard. */
-        unsigned own = 0;
-        unsigned reportedOwn = 0;
-        unsigned others = 0;
+        ServerLoad own;
+        ServerLoad reportedOwn;
+        ServerLoad others;
     };
 
     bool holds(const Server&, const ModelKey&, Instant now) const;
