--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -54,6 +54,15 @@
     return options;
 }
 
+/** The leader reads the list for every gateway, so it reads it more often than each of them would. */
+ListingPoller::Options listingOptions()
+{
+    ListingPoller::Options options;
+    options.interval = 600ms;
+    options.longestPause = 1200ms;
+    return options;
+}
+
 PlacementDirector::Options directorOptions(const CoordinatorSettings& settings)
 {
     PlacementDirector::Options options;
@@ -77,7 +86,7 @@
           { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { takeAgreed(); }); }, endProcess })
     , m_voters(voterOptions(settings))
     , m_director(context, platform, m_http, directorOptions(settings), [this] { return authority(); })
-    , m_listing(context, platform, m_http, settings.listing, ListingPoller::Options(), [this](const std::vector<ListedServer>& servers, Instant) { m_director.takeListing(servers); })
+    , m_listing(context, platform, m_http, settings.listing, listingOptions(), [this](const std::vector<ListedServer>& servers, Instant asked) { m_director.takeListing(servers, asked); })
     , m_operators(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); })
     , m_timer(context)
     , m_seeds(settings.seeds.begin(), settings.seeds.end())
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -89,16 +89,23 @@
 }
 
 /** A server that was listed anew, or began another life, is asked what it holds. */
-void PlacementDirector::takeListing(const std::vector<ListedServer>& listing)
+void PlacementDirector::takeListing(const std::vector<ListedServer>& listing, Instant asked)
 {
+    m_listAsked = asked;
     std::map<BackendServerName, Server> servers;
     for (const ListedServer& listed : listing) {
         auto known = m_servers.extract(listed.id);
         bool isSame = !known.empty() && known.mapped().listed.startedAt == listed.startedAt && known.mapped().listed.address == listed.address;
         Server server = isSame ? std::move(known.mapped()) : Server();
+        bool isShownAlike = isSame && shown(server) == shownAs(server, listed);
         server.listed = listed;
+        if (!isShownAlike)
+            noteChanged(server);
+        m_gone.erase(listed.id);
         servers.insert_or_assign(listed.id, std::move(server));
     }
+    for (const auto& [id, server] : m_servers)
+        m_gone[id] = ++m_revision;
     m_servers = std::move(servers);
 }
 
@@ -111,8 +118,12 @@
 {
     m_epoch = epoch;
     m_revision = 0;
-    for (auto& [id, server] : m_servers)
+    m_gone.clear();
+    m_listAsked.reset();
+    for (auto& [id, server] : m_servers) {
         noteUnknown(server);
+        noteChanged(server);
+    }
     for (auto& [name, service] : m_services)
         service.placer.reset();
 }
@@ -123,10 +134,17 @@
     reply.epoch = m_epoch;
     reply.revision = m_revision;
     reply.gateways = m_demand.gateways(now);
-    std::uint64_t known = request.epoch == m_epoch ? request.revision : 0;
+    reply.isWhole = request.epoch != m_epoch;
+    std::uint64_t known = reply.isWhole ? 0 : request.revision;
+    if (m_listAsked)
+        reply.listAge = now - *m_listAsked;
     for (const auto& [id, server] : m_servers) {
-        if (server.isKnown && server.revision > known)
-            reply.placements.push_back({ id, server.listed.startedAt, sendable(server) });
+        if (server.revision > known)
+            reply.servers.push_back(shown(server));
+    }
+    for (const auto& [id, revision] : m_gone) {
+        if (revision > known)
+            reply.gone.push_back(id);
     }
     for (const auto& [id, load] : m_demand.outstanding(now))
         reply.outstanding.push_back({ id, load });
@@ -136,15 +154,24 @@
     }
 }
 
-/** What gateways may send to a server: what it holds, but for what is about to go. */
-HeldModels PlacementDirector::sendable(const Server& server) const
+ListedServer PlacementDirector::shown(const Server& server) const
+{
+    return shownAs(server, server.listed);
+}
+
+/** A server as gateways see it: with the models that requests may be sent for, which are those that it holds, but for what is about to go. */
+ListedServer PlacementDirector::shownAs(const Server& server, const ListedServer& listed) const
 {
-    HeldModels models = server.state.models;
+    ListedServer shown = listed;
+    shown.inMemory.clear();
+    shown.onDisk.clear();
+    if (server.isKnown)
+        shown.models = server.state.models;
     if (server.withdrawnAdapter.isEmpty())
-        models.erase(server.withdrawn);
-    else if (auto held = models.find(server.withdrawn); held != models.end())
+        shown.models.erase(server.withdrawn);
+    else if (auto held = shown.models.find(server.withdrawn); held != shown.models.end())
         held->second.erase(server.withdrawnAdapter);
-    return models;
+    return shown;
 }
 
 //==============================================================================
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -49,9 +49,9 @@
     PlacementDirector(boost::asio::io_context&, const FleetPlatform&, HttpClient&, Options, Authority);
 
     void takeConfiguration(RouteConfigurationPointer);
-    void takeListing(const std::vector<ListedServer>&);
+    void takeListing(const std::vector<ListedServer>&, Instant asked);
     void takeDemand(const FollowRequest&, Instant now);
-    /** Fills in placements, expectations and counts for one gateway. */
+    /** Fills in servers, expectations and counts for one gateway. */
     void fill(FollowReply&, const FollowRequest&, Instant now) const;
     /** Decides and gives orders. Call often while this host has authority. */
     void tick(Instant now);
@@ -98,7 +98,8 @@
     Server* find(const BackendServerName&, std::int64_t life);
     void noteChanged(Server&);
     void noteUnknown(Server&);
-    HeldModels sendable(const Server&) const;
+    ListedServer shown(const Server&) const;
+    ListedServer shownAs(const Server&, const ListedServer&) const;
 
     boost::asio::io_context& m_context;
     const FleetPlatform& m_platform;
@@ -111,6 +112,9 @@
     DemandBook m_demand { DemandBook::Options() };
     std::uint64_t m_epoch = 0;
     std::uint64_t m_revision = 0;
+    /** Servers that left the list, with the revision in which they did. */
+    std::map<BackendServerName, std::uint64_t> m_gone;
+    std::optional<Instant> m_listAsked;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -34,10 +34,15 @@
   adapters @1 :List(Text);
 }
 
-struct Placement {
-  server @0 :Text;
-  startedAt @1 :Int64;
-  models @2 :List(HeldModel);
+struct Server {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  dataCentre @3 :Text;
+  startedAt @4 :Int64;
+  slots @5 :UInt32;
+  isLeaving @6 :Bool;
+  models @7 :List(HeldModel);
 }
 
 struct Expectation {
@@ -54,10 +59,13 @@
   configuration @4 :Data;
   epoch @5 :UInt64;
   revision @6 :UInt64;
-  placements @7 :List(Placement);
+  servers @7 :List(Server);
   expectations @8 :List(Expectation);
   outstanding @9 :List(Outstanding);
   gateways @10 :UInt32;
+  isWhole @11 :Bool;
+  gone @12 :List(Text);
+  listAgeNanoseconds @13 :Int64;
 }
 
 struct ConfigurationBody {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -20,7 +20,7 @@
 CAPNP_DECLARE_SCHEMA(dfe76c0620fa37b1);
 CAPNP_DECLARE_SCHEMA(cca27ee069c78981);
 CAPNP_DECLARE_SCHEMA(e9823317390a82bc);
-CAPNP_DECLARE_SCHEMA(82f842585586cbb7);
+CAPNP_DECLARE_SCHEMA(f80cdec24f7e05b5);
 CAPNP_DECLARE_SCHEMA(a2b5574e43229750);
 CAPNP_DECLARE_SCHEMA(a52826c2739da656);
 CAPNP_DECLARE_SCHEMA(d0a2fa66431668a5);
@@ -91,15 +91,15 @@
   };
 };
 
-struct Placement {
-  Placement() = delete;
+struct Server {
+  Server() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(82f842585586cbb7, 1, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(f80cdec24f7e05b5, 2, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -129,7 +129,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 6, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -578,9 +578,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Placement::Reader {
+class Server::Reader {
 public:
-  typedef Placement Reads;
+  typedef Server Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -595,11 +595,24 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
   inline  ::int64_t getStartedAt() const;
 
+  inline  ::uint32_t getSlots() const;
+
+  inline bool getIsLeaving() const;
+
   inline bool hasModels() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader getModels() const;
 
@@ -615,9 +628,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Placement::Builder {
+class Server::Builder {
 public:
-  typedef Placement Builds;
+  typedef Server Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -631,16 +644,43 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
   inline  ::int64_t getStartedAt();
   inline void setStartedAt( ::int64_t value);
 
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
+
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
+
   inline bool hasModels();
   inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder getModels();
   inline void setModels( ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader value);
@@ -658,9 +698,9 @@
 };
 
 #if !CAPNP_LITE
-class Placement::Pipeline {
+class Server::Pipeline {
 public:
-  typedef Placement Pipelines;
+  typedef Server Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -803,8 +843,8 @@
 
   inline  ::uint64_t getRevision() const;
 
-  inline bool hasPlacements() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Reader getPlacements() const;
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader getServers() const;
 
   inline bool hasExpectations() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Reader getExpectations() const;
@@ -814,6 +854,13 @@
 
   inline  ::uint32_t getGateways() const;
 
+  inline bool getIsWhole() const;
+
+  inline bool hasGone() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getGone() const;
+
+  inline  ::int64_t getListAgeNanoseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -872,12 +919,12 @@
   inline  ::uint64_t getRevision();
   inline void setRevision( ::uint64_t value);
 
-  inline bool hasPlacements();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Builder getPlacements();
-  inline void setPlacements( ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Builder initPlacements(unsigned int size);
-  inline void adoptPlacements(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>> disownPlacements();
+  inline bool hasServers();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>> disownServers();
 
   inline bool hasExpectations();
   inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Builder getExpectations();
@@ -896,6 +943,20 @@
   inline  ::uint32_t getGateways();
   inline void setGateways( ::uint32_t value);
 
+  inline bool getIsWhole();
+  inline void setIsWhole(bool value);
+
+  inline bool hasGone();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getGone();
+  inline void setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initGone(unsigned int size);
+  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownGone();
+
+  inline  ::int64_t getListAgeNanoseconds();
+  inline void setListAgeNanoseconds( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1460,86 +1521,216 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Placement::Reader::hasServer() const {
+inline bool Server::Reader::hasId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Placement::Builder::hasServer() {
+inline bool Server::Builder::hasId() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Placement::Reader::getServer() const {
+inline  ::capnp::Text::Reader Server::Reader::getId() const {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Placement::Builder::getServer() {
+inline  ::capnp::Text::Builder Server::Builder::getId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Placement::Builder::setServer( ::capnp::Text::Reader value) {
+inline void Server::Builder::setId( ::capnp::Text::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Placement::Builder::initServer(unsigned int size) {
+inline  ::capnp::Text::Builder Server::Builder::initId(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Placement::Builder::adoptServer(
+inline void Server::Builder::adoptId(
     ::capnp::Orphan< ::capnp::Text>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Placement::Builder::disownServer() {
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownId() {
   return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t Placement::Reader::getStartedAt() const {
+inline bool Server::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasAddress() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasAddress() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getAddress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setAddress( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initAddress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptAddress(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownAddress() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool Server::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Server::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Server::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Server::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Server::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Server::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Server::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Server::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t Server::Reader::getStartedAt() const {
   return _reader.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t Placement::Builder::getStartedAt() {
+inline  ::int64_t Server::Builder::getStartedAt() {
   return _builder.getDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Placement::Builder::setStartedAt( ::int64_t value) {
+inline void Server::Builder::setStartedAt( ::int64_t value) {
   _builder.setDataField< ::int64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Placement::Reader::hasModels() const {
+inline  ::uint32_t Server::Reader::getSlots() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Server::Builder::getSlots() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setSlots( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Server::Reader::getIsLeaving() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool Server::Builder::getIsLeaving() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setIsLeaving(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Server::Reader::hasModels() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool Placement::Builder::hasModels() {
+inline bool Server::Builder::hasModels() {
   return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader Placement::Reader::getModels() const {
+inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader Server::Reader::getModels() const {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder Placement::Builder::getModels() {
+inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder Server::Builder::getModels() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void Placement::Builder::setModels( ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader value) {
+inline void Server::Builder::setModels( ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder Placement::Builder::initModels(unsigned int size) {
+inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder Server::Builder::initModels(unsigned int size) {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
 }
-inline void Placement::Builder::adoptModels(
+inline void Server::Builder::adoptModels(
     ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>&& value) {
   ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>> Placement::Builder::disownModels() {
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>> Server::Builder::disownModels() {
   return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
 inline bool Expectation::Reader::hasService() const {
@@ -1766,37 +1957,37 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FollowReply::Reader::hasPlacements() const {
+inline bool FollowReply::Reader::hasServers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowReply::Builder::hasPlacements() {
+inline bool FollowReply::Builder::hasServers() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getPlacements() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getPlacements() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FollowReply::Builder::setPlacements( ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+inline void FollowReply::Builder::setServers( ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initPlacements(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void FollowReply::Builder::adoptPlacements(
-    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void FollowReply::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownPlacements() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Placement,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
@@ -1882,6 +2073,72 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::getIsWhole() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getIsWhole() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setIsWhole(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowReply::Reader::hasGone() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasGone() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowReply::Reader::getGone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::getGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void FollowReply::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::initGone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptGone(
+    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowReply::Builder::disownGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t FollowReply::Reader::getListAgeNanoseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FollowReply::Builder::getListAgeNanoseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setListAgeNanoseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigurationBody::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -52,13 +52,18 @@
     return all;
 }
 
-void write(fleetwire::Placement::Builder to, const ServerPlacement& placement)
+void write(fleetwire::Server::Builder to, const ListedServer& server)
 {
-    to.setServer(placement.server.text());
-    to.setStartedAt(placement.startedAt);
-    auto models = to.initModels(sizeOf(placement.models));
+    to.setId(server.id.text());
+    to.setService(server.service.text());
+    to.setAddress(formatEndpoint(server.address));
+    to.setDataCentre(server.dataCentre.text());
+    to.setStartedAt(server.startedAt);
+    to.setSlots(server.slots);
+    to.setIsLeaving(server.isLeaving);
+    auto models = to.initModels(sizeOf(server.models));
     unsigned i = 0;
-    for (const auto& [model, adapters] : placement.models) {
+    for (const auto& [model, adapters] : server.models) {
         models[i].setModel(model.text());
         auto names = models[i].initAdapters(sizeOf(adapters));
         unsigned j = 0;
@@ -68,17 +73,31 @@
     }
 }
 
-ServerPlacement read(fleetwire::Placement::Reader from)
+/** Nothing when the address is none. */
+std::optional<ListedServer> read(fleetwire::Server::Reader from)
 {
-    ServerPlacement placement { BackendServerName(textOf(from.getServer())), from.getStartedAt(), {} };
+    auto address = parseEndpoint(textOf(from.getAddress()));
+    if (!address)
+        return std::nullopt;
+    ListedServer server;
+    server.id = BackendServerName(textOf(from.getId()));
+    server.service = ServiceName(textOf(from.getService()));
+    server.address = *address;
+    server.dataCentre = DataCentreName(textOf(from.getDataCentre()));
+    server.startedAt = from.getStartedAt();
+    server.slots = from.getSlots();
+    server.isLeaving = from.getIsLeaving();
     for (auto held : from.getModels()) {
-        std::set<AdapterName>& adapters = placement.models[ModelName(textOf(held.getModel()))];
+        std::set<AdapterName>& adapters = server.models[ModelName(textOf(held.getModel()))];
         for (auto name : held.getAdapters())
             adapters.insert(AdapterName(textOf(name)));
     }
-    return placement;
+    return server;
 }
 
+/** Stands for a list that a coordinator does not have. */
+constexpr std::int64_t noList = -1;
+
 } // namespace
 
 //==============================================================================
@@ -126,9 +145,14 @@
     root.setConfiguration(dataOf(reply.configuration));
     root.setEpoch(reply.epoch);
     root.setRevision(reply.revision);
-    auto placements = root.initPlacements(sizeOf(reply.placements));
-    for (unsigned i = 0; i < reply.placements.size(); ++i)
-        write(placements[i], reply.placements[i]);
+    root.setIsWhole(reply.isWhole);
+    auto servers = root.initServers(sizeOf(reply.servers));
+    for (unsigned i = 0; i < reply.servers.size(); ++i)
+        write(servers[i], reply.servers[i]);
+    auto gone = root.initGone(sizeOf(reply.gone));
+    for (unsigned i = 0; i < reply.gone.size(); ++i)
+        gone.set(i, reply.gone[i].text());
+    root.setListAgeNanoseconds(reply.listAge ? reply.listAge->count() : noList);
     auto expectations = root.initExpectations(sizeOf(reply.expectations));
     for (unsigned i = 0; i < reply.expectations.size(); ++i) {
         expectations[i].setService(reply.expectations[i].service.text());
@@ -142,7 +166,7 @@
 
 FleetMessageResult<FollowReply> decodeFollowReply(std::string_view bytes)
 {
-    return readFleetMessage<fleetwire::FollowReply, FollowReply>(bytes, [](auto root) {
+    return readFleetMessage<fleetwire::FollowReply, FollowReply>(bytes, [](auto root) -> FleetMessageResult<FollowReply> {
         FollowReply reply;
         reply.isCurrent = root.getIsCurrent();
         reply.leader = KeeperId(root.getLeader());
@@ -152,8 +176,17 @@
         reply.configuration = bytesOf(root.getConfiguration());
         reply.epoch = root.getEpoch();
         reply.revision = root.getRevision();
-        for (auto placement : root.getPlacements())
-            reply.placements.push_back(read(placement));
+        reply.isWhole = root.getIsWhole();
+        for (auto each : root.getServers()) {
+            auto server = read(each);
+            if (!server)
+                return failure(FleetMessageErrorCode::Malformed, "a server's address cannot be read");
+            reply.servers.push_back(std::move(*server));
+        }
+        for (auto id : root.getGone())
+            reply.gone.emplace_back(textOf(id));
+        if (root.getListAgeNanoseconds() != noList)
+            reply.listAge = Duration(root.getListAgeNanoseconds());
         for (auto expectation : root.getExpectations())
             reply.expectations.push_back({ ServiceName(textOf(expectation.getService())), ModelName(textOf(expectation.getModel())), Duration(expectation.getRemainingNanoseconds()) });
         reply.outstanding = read(root.getOutstanding());
--- a/modules/hc_fleet/fleet/ListingPoller.cpp
+++ b/modules/hc_fleet/fleet/ListingPoller.cpp
@@ -16,6 +16,8 @@
 constexpr unsigned statusOk = 200;
 /** Pages of one reading; a list that goes on for longer is not whole. */
 constexpr unsigned mostPages = 200;
+/** While it is not to ask, it looks again this often whether it is. */
+constexpr Duration idlePause = 200ms;
 /** Each pause is lengthened by up to this part, so that hosts do not ask in step. */
 constexpr double jitterPart = 0.1;
 
@@ -63,10 +65,12 @@
 asio::awaitable<void> ListingPoller::run()
 {
     while (!m_isStopping) {
-        bool succeeded = true;
-        if (m_isActive)
-            succeeded = co_await readOnce();
-        m_timer.expires_after(pauseAfter(succeeded));
+        Duration pause = idlePause;
+        if (m_isActive) {
+            bool succeeded = co_await readOnce();
+            pause = pauseAfter(succeeded);
+        }
+        m_timer.expires_after(pause);
         boost::system::error_code ignored;
         co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -45,20 +45,13 @@
 struct FollowRequest {
     HostName host;
     ConfigurationVersion configuration;
-    /** The placement that the gateway knows: revisions count within an epoch. */
+    /** What the gateway knows of the servers: revisions count within an epoch. */
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     std::vector<ModelDemandReport> demands;
     std::vector<ServerOutstanding> outstanding;
 };
 
-/** The models that gateways may send requests for to one server. */
-struct ServerPlacement {
-    BackendServerName server;
-    std::int64_t startedAt = 0;
-    HeldModels models;
-};
-
 /** When a model that is wanted and not held is expected. */
 struct ModelExpectation {
     ServiceName service;
@@ -79,8 +72,14 @@
     ByteString configuration;
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
-    /** Servers whose placement changed since the revision that the gateway knows. */
-    std::vector<ServerPlacement> placements;
+    /** True when `servers` holds every server, and not only those that changed since the revision that the gateway knows. */
+    bool isWhole = false;
+    /** Servers with the models that requests may be sent for. */
+    std::vector<ListedServer> servers;
+    /** Servers that left the platform's list since that revision. */
+    std::vector<BackendServerName> gone;
+    /** How long ago the platform's list was asked for; nothing when this coordinator has none. */
+    std::optional<Duration> listAge;
     std::vector<ModelExpectation> expectations;
     /** Requests at each server from all gateways. */
     std::vector<ServerOutstanding> outstanding;
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -36,7 +36,19 @@
     sent.configuration = std::string("\0bytes\xff", 7);
     sent.epoch = 11;
     sent.revision = 12;
-    sent.placements = { { BackendServerName("s"), 99, { { ModelName("m"), { AdapterName("a1"), AdapterName("a2") } }, { ModelName("n"), {} } } } };
+    ListedServer server;
+    server.id = BackendServerName("s");
+    server.service = ServiceName("llm");
+    server.address = *parseEndpoint("10.1.2.3:8080");
+    server.dataCentre = DataCentreName("z1");
+    server.startedAt = 99;
+    server.slots = 16;
+    server.isLeaving = true;
+    server.models = { { ModelName("m"), { AdapterName("a1"), AdapterName("a2") } }, { ModelName("n"), {} } };
+    sent.isWhole = true;
+    sent.servers = { server };
+    sent.gone = { BackendServerName("old") };
+    sent.listAge = 300ms;
     sent.expectations = { { ServiceName("llm"), ModelName("x"), 1500ms } };
     sent.outstanding = { { BackendServerName("s"), { 2, 0 } } };
     sent.gateways = 7;
@@ -45,8 +57,9 @@
     BOOST_TEST((read->isCurrent && read->leader == sent.leader && read->coordinators == sent.coordinators && read->version == sent.version));
     BOOST_TEST(read->configuration == sent.configuration);
     BOOST_TEST((read->epoch == 11 && read->revision == 12 && read->gateways == 7));
-    BOOST_REQUIRE(read->placements.size() == 1U);
-    BOOST_TEST((read->placements.front().models == sent.placements.front().models && read->placements.front().startedAt == 99));
+    BOOST_TEST((read->isWhole && read->servers == sent.servers && read->gone == sent.gone && read->listAge == sent.listAge));
+    sent.listAge.reset();
+    BOOST_TEST(!decodeFollowReply(encodeFollowReply(sent))->listAge);
     BOOST_TEST((read->expectations.size() == 1 && read->expectations.front().remaining == 1500ms));
 }
 
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -59,6 +59,11 @@
     return found == m_expected.end() ? std::nullopt : std::optional(found->second);
 }
 
+bool CoordinatorLink::hasCurrentList(Instant now) const
+{
+    return m_listAsked && now - *m_listAsked < m_options.listLifetime;
+}
+
 //==============================================================================
 asio::awaitable<void> CoordinatorLink::run()
 {
@@ -125,16 +130,18 @@
     m_heard = now;
     if (std::exchange(m_isLost, false))
         logEvent(EventId::GatewayCoordinatorRegained, { { "coordinator", formatEndpoint(*m_target) } });
-    if (reply.epoch != m_epoch)
-        m_servers.forgetPlacements();
-    m_epoch = reply.epoch;
-    m_revision = reply.revision;
     m_gateways = reply.gateways;
-    m_servers.takePlacements(reply, now);
+    std::vector<Endpoint> gone;
+    if (reply.listAge) {
+        m_listAsked = now - *reply.listAge;
+        m_epoch = reply.epoch;
+        m_revision = reply.revision;
+        gone = m_servers.takeReply(reply);
+    }
     m_expected.clear();
     for (const ModelExpectation& expectation : reply.expectations)
         m_expected[{ expectation.service, expectation.model }] = now + expectation.remaining;
-    m_hooks.changed();
+    m_hooks.changed(gone);
 }
 
 /** Only a coordinator that leads is believed, unless there is nothing to go by at all. */
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -29,14 +29,16 @@
         Duration timeout = 500ms;
         /** After so long without a leader, the configuration of any coordinator will do for a gateway that has none. */
         Duration patience = 3s;
+        /** A list that was asked for longer ago says too little of servers that leave. */
+        Duration listLifetime = 1600ms;
     };
 
     /** What the link hands on. */
     struct Hooks {
         /** A newer configuration. */
         std::function<void(ConfigurationVersion, ByteString)> configuration;
-        /** Placement, counts or expectations were heard. */
-        std::function<void()> changed;
+        /** Servers, counts or expectations were heard; these addresses belong to no server any more. */
+        std::function<void(const std::vector<Endpoint>& gone)> changed;
     };
 
     CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, std::vector<Endpoint> seeds, Options, ServerTable&, DemandLedger&, Hooks);
@@ -48,6 +50,10 @@
     void setSeeds(const std::vector<Endpoint>& seeds);
     void noteVersion(ConfigurationVersion version) { m_version = version; }
 
+    /** True when the coordinator that leads has read the platform's list lately, so that this gateway need not. */
+    bool hasCurrentList(Instant now) const;
+    /** Asks for every server anew, as after the table was filled from elsewhere. */
+    void forgetRevision() { m_epoch = 0; }
     /** When a model is expected, as last heard; nothing when the coordinator has said nothing of it. */
     std::optional<Instant> expected(const ServiceName&, const ModelName&) const;
     /** Gateways that the coordinator hears of; nothing until it said so. */
@@ -80,6 +86,7 @@
     std::map<std::pair<ServiceName, ModelName>, Instant> m_expected;
     std::optional<unsigned> m_gateways;
     std::optional<Instant> m_heard;
+    std::optional<Instant> m_listAsked;
     Instant m_begun {};
     bool m_isLost = false;
     bool m_isHurried = false;
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -22,6 +22,8 @@
 constexpr EjectionTable::Options ejection { 2, 1s, 4s, 100 };
 /** The platform asks once a second and needs two answers to send no more new connections. */
 constexpr Duration newConnectionsEnd = 3s;
+/** How often is looked whether the coordinator's list is current. */
+constexpr Duration listWatchInterval = 200ms;
 /** A read timeout above the header's leaves time for the body. */
 constexpr unsigned bodyTimeoutFactor = 4;
 
@@ -54,7 +56,8 @@
     , m_servers(settings.dataCentre, tableOptions())
     , m_link(context, m_peers, settings.host, settings.seeds, CoordinatorLink::Options(), m_servers, m_demand,
           { [this](ConfigurationVersion version, const ByteString& body) { takeConfiguration(version, body); },
-              [this] {
+              [this](const std::vector<Endpoint>& gone) {
+                  forgetAddresses(gone);
                   m_core.retries.setHostCount(std::max(1U, m_link.gateways().value_or(1)));
                   m_core.waiting.notifyAll();
               } })
@@ -63,6 +66,7 @@
     , m_callers(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); })
     , m_readiness(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); })
     , m_metrics(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
+    , m_listTimer(context)
     , m_stopTimer(context)
 {
 }
@@ -78,6 +82,7 @@
     }
     m_link.start();
     m_listing.start();
+    watchList();
     return {};
 }
 
@@ -95,6 +100,7 @@
     m_stopTimer.async_wait([this, done = std::move(done)](const boost::system::error_code&) mutable {
         m_core.waiting.notifyAll();
         m_callers.drain([this, done = std::move(done)] {
+            m_listTimer.cancel();
             m_link.stop();
             m_listing.stop();
             done();
@@ -149,9 +155,28 @@
 
 void Gateway::takeListing(std::vector<ListedServer> servers)
 {
-    for (const Endpoint& gone : m_servers.takeListing(std::move(servers)))
-        m_client.forget(gone);
+    if (m_link.hasCurrentList(std::chrono::steady_clock::now()))
+        return;
+    forgetAddresses(m_servers.takeAll(std::move(servers)));
+    m_link.forgetRevision();
     m_core.waiting.notifyAll();
 }
 
+void Gateway::forgetAddresses(const std::vector<Endpoint>& gone)
+{
+    for (const Endpoint& endpoint : gone)
+        m_client.forget(endpoint);
+}
+
+/** The list is read here only while no coordinator tells what stands in it. */
+void Gateway::watchList()
+{
+    m_listing.setActive(!m_link.hasCurrentList(std::chrono::steady_clock::now()));
+    m_listTimer.expires_after(listWatchInterval);
+    m_listTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            watchList();
+    });
+}
+
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -32,6 +32,8 @@
     boost::asio::awaitable<void> answerMetrics(HttpExchange&);
     void takeConfiguration(ConfigurationVersion, const ByteString&);
     void takeListing(std::vector<ListedServer>);
+    void forgetAddresses(const std::vector<Endpoint>&);
+    void watchList();
     bool isReady() const;
 
     GatewaySettings m_settings;
@@ -46,6 +48,7 @@
     HttpServer m_callers;
     HttpServer m_readiness;
     HttpServer m_metrics;
+    boost::asio::steady_timer m_listTimer;
     boost::asio::steady_timer m_stopTimer;
 };
 
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -11,52 +11,64 @@
 {
 }
 
-std::vector<Endpoint> ServerTable::takeListing(std::vector<ListedServer> listing)
+std::vector<Endpoint> ServerTable::takeAll(std::vector<ListedServer> servers)
 {
+    std::set<BackendServerName> listed;
+    for (const ListedServer& server : servers)
+        listed.insert(server.id);
     std::set<Endpoint> gone;
-    for (const auto& [id, server] : m_servers)
-        gone.insert(server.listed.address);
-    std::map<BackendServerName, Server> servers;
-    for (ListedServer& listed : listing) {
-        auto known = m_servers.extract(listed.id);
-        bool isSame = !known.empty() && known.mapped().listed.startedAt == listed.startedAt && known.mapped().listed.address == listed.address;
-        Server server = isSame ? std::move(known.mapped()) : Server();
-        if (isSame)
-            gone.erase(listed.address);
-        server.listed = std::move(listed);
-        BackendServerName id = server.listed.id;
-        servers.insert_or_assign(std::move(id), std::move(server));
-    }
-    for (const auto& [id, server] : m_servers)
-        m_ejections.forget(id);
-    m_servers = std::move(servers);
+    std::erase_if(m_servers, [&](const auto& item) {
+        bool isGone = !listed.contains(item.first);
+        if (isGone) {
+            gone.insert(item.second.listed.address);
+            m_ejections.forget(item.first);
+        }
+        return isGone;
+    });
+    for (ListedServer& server : servers)
+        take(std::move(server), gone);
     m_hasListing = true;
     return { gone.begin(), gone.end() };
 }
 
-void ServerTable::takePlacements(const FollowReply& reply, Instant now)
+std::vector<Endpoint> ServerTable::takeReply(const FollowReply& reply)
 {
-    m_placementHeard = now;
-    for (const ServerPlacement& placement : reply.placements) {
-        auto found = m_servers.find(placement.server);
-        if (found == m_servers.end() || found->second.listed.startedAt != placement.startedAt)
-            continue;
-        Server& server = found->second;
-        server.hasPlacement = true;
-        server.placed = placement.models;
-        server.missingUntil.clear();
+    std::set<Endpoint> gone;
+    if (reply.isWhole) {
+        std::vector<Endpoint> left = takeAll(reply.servers);
+        gone.insert(left.begin(), left.end());
+    } else {
+        for (const ListedServer& server : reply.servers)
+            take(server, gone);
+        for (const BackendServerName& id : reply.gone) {
+            auto server = m_servers.extract(id);
+            if (!server.empty())
+                gone.insert(server.mapped().listed.address);
+            m_ejections.forget(id);
+        }
     }
     std::map<BackendServerName, ServerLoad> totals;
     for (const ServerOutstanding& each : reply.outstanding)
         totals[each.server] = each.load;
     for (auto& [id, server] : m_servers)
         server.others = totals[id] - server.reportedOwn;
+    return { gone.begin(), gone.end() };
 }
 
-void ServerTable::forgetPlacements()
+/** A server in another life, or at another address, begins without requests and failures. */
+void ServerTable::take(ListedServer listed, std::set<Endpoint>& gone)
 {
-    for (auto& [id, server] : m_servers)
-        server.hasPlacement = false;
+    Server& server = m_servers[listed.id];
+    bool isKnown = !server.listed.id.isEmpty();
+    bool isSame = isKnown && server.listed.startedAt == listed.startedAt && server.listed.address == listed.address;
+    if (isKnown && !isSame) {
+        gone.insert(server.listed.address);
+        m_ejections.forget(listed.id);
+        server = Server();
+    }
+    if (server.listed.models != listed.models)
+        server.missingUntil.clear();
+    server.listed = std::move(listed);
 }
 
 //==============================================================================
@@ -78,8 +90,7 @@
 
 bool ServerTable::holds(const Server& server, const ModelKey& key, Instant now) const
 {
-    bool isPlacementCurrent = server.hasPlacement && now - m_placementHeard < m_options.placementLifetime;
-    const HeldModels& models = isPlacementCurrent ? server.placed : server.listed.models;
+    const HeldModels& models = server.listed.models;
     auto held = models.find(key.model);
     if (held == models.end() || (!key.adapter.isEmpty() && !held->second.contains(key.adapter)))
         return false;
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -11,8 +11,8 @@
 
 //==============================================================================
 /**
-    What this gateway knows of the backend servers: the platform's list, the placement that the
-    coordinator tells, and what it sees itself. What it sees itself goes first.
+    What this gateway knows of the backend servers: from the coordinator that leads, or from the
+    platform's list when that is silent, and what it sees itself. What it sees itself goes first.
 
     Thread safety: one thread at a time.
 */
@@ -20,8 +20,6 @@
 public:
     /** Times after which what was heard counts for less. */
     struct Options {
-        /** The coordinator's placement is used for so long after it was heard; then the list's models are. */
-        Duration placementLifetime = 2s;
         /** A server that answered that it lacks a model is not asked again for so long. */
         Duration missingLifetime = 1500ms;
         EjectionTable::Options ejection;
@@ -30,19 +28,17 @@
     explicit ServerTable(DataCentreName own, Options);
 
     //==============================================================================
-    /** Takes a whole list; returns the addresses that no server has any more. */
-    std::vector<Endpoint> takeListing(std::vector<ListedServer>);
-    /** Takes the placements and the counts of a coordinator's reply. */
-    void takePlacements(const FollowReply&, Instant now);
-    /** Forgets placements, as when another coordinator tells them from the start. */
-    void forgetPlacements();
+    /** Takes every server there is; returns the addresses that no server has any more. */
+    std::vector<Endpoint> takeAll(std::vector<ListedServer>);
+    /** Takes the servers that changed, those that are gone, and the counts of all gateways; returns as takeAll(). */
+    std::vector<Endpoint> takeReply(const FollowReply&);
 
     //==============================================================================
     /** Servers of the service that may take a request now, those in `excluded` left out; empty names need no model. */
     std::vector<ServerCandidate> candidates(const ModelKey&, const std::set<BackendServerName>& excluded, Instant now) const;
     /** The server's entry, or null when it is not listed. */
     const ListedServer* find(const BackendServerName&) const;
-    /** True once a list was taken in. */
+    /** True once servers were taken in. */
     bool hasListing() const { return m_hasListing; }
 
     //==============================================================================
@@ -61,8 +57,6 @@
 private:
     struct Server {
         ListedServer listed;
-        bool hasPlacement = false;
-        HeldModels placed;
         std::map<std::pair<ModelName, AdapterName>, Instant> missingUntil;
         /** Requests of this gateway, and those of the others as last heard. */
         ServerLoad own;
@@ -70,6 +64,7 @@
         ServerLoad others;
     };
 
+    void take(ListedServer, std::set<Endpoint>& gone);
     bool holds(const Server&, const ModelKey&, Instant now) const;
 
     DataCentreName m_own;
@@ -77,7 +72,6 @@
     std::map<BackendServerName, Server> m_servers;
     EjectionTable m_ejections;
     bool m_hasListing = false;
-    Instant m_placementHeard {};
 };
 
 } // namespace hemlockchute
