--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -15,6 +15,10 @@
 namespace asio = boost::asio;
 
 constexpr unsigned statusOk = 200;
+/** A load that was to come from memory or disk and takes so many times as long comes from the store. */
+constexpr int latePart = 2;
+/** The longer an order takes, the less often is asked: each time this part of its time so far. */
+constexpr int lateAskPart = 16;
 /** A load is asked after so long after its declared time, when its end has reached the server's own books. */
 constexpr Duration loadSlack = 5ms;
 
@@ -204,8 +208,8 @@
         PlacedServer each;
         each.id = id;
         each.models = server.state.models;
-        each.inMemory = server.state.inMemory;
-        each.onDisk = server.state.onDisk;
+        each.inMemory = server.inMemory.models();
+        each.onDisk = server.onDisk.models();
         each.adaptersOnTheWay = server.state.adaptersOnTheWay;
         each.mayTakeOrder = !server.isOccupied;
         each.loading = server.loading;
@@ -314,6 +318,28 @@
     server->isOccupied = false;
 }
 
+/** A load leaves copies in the server's memory and on its disk. */
+void PlacementDirector::noteLoaded(Server& server, const ModelName& model)
+{
+    const RoutedService* service = m_configuration->findService(server.listed.service);
+    if (!service || !service->engine)
+        return;
+    server.inMemory.add(model, *service->engine, service->engine->memoryCopies);
+    server.onDisk.add(model, *service->engine, service->engine->diskCopies);
+}
+
+/** Notes that a load takes so long that it must come from the store after all; gives false, since that is noted once. */
+bool PlacementDirector::noteFromStore(Server& server, const ModelName& model, Instant begun)
+{
+    server.inMemory.remove(model);
+    server.onDisk.remove(model);
+    server.isLoadingFromStore = true;
+    const RoutedService* service = m_configuration->findService(server.listed.service);
+    if (service && service->engine && service->engine->models.contains(model))
+        server.loadedAt = begun + service->engine->models.at(model).loadFromStore;
+    return false;
+}
+
 /** Waits until an order that was accepted is carried out: the same order given again is accepted again, or refused as a second one, until it holds. */
 asio::awaitable<void> PlacementDirector::follow(BackendServerName id, std::int64_t life, PlacementStep step)
 {
@@ -342,14 +368,17 @@
         server->loadedAt = begun + time;
     } else {
         server->state.models.erase(step.model);
-        server->state.onDisk.insert(step.model);
         noteChanged(*server);
     }
     co_await pause(time + loadSlack);
     auto outcome = co_await give(id, step);
-    while (isInProgress(outcome) && currentTime() - begun < m_options.mostTimes * std::max<Duration>(time, 1s)) {
-        co_await pause(m_options.askAgain);
+    bool isLate = isLoad && step.source != PlacementStep::Source::Store && isInProgress(outcome);
+    while (isInProgress(outcome) && currentTime() - begun < m_options.longestOrder) {
+        co_await pause(std::max<Duration>(m_options.askAgain, (currentTime() - begun) / lateAskPart));
         outcome = co_await give(id, step);
+        server = find(id, life);
+        if (isLate && server && currentTime() - begun > latePart * time)
+            isLate = noteFromStore(*server, step.model, begun);
     }
     server = find(id, life);
     if (!server)
@@ -364,7 +393,7 @@
     if (!isLoad)
         co_return;
     server->state.models.try_emplace(step.model);
-    server->state.onDisk.insert(step.model);
+    noteLoaded(*server, step.model);
     noteTaken(id, step, currentTime() - begun);
 }
 
@@ -392,6 +421,8 @@
     else if (report->isBusy)
         reason = "an order is in progress";
     else {
+        server->inMemory.reset(report->inMemory);
+        server->onDisk.reset(report->onDisk);
         server->state = std::move(*report);
         server->isKnown = true;
         noteChanged(*server);
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordinator/DemandBook.h"
+#include "hemlockchute/fleet/CopyShelf.h"
 #include "hemlockchute/fleet/FleetPlatform.h"
 #include "hemlockchute/http/HttpClient.h"
 
@@ -37,8 +38,8 @@
         Duration adapterTime = 20ms;
         /** Between two questions whether an order was carried out. */
         Duration askAgain = 40ms;
-        /** An order that takes longer than this times its expected time is looked into. */
-        int mostTimes = 4;
+        /** An order that is not carried out after so long is looked into; longer than loads from a crowded store. */
+        Duration longestOrder = 25s;
         /** Between two tries to read what a server holds. */
         Duration reportPause = 400ms;
     };
@@ -65,6 +66,8 @@
         bool isKnown = false;
         bool isOccupied = false;
         EngineReport state;
+        CopyShelf inMemory;
+        CopyShelf onDisk;
         ModelName withdrawn;
         AdapterName withdrawnAdapter;
         ModelName loading;
@@ -98,6 +101,8 @@
     Server* find(const BackendServerName&, std::int64_t life);
     void noteChanged(Server&);
     void noteUnknown(Server&);
+    void noteLoaded(Server&, const ModelName&);
+    bool noteFromStore(Server&, const ModelName&, Instant begun);
     ListedServer shown(const Server&) const;
     ListedServer shownAs(const Server&, const ListedServer&) const;
 
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -286,8 +286,12 @@
 double ModelPlacer::keepingValue(const Round& round, const PlacedServer& server, const ModelName& model) const
 {
     auto found = round.models.find(model);
-    if (!round.engine.models.contains(model) || found == round.models.end())
+    if (!round.engine.models.contains(model))
         return 0;
+    bool isAtHand = server.inMemory.contains(model) || server.onDisk.contains(model);
+    double reload = isAtHand || round.copies.at(model) > 1 ? 0 : m_options.storeReload;
+    if (found == round.models.end())
+        return reload;
     const CombinedDemand& demand = found->second;
     auto since = m_heldSince.find({ server.id, model });
     bool isNew = since != m_heldSince.end() && round.now - since->second < m_options.leastResidence;
@@ -295,7 +299,7 @@
     double wanted = (demand.arrivalsPerSecond + demand.waiting) * urgency(demand.rank);
     if (isNew && wanted > 0)
         return std::numeric_limits<double>::infinity();
-    return wanted / copies + (copies == 1 ? demand.active : 0);
+    return wanted / copies + (copies == 1 ? demand.active : 0) + reload;
 }
 
 /** One step towards an intent: the first victim goes, or the model comes. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -92,6 +92,8 @@
         double fullPart = 0.75;
         /** A model with more requests a second than this gets a second copy, against the loss of the first. */
         double secondCopyRate = 4;
+        /** What it weighs, in requests a second, that a model could only come back from the store. */
+        double storeReload = 0.4;
         /** Requests a second that may be lost to a load that nobody waits for. */
         double idleFill = 0.5;
         /** Requests that wait for a model for so long although a server holds it cannot reach that server. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/RouteConfiguration.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RouteConfiguration.h
@@ -77,6 +77,9 @@
     std::uint64_t tokenCapacity = 0;
     ByteCount weightsCapacity;
     unsigned adapterSlots = 0;
+    /** Room for copies of weights besides those held, in memory and on disk. */
+    ByteCount memoryCopies;
+    ByteCount diskCopies;
     /** Loads that the weight store allows a second, over all servers. */
     double storeLoadsPerSecond = 0;
     std::map<ModelName, EngineModel> models;
--- a/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "hemlockchute/fleet/CoordinatorAddress.h"
+#include "hemlockchute/fleet/CopyShelf.h"
 #include "hemlockchute/fleet/EventStreamSplitter.h"
 #include "hemlockchute/fleet/FleetMessages.h"
 #include "hemlockchute/fleet/FleetPlatform.h"
--- /dev/null
+++ b/modules/hc_fleet/tests/CopyShelfTests.cpp
@@ -0,0 +1,43 @@
+#include "hemlockchute/fleet/CopyShelf.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hemlockchute;
+
+namespace {
+
+EngineSpec engineOf(unsigned models)
+{
+    EngineSpec engine;
+    for (unsigned i = 0; i < models; ++i)
+        engine.models[ModelName("m" + std::to_string(i))].weights = ByteCount(10);
+    return engine;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(CopyShelfTests)
+
+BOOST_AUTO_TEST_CASE(theLeastRecentlyLoadedMakeWay)
+{
+    EngineSpec engine = engineOf(5);
+    CopyShelf shelf;
+    shelf.reset({ ModelName("m0"), ModelName("m1") });
+    shelf.add(ModelName("m2"), engine, ByteCount(30));
+    shelf.add(ModelName("m0"), engine, ByteCount(30));
+    shelf.add(ModelName("m3"), engine, ByteCount(30));
+    BOOST_TEST((shelf.models() == std::set<ModelName> { ModelName("m0"), ModelName("m2"), ModelName("m3") }));
+    shelf.remove(ModelName("m2"));
+    shelf.add(ModelName("m4"), engine, ByteCount(30));
+    BOOST_TEST((shelf.models() == std::set<ModelName> { ModelName("m0"), ModelName("m3"), ModelName("m4") }));
+}
+
+BOOST_AUTO_TEST_CASE(theLastLoadedStaysHoweverSmallTheShelf)
+{
+    CopyShelf shelf;
+    shelf.add(ModelName("m0"), engineOf(2), ByteCount(5));
+    shelf.add(ModelName("m1"), engineOf(2), ByteCount(5));
+    BOOST_TEST((shelf.models() == std::set<ModelName> { ModelName("m1") }));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
