--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -207,6 +207,7 @@
             continue;
         PlacedServer each;
         each.id = id;
+        each.dataCentre = server.listed.dataCentre;
         each.models = server.state.models;
         each.inMemory = server.inMemory.models();
         each.onDisk = server.onDisk.models();
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -165,7 +165,7 @@
     expectMissing(round, unplaced);
 }
 
-/** Another copy for models whose servers are all full or out of reach, and for busy ones with a single copy. */
+/** Another copy for models whose servers are all full or out of reach, and for busy ones where a data centre has none. */
 void ModelPlacer::addCopies(Round& round)
 {
     for (const auto& [model, demand] : round.models) {
@@ -183,9 +183,9 @@
             continue;
         }
         bool isFull = least >= m_options.fullPart * round.engine.slots && demand.arrivalsPerSecond > 1;
-        bool isExposed = round.copies[model] == 1 && demand.arrivalsPerSecond > m_options.secondCopyRate;
-        if (isFull || isExposed)
-            place(round, model, demand.arrivalsPerSecond / (round.copies[model] + 1) * urgency(demand.rank), round.storeLoads + 1 < m_options.storeLoadsAtOnce);
+        DataCentreName without = demand.arrivalsPerSecond > m_options.spreadRate ? dataCentreWithout(round, model) : DataCentreName();
+        if (isFull || !without.isEmpty())
+            place(round, model, demand.arrivalsPerSecond / (round.copies[model] + 1) * urgency(demand.rank), round.storeLoads + 1 < m_options.storeLoadsAtOnce, without);
     }
 }
 
@@ -210,9 +210,9 @@
 }
 
 //==============================================================================
-bool ModelPlacer::place(Round& round, const ModelName& model, double value, bool mayUseStore)
+bool ModelPlacer::place(Round& round, const ModelName& model, double value, bool mayUseStore, const DataCentreName& dataCentre)
 {
-    auto best = bestPlace(round, model, value, mayUseStore);
+    auto best = bestPlace(round, model, value, mayUseStore, dataCentre);
     if (!best)
         return false;
     Intent intent { model, best->source, round.now };
@@ -226,15 +226,18 @@
 }
 
 /** A copy at hand, whose server can make room though it is busy now, is waited for rather than loaded from the store. */
-std::optional<ModelPlacer::Place> ModelPlacer::bestPlace(const Round& round, const ModelName& model, double value, bool mayUseStore) const
+std::optional<ModelPlacer::Place> ModelPlacer::bestPlace(const Round& round, const ModelName& model, double value, bool mayUseStore, const DataCentreName& dataCentre) const
 {
     bool isAtHand = std::any_of(round.servers.begin(), round.servers.end(), [&](const PlacedServer& server) {
+        if (!dataCentre.isEmpty() && server.dataCentre != dataCentre)
+            return false;
         bool hasCopy = (server.inMemory.contains(model) || server.onDisk.contains(model)) && !server.models.contains(model);
         return hasCopy && placeAt(round, server, model, value);
     });
     std::optional<Place> best;
     for (const PlacedServer& server : round.servers) {
-        if (!server.mayTakeOrder || round.taken.contains(server.id) || server.models.contains(model))
+        bool isElsewhere = !dataCentre.isEmpty() && server.dataCentre != dataCentre;
+        if (isElsewhere || !server.mayTakeOrder || round.taken.contains(server.id) || server.models.contains(model))
             continue;
         auto place = placeAt(round, server, model, value);
         if (!place)
@@ -248,6 +251,16 @@
     return best;
 }
 
+/** A data centre with servers none of which holds the model; empty when there is none. */
+DataCentreName ModelPlacer::dataCentreWithout(const Round& round, const ModelName& model) const
+{
+    std::map<DataCentreName, bool> holds;
+    for (const PlacedServer& server : round.servers)
+        holds[server.dataCentre] = holds[server.dataCentre] || server.models.contains(model);
+    auto found = std::find_if(holds.begin(), holds.end(), [](const auto& item) { return !item.second; });
+    return found == holds.end() ? DataCentreName() : found->first;
+}
+
 std::optional<ModelPlacer::Place> ModelPlacer::placeAt(const Round& round, const PlacedServer& server, const ModelName& model, double value) const
 {
     const EngineModel& spec = round.engine.models.at(model);
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -25,6 +25,7 @@
 /** A server that runs models, as the placer sees it. */
 struct PlacedServer {
     BackendServerName id;
+    DataCentreName dataCentre;
     HeldModels models;
     std::set<ModelName> inMemory;
     std::set<ModelName> onDisk;
@@ -90,8 +91,8 @@
         Duration leastResidence = 800ms;
         /** A further copy is loaded when requests at the emptiest server pass this part of its slots. */
         double fullPart = 0.75;
-        /** A model with more requests a second than this gets a second copy, against the loss of the first. */
-        double secondCopyRate = 4;
+        /** A model with more requests a second than this gets a copy in each data centre, so that each can serve it when it is cut off. */
+        double spreadRate = 3;
         /** What it weighs, in requests a second, that a model could only come back from the store. */
         double storeReload = 0.4;
         /** Requests a second that may be lost to a load that nobody waits for. */
@@ -138,8 +139,9 @@
     void addCopies(Round&);
     void fillStore(Round&);
     void placeAdapters(Round&);
-    bool place(Round&, const ModelName&, double value, bool mayUseStore);
-    std::optional<Place> bestPlace(const Round&, const ModelName&, double value, bool mayUseStore) const;
+    bool place(Round&, const ModelName&, double value, bool mayUseStore, const DataCentreName& = {});
+    std::optional<Place> bestPlace(const Round&, const ModelName&, double value, bool mayUseStore, const DataCentreName&) const;
+    DataCentreName dataCentreWithout(const Round&, const ModelName&) const;
     std::optional<Place> placeAt(const Round&, const PlacedServer&, const ModelName&, double value) const;
     double keepingValue(const Round&, const PlacedServer&, const ModelName&) const;
     void take(Round&, const PlacedServer&, const Intent&, const std::vector<ModelName>& victims);
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -191,6 +191,53 @@
     BOOST_TEST(servers.servers.back().models.contains(ModelName("m0")));
 }
 
+/** The load of a data centre that is cut off: it can only serve the busy models that it holds. */
+BOOST_AUTO_TEST_CASE(aBusyModelHasACopyInEachDataCentre)
+{
+    ModelPlacer::Servers all;
+    for (const char* place : { "z1", "z2", "z3" }) {
+        for (int i = 0; i < 2; ++i) {
+            all.push_back(server(std::string(place) + std::to_string(i), {}));
+            all.back().dataCentre = DataCentreName(place);
+        }
+    }
+    all.front().models[ModelName("m0")];
+    InstantServers servers(engineOf(3), all);
+    ModelPlacer placer { ModelPlacer::Options() };
+    servers.run(placer, { { key("m0"), rate(9) }, { key("m1"), rate(0.2) } }, 400);
+    std::set<DataCentreName> holders;
+    for (const PlacedServer& each : servers.servers) {
+        if (each.models.contains(ModelName("m0")))
+            holders.insert(each.dataCentre);
+    }
+    BOOST_TEST(holders.size() == 3U);
+}
+
+/** The load of a server that answers nobody though it is listed: requests go on waiting for its models. */
+BOOST_AUTO_TEST_CASE(aModelThatIsHeldAndStillWaitedForIsLoadedElsewhere)
+{
+    InstantServers servers(engineOf(3), { server("silent", { "m0" }), server("other", {}) });
+    servers.servers.front().mayTakeOrder = false;
+    ModelPlacer placer { ModelPlacer::Options() };
+    servers.run(placer, { { key("m0"), waiting(3) } }, 5);
+    BOOST_TEST(servers.servers.back().loading.isEmpty());
+    servers.run(placer, { { key("m0"), waiting(3) } }, 150);
+    BOOST_TEST(servers.servers.back().models.contains(ModelName("m0")));
+}
+
+/** Without requests, models without a copy anywhere are loaded one after the other, and wanted ones stay. */
+BOOST_AUTO_TEST_CASE(theStoreIsNotIdleWhileModelsLackACopy)
+{
+    InstantServers servers(engineOf(6), { server("a", { "m0", "m1", "m2" }), server("b", {}) });
+    ModelPlacer placer { ModelPlacer::Options() };
+    servers.run(placer, { { key("m0"), rate(2) } }, 900);
+    for (unsigned i = 3; i < 6; ++i) {
+        ModelName model("m" + std::to_string(i));
+        BOOST_TEST(std::any_of(servers.servers.begin(), servers.servers.end(), [&](const PlacedServer& each) { return each.onDisk.contains(model); }));
+    }
+    BOOST_TEST(servers.holds("m0"));
+}
+
 BOOST_AUTO_TEST_CASE(anAdapterGoesToItsModelAndAnIdleOneMakesWay)
 {
     PlacedServer holder = server("holder", { "m0" });
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -294,6 +294,8 @@
         bool isNotSent = isCertainlyNotSent(answer.error().code);
         if (isNotSent)
             --m_sends;
+        if (isNotSent || answer.error().code == HttpClientErrorCode::TimedOut)
+            m_core.servers.noteUnreachable(name, currentTime());
         co_return noteFault(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
     }
     m_call->answer = answer->get();
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -75,11 +75,14 @@
 std::vector<ServerCandidate> ServerTable::candidates(const ModelKey& key, const std::set<BackendServerName>& excluded, Instant now) const
 {
     std::vector<BackendServerName> able;
+    std::vector<BackendServerName> outOfReach;
     for (const auto& [id, server] : m_servers) {
         bool isAble = server.listed.service == key.service && !server.listed.isLeaving && !excluded.contains(id);
         if (isAble && (key.model.isEmpty() || holds(server, key, now)))
-            able.push_back(id);
+            (isOutOfReach(server.listed.dataCentre, now) ? outOfReach : able).push_back(id);
     }
+    if (able.empty())
+        able = std::move(outOfReach);
     std::vector<ServerCandidate> candidates;
     for (const BackendServerName& id : m_ejections.usable(able, now)) {
         const Server& server = m_servers.at(id);
@@ -130,6 +133,32 @@
         found->second.own = found->second.own - ServerLoad { 1, 0 };
 }
 
+void ServerTable::noteSuccess(const BackendServerName& id)
+{
+    m_ejections.noteSuccess(id);
+    auto found = m_servers.find(id);
+    if (found != m_servers.end())
+        m_reach.erase(found->second.listed.dataCentre);
+}
+
+void ServerTable::noteUnreachable(const BackendServerName& id, Instant now)
+{
+    auto found = m_servers.find(id);
+    if (found == m_servers.end())
+        return;
+    Reach& reach = m_reach[found->second.listed.dataCentre];
+    reach.silent.insert(id);
+    reach.lastSilence = now;
+}
+
+bool ServerTable::isOutOfReach(const DataCentreName& dataCentre, Instant now) const
+{
+    auto found = m_reach.find(dataCentre);
+    if (found == m_reach.end() || dataCentre == m_own)
+        return false;
+    return found->second.silent.size() >= m_options.unreachableServers && now - found->second.lastSilence < m_options.unreachablePause;
+}
+
 void ServerTable::noteMissing(const BackendServerName& id, const ModelKey& key, Instant now)
 {
     auto found = m_servers.find(id);
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -23,6 +23,10 @@
         /** A server that answered that it lacks a model is not asked again for so long. */
         Duration missingLifetime = 1500ms;
         EjectionTable::Options ejection;
+        /** So many servers of one data centre out of reach, and none reached since, mean that all of them are. */
+        unsigned unreachableServers = 2;
+        /** A data centre out of reach is tried again after this. */
+        Duration unreachablePause = 700ms;
     };
 
     explicit ServerTable(DataCentreName own, Options);
@@ -47,8 +51,10 @@
     /** Notes that the server has read a prompt. */
     void noteRead(const BackendServerName&, std::uint64_t promptTokens);
     void noteEnded(const BackendServerName&);
-    void noteSuccess(const BackendServerName& server) { m_ejections.noteSuccess(server); }
+    void noteSuccess(const BackendServerName&);
     void noteFailure(const BackendServerName& server, Instant now) { m_ejections.noteFailure(server, now); }
+    /** Notes that nothing was heard of a server, besides the failure. */
+    void noteUnreachable(const BackendServerName&, Instant now);
     /** Notes that the server said it does not hold what a request needs. */
     void noteMissing(const BackendServerName&, const ModelKey&, Instant now);
     /** The requests of this gateway at each server. */
@@ -64,13 +70,21 @@
         ServerLoad others;
     };
 
+    /** The servers of a data centre that were found out of reach, since one of them was last heard. */
+    struct Reach {
+        std::set<BackendServerName> silent;
+        Instant lastSilence {};
+    };
+
     void take(ListedServer, std::set<Endpoint>& gone);
+    bool isOutOfReach(const DataCentreName&, Instant now) const;
     bool holds(const Server&, const ModelKey&, Instant now) const;
 
     DataCentreName m_own;
     Options m_options;
     std::map<BackendServerName, Server> m_servers;
     EjectionTable m_ejections;
+    std::map<DataCentreName, Reach> m_reach;
     bool m_hasListing = false;
 };
 
