Reset the connections of requests that are given up

An order that times out during a cut stays in the sending host's buffers after a plain close, and arrives when the link is whole again.

Connections to servers now close with a reset, which drops what has not arrived. HttpTests/aRequestThatIsGivenUpIsReset fails without it.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -202,6 +202,8 @@
             co_return failure(HttpClientErrorCode::NotConnected, error.message());
         beast::error_code ignored;
         connection->stream.socket().set_option(tcp::no_delay(true), ignored);
+        // A request that was given up must not arrive later: closing drops what the other side has not taken yet.
+        connection->stream.socket().set_option(asio::socket_base::linger(true, 0), ignored);
         if (options.acknowledgeTimeout.count() > 0)
             connection->stream.socket().set_option(AcknowledgeTimeout(static_cast<int>(options.acknowledgeTimeout.count())), ignored);
         co_return connection;
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -75,8 +75,9 @@
 
     A pooled connection that went silent is found out by its deadline and closed together with
     every idle connection to that endpoint, so that the next request dials anew. The time that the
-    other side says it keeps an idle connection is kept to. The client never repeats a request by
-    itself. Thread safety: every method may be called from any thread; a
+    other side says it keeps an idle connection is kept to. A request that is given up is taken back
+    as far as the other side's host has not got it: its connection is reset, so that no part of it
+    arrives once a link is whole again. The client never repeats a request by itself. Thread safety: every method may be called from any thread; a
     coroutine must run on a strand or on a single thread.
 */
 class HttpClient {
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/connect.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
@@ -12,6 +13,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <mutex>
 #include <thread>
 
 using namespace hemlockchute;
@@ -229,6 +231,109 @@
     BOOST_TEST(!isCertainlyNotSent(response.error().code));
 }
 
+/** The load of a link that is cut while a request is on its way: what was given up must not arrive once it is whole again. */
+BOOST_AUTO_TEST_CASE(aRequestThatIsGivenUpIsReset)
+{
+    asio::io_context own;
+    tcp::acceptor silent(own, anyPort);
+    endpoint = silent.local_endpoint();
+    auto response = send({ "POST", "/", {}, "body" }, 100ms);
+    BOOST_TEST(!response);
+    tcp::socket socket = silent.accept();
+    std::string all;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(all), error);
+    BOOST_TEST((error == asio::error::connection_reset));
+}
+
+/** Answers requests on one connection after the other, and counts the connections. */
+class CountingServer {
+public:
+    explicit CountingServer(std::string answer)
+        : m_answer(std::move(answer))
+        , m_acceptor(m_context, anyPort)
+        , m_socket(m_context)
+        , m_thread([this] { run(); })
+    {
+    }
+
+    ~CountingServer()
+    {
+        m_isStopping = true;
+        boost::system::error_code ignored;
+        {
+            std::lock_guard guard(m_lock);
+            m_socket.shutdown(tcp::socket::shutdown_both, ignored);
+        }
+        tcp::socket waker(m_context);
+        waker.connect(endpoint(), ignored);
+        m_thread.join();
+    }
+
+    tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    unsigned connections() const { return m_connections; }
+
+private:
+    void run()
+    {
+        while (!m_isStopping) {
+            tcp::socket socket = m_acceptor.accept();
+            if (m_isStopping)
+                return;
+            ++m_connections;
+            {
+                std::lock_guard guard(m_lock);
+                m_socket = std::move(socket);
+            }
+            std::string request;
+            boost::system::error_code error;
+            while (!error && !m_isStopping) {
+                std::size_t end = asio::read_until(m_socket, asio::dynamic_buffer(request), "\r\n\r\n", error);
+                request.erase(0, end);
+                if (!error)
+                    asio::write(m_socket, asio::buffer(m_answer), error);
+            }
+        }
+    }
+
+    std::string m_answer;
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::mutex m_lock;
+    tcp::socket m_socket;
+    std::atomic<bool> m_isStopping { false };
+    std::atomic<unsigned> m_connections { 0 };
+    std::thread m_thread;
+};
+
+BOOST_AUTO_TEST_CASE(anIdleConnectionIsNotUsedPastTheTimeThatTheServerKeepsIt)
+{
+    CountingServer counting("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok");
+    endpoint = counting.endpoint();
+    BOOST_TEST(send({}).has_value());
+    BOOST_TEST(send({}).has_value());
+    BOOST_TEST(counting.connections() == 1U);
+    std::this_thread::sleep_for(700ms);
+    BOOST_TEST(send({}).has_value());
+    BOOST_TEST(counting.connections() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatAnnouncesItsCloseServesOnAndKeepsNothingOpen)
+{
+    asio::io_context own;
+    tcp::socket idle(own);
+    idle.connect(endpoint);
+    std::this_thread::sleep_for(50ms);
+    server.announceClose();
+    std::string rest;
+    boost::system::error_code error;
+    asio::read(idle, asio::dynamic_buffer(rest), error);
+    BOOST_TEST((rest.empty() && error == asio::error::eof));
+    std::string answer = exchangeRaw("GET /echo HTTP/1.1\r\n\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(drainWaitsForTheRequestInProgress)
 {
     asio::io_context own;
