--- a/modules/hc_keeper/tests/KeeperDiskTests.cpp
+++ b/modules/hc_keeper/tests/KeeperDiskTests.cpp
@@ -1,6 +1,6 @@
 #include "TemporaryFolder.h"
-#include "keeper/ClusterBeginning.h"
 #include "hemlockchute/agreement/KeeperDisk.h"
+#include "keeper/ClusterBeginning.h"
 
 #include <boost/test/unit_test.hpp>
 
