Give urgent models the copies they need at once, learn the store's limit, send full servers no more

Cause: on the grown stump site the most asked-for model was on two servers of 24 slots when demand moved to it. Copies came one after the other, each 16 s since four store loads at once run at half speed there (the declared time is 7.8 s); meanwhile gateways sent on, servers refused or let requests time out, and those went to the other full server.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockchute/core/EventLog.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -341,6 +342,17 @@
     return false;
 }
 
+/** Tells the placer how the store does. Precondition: the load still counts as going on. */
+void PlacementDirector::noteStoreLoad(const Server& server, const ModelName& model, Duration took)
+{
+    const RoutedService* service = m_configuration->findService(server.listed.service);
+    auto placed = m_services.find(server.listed.service);
+    if (!service || !service->engine || !service->engine->models.contains(model) || placed == m_services.end())
+        return;
+    auto atOnce = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto& item) { return item.second.isLoadingFromStore && item.second.listed.service == server.listed.service; });
+    placed->second.placer.noteStoreLoad(took, service->engine->models.at(model).loadFromStore, static_cast<unsigned>(atOnce));
+}
+
 /** Waits until an order that was accepted is carried out: the same order given again is accepted again, or refused as a second one, until it holds. */
 asio::awaitable<void> PlacementDirector::follow(BackendServerName id, std::int64_t life, PlacementStep step)
 {
@@ -384,6 +396,8 @@
     server = find(id, life);
     if (!server)
         co_return;
+    if (server->isLoadingFromStore && outcome == OrderOutcome::AlreadyHolds)
+        noteStoreLoad(*server, step.model, currentTime() - begun);
     server->loading = ModelName();
     server->isLoadingFromStore = false;
     if (outcome != OrderOutcome::AlreadyHolds) {
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -102,6 +102,7 @@
     void noteChanged(Server&);
     void noteUnknown(Server&);
     void noteLoaded(Server&, const ModelName&);
+    void noteStoreLoad(const Server&, const ModelName&, Duration took);
     bool noteFromStore(Server&, const ModelName&, Instant begun);
     ListedServer shown(const Server&) const;
     ListedServer shownAs(const Server&, const ListedServer&) const;
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -13,6 +13,11 @@
 constexpr double rankStep = 2;
 /** Below this, refusals are too long ago to load a model for. */
 constexpr double leastRefused = 0.3;
+/** A load from the store that takes so many times its declared time shared the store with too many, or with none too many. */
+constexpr double crowdedStore = 1.25;
+constexpr double quietStore = 1.1;
+/** Beyond this the store's limit is not tried out; letter 1's fleet has 930 servers. */
+constexpr unsigned mostStoreLoads = 64;
 /** An unload and the order after it, when the unloaded model is idle. */
 constexpr Duration unloadTime = 150ms;
 /** A model that is planned for and has no server yet; one more round of unload and load. */
@@ -66,8 +71,9 @@
     prepare(round);
     followIntents(round);
     noteWaiting(round);
+    addCopies(round, true);
     placeMissing(round);
-    addCopies(round);
+    addCopies(round, false);
     placeAdapters(round);
     fillStore(round);
     return std::move(round.steps);
@@ -81,6 +87,16 @@
     m_expected.clear();
 }
 
+/** Loads that take longer than declared were too many at once; one more is tried when as many as allowed were not. */
+void ModelPlacer::noteStoreLoad(Duration took, Duration declared, unsigned atOnce)
+{
+    double slowdown = static_cast<double>(took.count()) / static_cast<double>(std::max<Duration>(declared, 1ms).count());
+    if (slowdown > crowdedStore)
+        m_storeLimit = std::max(1U, static_cast<unsigned>(std::lround(atOnce / slowdown)));
+    else if (slowdown < quietStore && atOnce >= m_storeLimit && m_storeLimit < mostStoreLoads)
+        ++m_storeLimit;
+}
+
 void ModelPlacer::prepare(Round& round)
 {
     for (const auto& [key, demand] : round.demands) {
@@ -114,7 +130,8 @@
 void ModelPlacer::followIntents(Round& round)
 {
     std::erase_if(m_intents, [&](const auto& item) {
-        const auto& [id, intent] = item;
+        const BackendServerName& id = item.first;
+        const Intent& intent = item.second;
         auto server = std::find_if(round.servers.begin(), round.servers.end(), [&](const PlacedServer& each) { return each.id == id; });
         bool isDone = server == round.servers.end() || server->models.contains(intent.model) || server->loading == intent.model;
         return isDone || round.now - intent.since > longestIntent;
@@ -165,11 +182,18 @@
     expectMissing(round, unplaced);
 }
 
-/** Another copy for models whose servers are all full or out of reach, and for busy ones where a data centre has none. */
-void ModelPlacer::addCopies(Round& round)
+/** As many copies as the requests need, and another for models whose servers are all full or out of reach, and for busy ones where a data centre has none. */
+void ModelPlacer::addCopies(Round& round, bool forUrgent)
 {
     for (const auto& [model, demand] : round.models) {
-        if (round.copies[model] == 0 || round.coming[model] > 0)
+        if (round.copies[model] == 0 || (demand.rank == 0) != forUrgent)
+            continue;
+        double value = demand.arrivalsPerSecond / (round.copies[model] + 1) * urgency(demand.rank);
+        auto needed = static_cast<unsigned>(std::ceil((demand.active + demand.waiting) / (m_options.fullPart * round.engine.slots)));
+        bool isPlaced = true;
+        while (isPlaced && needed > round.copies[model] + round.coming[model])
+            isPlaced = place(round, model, value, true);
+        if (round.coming[model] > 0)
             continue;
         unsigned least = std::numeric_limits<unsigned>::max();
         for (const PlacedServer& server : round.servers) {
@@ -185,14 +209,14 @@
         bool isFull = least >= m_options.fullPart * round.engine.slots && demand.arrivalsPerSecond > 1;
         DataCentreName without = demand.arrivalsPerSecond > m_options.spreadRate ? dataCentreWithout(round, model) : DataCentreName();
         if (isFull || !without.isEmpty())
-            place(round, model, demand.arrivalsPerSecond / (round.copies[model] + 1) * urgency(demand.rank), round.storeLoads + 1 < m_options.storeLoadsAtOnce, without);
+            place(round, model, value, round.storeLoads + 1 < m_storeLimit, without);
     }
 }
 
 /** A model of which no server has a copy is loaded where nothing that is wanted makes way for it. */
 void ModelPlacer::fillStore(Round& round)
 {
-    if (round.storeLoads >= m_options.storeLoadsAtOnce)
+    if (round.storeLoads >= m_storeLimit)
         return;
     std::set<ModelName> known;
     for (const PlacedServer& server : round.servers) {
@@ -202,7 +226,7 @@
             known.insert(model);
     }
     for (const auto& [model, spec] : round.engine.models) {
-        if (round.storeLoads >= m_options.storeLoadsAtOnce)
+        if (round.storeLoads >= m_storeLimit)
             return;
         if (!known.contains(model) && round.coming[model] == 0)
             place(round, model, m_options.idleFill, true);
@@ -243,7 +267,7 @@
         if (!place)
             continue;
         bool isFromStore = place->source == PlacementStep::Source::Store;
-        if (isFromStore && (isAtHand || !mayUseStore || round.storeLoads >= m_options.storeLoadsAtOnce))
+        if (isFromStore && (isAtHand || !mayUseStore || round.storeLoads >= m_storeLimit))
             continue;
         if (!best || place->cost < best->cost)
             best = std::move(place);
@@ -331,7 +355,7 @@
         static constexpr Duration EngineModel::*times[] = { &EngineModel::loadFromMemory, &EngineModel::loadFromDisk, &EngineModel::loadFromStore };
         step.time = spec.*times[static_cast<std::size_t>(intent.source)];
         if (intent.source == PlacementStep::Source::Store && round.storeLoads > m_options.storeLoadsAtOnce)
-            step.time = step.time * round.storeLoads / m_options.storeLoadsAtOnce;
+            step.time = step.time * round.storeLoads / m_storeLimit;
     }
     round.steps.push_back(std::move(step));
 }
@@ -354,7 +378,7 @@
             m_expected[model] = round.now + turnTime * (1 + turn++ / std::max<std::size_t>(round.servers.size(), 1)) + spec.loadFromDisk;
             continue;
         }
-        std::size_t rounds = storeTurn / m_options.storeLoadsAtOnce;
+        std::size_t rounds = storeTurn / m_storeLimit;
         Instant free = storeFree.empty() ? round.now : storeFree[storeTurn % storeFree.size()];
         m_expected[model] = free + spec.loadFromStore * (rounds + 1) + unloadTime;
         ++storeTurn;
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -85,7 +85,7 @@
 public:
     /** Bounds and weights. */
     struct Options {
-        /** Loads from the weight store at once; more only slow each other down. */
+        /** Loads from the weight store at once, until loads have shown how many it takes at full speed. */
         unsigned storeLoadsAtOnce = 4;
         /** A model stays at least so long after it was loaded, while it is wanted at all. */
         Duration leastResidence = 800ms;
@@ -107,6 +107,7 @@
 
     explicit ModelPlacer(Options options)
         : m_options(options)
+        , m_storeLimit(options.storeLoadsAtOnce)
     {
     }
 
@@ -116,6 +117,8 @@
 
     /** The orders to give now, at most one for each server. */
     std::vector<PlacementStep> decide(const EngineSpec&, const Servers&, const Demands&, Instant now);
+    /** Notes how long a load from the store took, and how many ran at once. */
+    void noteStoreLoad(Duration took, Duration declared, unsigned atOnce);
     /** When models that are wanted and not held are expected, as of the last decision. */
     const std::map<ModelName, Instant>& expected() const { return m_expected; }
     /** Forgets what was meant for servers, as after a change of the order-giver. */
@@ -136,7 +139,8 @@
     void followIntents(Round&);
     void placeMissing(Round&);
     void noteWaiting(Round&);
-    void addCopies(Round&);
+    /** For models that rank 0 wants, or for the others; the former go before models that nobody holds. */
+    void addCopies(Round&, bool forUrgent);
     void fillStore(Round&);
     void placeAdapters(Round&);
     bool place(Round&, const ModelName&, double value, bool mayUseStore, const DataCentreName& = {});
@@ -149,6 +153,7 @@
     static ByteCount usedAt(const EngineSpec&, const PlacedServer&);
 
     Options m_options;
+    unsigned m_storeLimit;
     std::map<BackendServerName, Intent> m_intents;
     std::map<std::pair<BackendServerName, ModelName>, Instant> m_heldSince;
     /** Since when requests wait for models that are held. */
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -213,10 +213,43 @@
     BOOST_TEST(holders.size() == 3U);
 }
 
+/** The load of demand that moves to another model at once: one copy after the other would come too late. */
+BOOST_AUTO_TEST_CASE(aModelGetsAsManyCopiesAsItsRequestsNeedAtOnce)
+{
+    ModelPlacer::Servers all { server("holder", { "m0" }) };
+    for (int i = 0; i < 6; ++i)
+        all.push_back(server("s" + std::to_string(i), {}));
+    ModelPlacer placer { ModelPlacer::Options() };
+    CombinedDemand demand = rate(60);
+    demand.active = 6;
+    demand.waiting = 5;
+    auto steps = placer.decide(engineOf(1), all, { { key("m0"), demand } }, Instant(1h));
+    BOOST_TEST(steps.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(theStoresLimitIsLearntFromItsLoads)
+{
+    ModelPlacer::Servers empty;
+    for (int i = 0; i < 8; ++i)
+        empty.push_back(server("s" + std::to_string(i), {}));
+    ModelPlacer placer { ModelPlacer::Options() };
+    auto loads = [&] {
+        placer.reset();
+        return placer.decide(engineOf(8), empty, { { key("m0"), waiting(1) } }, Instant(1h)).size();
+    };
+    BOOST_TEST(loads() == 4U);
+    placer.noteStoreLoad(12s, 6s, 4);
+    BOOST_TEST(loads() == 2U);
+    placer.noteStoreLoad(6s, 6s, 1);
+    BOOST_TEST(loads() == 2U);
+    placer.noteStoreLoad(6100ms, 6s, 2);
+    BOOST_TEST(loads() == 3U);
+}
+
 /** The load of a server that answers nobody though it is listed: requests go on waiting for its models. */
 BOOST_AUTO_TEST_CASE(aModelThatIsHeldAndStillWaitedForIsLoadedElsewhere)
 {
-    InstantServers servers(engineOf(3), { server("silent", { "m0" }), server("other", {}) });
+    InstantServers servers(engineOf(1), { server("silent", { "m0" }), server("other", {}) });
     servers.servers.front().mayTakeOrder = false;
     ModelPlacer placer { ModelPlacer::Options() };
     servers.run(placer, { { key("m0"), waiting(3) } }, 5);
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -30,6 +30,11 @@
 /** A caller may return after this when nothing better is known. */
 constexpr Duration shortReturn = 300ms;
 constexpr Duration configurationReturn = 1s;
+/** What may queue at a server, in parts of its slots: for rank 0, and less for each rank behind it. */
+constexpr double urgentQueue = 0.5;
+constexpr double queueStep = 0.25;
+/** Where every server is full, a request waits for this part of its time, so that its caller can still come back. */
+constexpr int fullPatience = 3;
 /** A coordinator that leads is back within this time, unless this host is cut off from it. */
 constexpr Duration longestSilence = 2500ms;
 /** Servers that a request is offered to, those that could not be reached included. */
@@ -235,14 +240,25 @@
     co_return server;
 }
 
-/** Servers that were tried before are only asked again when no other is left and they did not run it. */
-std::optional<BackendServerName> RequestForwarder::pickServer() const
+/** The best server that was not tried yet; none while all that hold the model are full for the request's rank. */
+std::optional<BackendServerName> RequestForwarder::pickServer()
 {
     auto candidates = m_core.servers.candidates(m_key, m_tried, currentTime());
+    bool isHeld = !candidates.empty();
+    if (hasModel())
+        std::erase_if(candidates, [&](const ServerCandidate& each) { return each.load.requests >= mostRequestsAt(each); });
+    m_isFull = isHeld && candidates.empty();
     auto best = m_core.chooser.choose(candidates, m_metadata);
     return best ? std::optional(candidates[*best].id) : std::nullopt;
 }
 
+/** Beyond a server's slots requests queue there; the urgent ones may, so that they find the next free slot. */
+unsigned RequestForwarder::mostRequestsAt(const ServerCandidate& server) const
+{
+    double queue = std::max(0.0, urgentQueue - queueStep * m_route->rank);
+    return server.slots + static_cast<unsigned>(queue * server.slots);
+}
+
 /** True when it is known that the model will not be there in time. */
 bool RequestForwarder::isUnservable(Instant now)
 {
@@ -254,6 +270,10 @@
         m_lastFault = "the gateway stops";
         return true;
     }
+    if (m_isFull) {
+        m_lastFault = "every server that holds the model is full";
+        return now - m_received > (m_deadline - m_received) / fullPatience;
+    }
     if (m_core.link.silence(now) > longestSilence) {
         m_lastFault = "no server here holds the model, and no coordinator can have it loaded";
         return true;
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -49,7 +49,8 @@
     bool prepare();
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
-    std::optional<BackendServerName> pickServer() const;
+    std::optional<BackendServerName> pickServer();
+    unsigned mostRequestsAt(const ServerCandidate&) const;
     boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
     boost::asio::awaitable<Outcome> receive(const BackendServerName&, std::unique_ptr<HttpResponseStream>);
     boost::asio::awaitable<Outcome> receiveWhole(const BackendServerName&, HttpResponseStream&);
@@ -85,6 +86,8 @@
     unsigned m_tries = 0;
     /** True once a server may have run the request. */
     bool m_mayHaveRun = false;
+    /** True when servers hold the model and none has room. */
+    bool m_isFull = false;
     /** True while a server may be reading the prompt. */
     bool m_isReading = false;
     /** A server's failure that is passed on when nobody else answers. */
