--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -1,10 +1,9 @@
 #include "gateway/RequestForwarder.h"
 
+#include "gateway/ForwardingTimes.h"
 #include "hemlockchute/core/EventLog.h"
 
 #include <algorithm>
-#include <boost/json.hpp>
-#include <cstdio>
 
 namespace hemlockchute {
 namespace {
@@ -13,22 +12,15 @@
 
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
-constexpr unsigned statusBadGateway = 502;
-constexpr unsigned statusUnavailable = 503;
-constexpr unsigned statusTimedOut = 504;
 constexpr unsigned firstFailure = 500;
 
 /** A server answers at its deadline by itself; its answer may take this much longer to arrive. */
 constexpr Duration answerSlack = 100ms;
 /** A request that waits looks again at least this often. */
 constexpr Duration waitStep = 100ms;
-/** Time that a request needs at a server at the least; one with less left cannot be served. */
-constexpr Duration leastService = 20ms;
 /** An attempt that may be repeated is given up after so many times its target, and not before this. */
 constexpr unsigned targetsPerAttempt = 4;
 constexpr Duration shortestAttempt = 1200ms;
-/** A caller may return after this when nothing better is known. */
-constexpr Duration shortReturn = 300ms;
 constexpr Duration configurationReturn = 1s;
 /** What may queue at a server, in parts of its slots: for rank 0, and less for each rank behind it. */
 constexpr double urgentQueue = 0.5;
@@ -37,34 +29,10 @@
 constexpr int fullPatience = 3;
 /** A coordinator that leads is back within this time, unless this host is cut off from it. */
 constexpr Duration longestSilence = 2500ms;
-/** Servers that a request is offered to, those that could not be reached included. */
-constexpr unsigned mostTries = 5;
 /** Requests that have not run when the process has only this long left are refused. */
 constexpr Duration stopMargin = 2s;
 
-constexpr MetricDefinition requestsMetric { "hemlock_gateway_requests_total", "Requests by rank and outcome." };
 constexpr MetricDefinition waitMetric { "hemlock_gateway_wait_seconds", "Time from a request to its first attempt at a server." };
-constexpr MetricDefinition firstByteMetric { "hemlock_gateway_first_byte_seconds", "Time from a request to the first byte of its answer." };
-constexpr MetricDefinition wholeMetric { "hemlock_gateway_answer_seconds", "Time from a request to the end of its answer." };
-constexpr MetricDefinition attemptsMetric { "hemlock_gateway_failed_attempts_total", "Attempts at servers without an answer to pass on, by what is known of them." };
-
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
-std::int64_t milliseconds(Duration duration)
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
-}
-
-/** Seconds with three digits behind the point. */
-std::string secondsText(Duration duration)
-{
-    char text[32];
-    std::snprintf(text, sizeof text, "%.3f", std::chrono::duration<double>(duration).count());
-    return text;
-}
 
 std::string_view pathOf(const HttpRequest& request)
 {
@@ -78,33 +46,9 @@
     return host.substr(0, host.find(':'));
 }
 
-HttpResponse refusal(unsigned status, std::string_view reason, std::optional<Duration> retryAfter)
-{
-    bool isNotRun = status != statusBadGateway && status != statusTimedOut;
-    boost::json::object body { { "title", reason }, { "outcome", isNotRun ? "not-run" : "outcome-unknown" } };
-    HttpResponse response { status, { { "Content-Type", "application/problem+json" } }, boost::json::serialize(body) };
-    if (retryAfter)
-        response.headers.set("Retry-After", secondsText(*retryAfter));
-    return response;
-}
-
 } // namespace
 
 //==============================================================================
-struct RequestForwarder::CallState {
-    std::shared_ptr<HttpCallHandle> handle = std::make_shared<HttpCallHandle>();
-    HttpResponseStream* answer = nullptr;
-    bool isGone = false;
-
-    void noteGone()
-    {
-        isGone = true;
-        handle->cancel();
-        if (answer)
-            answer->close();
-    }
-};
-
 RequestForwarder::RequestForwarder(GatewayCore& core, HttpExchange& exchange)
     : m_core(core)
     , m_exchange(exchange)
@@ -415,121 +359,4 @@
     }
 }
 
-//==============================================================================
-// What follows from an attempt
-
-RequestForwarder::Outcome RequestForwarder::noteFault(const BackendServerName& name, Outcome outcome, std::string_view reason)
-{
-    static constexpr std::string_view names[] = { "answered", "not-sent", "not-run", "unknown", "failed", "caller-gone" };
-    std::string_view what = names[static_cast<std::size_t>(outcome)];
-    if (outcome != Outcome::NotRun && !m_call->isGone)
-        m_core.servers.noteFailure(name, currentTime());
-    m_lastFault = std::string(what) + " at " + name.text() + ": " + std::string(reason);
-    m_core.metrics.add(attemptsMetric, { { "outcome", std::string(what) } });
-    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "outcome", what }, { "reason", reason }, { "send", m_sends }, { "after_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) } });
-    return outcome;
-}
-
-/** A request that ran, or may have, is sent again only where its route allows it; each arrival after the first takes from the budget. */
-bool RequestForwarder::mayResend(Outcome outcome)
-{
-    if (m_tries >= mostTries || left() <= leastService)
-        return false;
-    if (outcome == Outcome::NotSent)
-        return true;
-    bool mayHaveRun = outcome == Outcome::Unknown || outcome == Outcome::Failed;
-    if (mayHaveRun && !m_route->isRepeatable())
-        return false;
-    if (m_hasBegun && !m_lastEvent)
-        return false;
-    return m_sends < m_route->maximumAttempts && m_core.retries.tryResend(m_key.service, currentTime());
-}
-
-asio::awaitable<void> RequestForwarder::conclude()
-{
-    if (m_hasBegun) {
-        breakOff(m_lastFault);
-        co_return;
-    }
-    if (m_failure) {
-        unsigned status = m_failure->status;
-        bool isSent = co_await m_exchange.respond(std::move(*m_failure));
-        if (isSent)
-            noteAnswered(m_failedAt, status);
-        co_return;
-    }
-    if (!m_mayHaveRun) {
-        Duration back = shortReturn;
-        if (auto expected = m_core.link.expected(m_key.service, m_key.model))
-            back = std::max<Duration>(*expected - currentTime(), shortReturn);
-        co_await refuse(statusUnavailable, m_lastFault, back);
-        co_return;
-    }
-    co_await refuse(left() <= Duration::zero() ? statusTimedOut : statusBadGateway, m_lastFault);
-}
-
-asio::awaitable<void> RequestForwarder::refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter)
-{
-    noteRefused(status, reason, retryAfter.value_or(Duration::zero()));
-    HttpResponse response = refusal(status, reason, retryAfter);
-    co_await m_exchange.respond(std::move(response));
-}
-
-/** Leaves the answer without its end, so that the caller sees it broken. */
-void RequestForwarder::breakOff(std::string_view reason)
-{
-    logEvent(EventId::GatewayBrokenOff, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "reason", reason }, { "last_event", m_lastEvent.value_or(0) }, { "after_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends } });
-    countOutcome("broken-off");
-}
-
-//==============================================================================
-Duration RequestForwarder::left() const
-{
-    return m_deadline - currentTime();
-}
-
-Duration RequestForwarder::waited() const
-{
-    return currentTime() - m_received;
-}
-
-/** The prompt is read once the first event has come, or the attempt has ended. */
-void RequestForwarder::noteRead(const BackendServerName& server)
-{
-    if (std::exchange(m_isReading, false))
-        m_core.servers.noteRead(server, m_metadata.promptTokens);
-}
-
-ForwardingTerms RequestForwarder::termsFor(const BackendServerName& server) const
-{
-    return { left(), server, m_route->rank, m_lastEvent };
-}
-
-void RequestForwarder::noteRefused(unsigned status, std::string_view reason, Duration retryAfter)
-{
-    Duration age = m_core.link.silence(currentTime());
-    logEvent(EventId::GatewayRefused, { { "request", m_metadata.attempt }, { "route", m_route ? m_route->name : std::string() }, { "version", m_configuration ? m_configuration->version().value() : 0 }, { "model", m_key.model }, { "status", status }, { "reason", reason }, { "waited_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends }, { "retry_after_ms", milliseconds(retryAfter) }, { "placement_age_ms", milliseconds(age) } });
-    countOutcome(std::to_string(status));
-}
-
-void RequestForwarder::noteCallerGone()
-{
-    logEvent(EventId::GatewayCallerGone, { { "request", m_metadata.attempt }, { "after_ms", milliseconds(waited()) }, { "left_ms", milliseconds(left()) }, { "sends", m_sends }, { "last_event", m_lastEvent.value_or(0) } });
-    countOutcome("caller-gone");
-}
-
-void RequestForwarder::noteAnswered(const BackendServerName& server, unsigned status)
-{
-    MetricLabels rank { { "rank", std::to_string(m_route->rank) } };
-    m_core.metrics.observe(firstByteMetric, m_firstByte, rank);
-    m_core.metrics.observe(wholeMetric, waited(), rank);
-    countOutcome(std::to_string(status));
-    logEvent(EventId::GatewayAnswered, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "version", m_configuration->version() }, { "model", m_key.model }, { "server", server }, { "status", status }, { "sends", m_sends }, { "first_ms", milliseconds(m_firstByte) }, { "whole_ms", milliseconds(waited()) } });
-}
-
-void RequestForwarder::countOutcome(std::string_view outcome)
-{
-    m_core.metrics.add(requestsMetric, { { "rank", m_route ? std::to_string(m_route->rank) : "none" }, { "outcome", std::string(outcome) } });
-}
-
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -44,7 +44,19 @@
     };
 
     /** What outlives the forwarder when the caller leaves. */
-    struct CallState;
+    struct CallState {
+        std::shared_ptr<HttpCallHandle> handle = std::make_shared<HttpCallHandle>();
+        HttpResponseStream* answer = nullptr;
+        bool isGone = false;
+
+        void noteGone()
+        {
+            isGone = true;
+            handle->cancel();
+            if (answer)
+                answer->close();
+        }
+    };
 
     bool prepare();
     boost::asio::awaitable<void> forward();
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "hemlockchute/http/HttpServer.h"
 
 #include "http/BeastMessages.h"
+#include "http/LiveOptions.h"
 
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
@@ -60,31 +61,6 @@
     return text.str();
 }
 
-/** The bounds in force, which may change while connections are open. */
-class LiveOptions {
-public:
-    explicit LiveOptions(HttpServer::Options options)
-        : m_options(options)
-    {
-    }
-
-    HttpServer::Options load() const
-    {
-        std::lock_guard guard(m_lock);
-        return m_options;
-    }
-
-    void store(HttpServer::Options options)
-    {
-        std::lock_guard guard(m_lock);
-        m_options = options;
-    }
-
-private:
-    mutable std::mutex m_lock;
-    HttpServer::Options m_options;
-};
-
 /** The connections open now, which drain() waits for. */
 class ConnectionTable {
 public:
--- /dev/null
+++ b/modules/hc_http/http/LiveOptions.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "hemlockchute/http/HttpServer.h"
+
+#include <mutex>
+
+namespace hemlockchute {
+
+/** The bounds in force, which may change while connections are open. Thread safety: any thread. */
+class LiveOptions {
+public:
+    explicit LiveOptions(HttpServer::Options options)
+        : m_options(options)
+    {
+    }
+
+    HttpServer::Options load() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_options;
+    }
+
+    void store(HttpServer::Options options)
+    {
+        std::lock_guard guard(m_lock);
+        m_options = options;
+    }
+
+private:
+    mutable std::mutex m_lock;
+    HttpServer::Options m_options;
+};
+
+} // namespace hemlockchute
