--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -324,8 +324,14 @@
     call.reply(encodeKeeperReply(reply));
 }
 
+/** Only what every coordinator can read and may put in force is proposed. */
 void Coordinator::servePropose(PeerCall call)
 {
+    auto command = decodeConfigurationBody(call.payload);
+    if (!command || !m_platform.decodeConfiguration(command->body)) {
+        call.reply(failure(PeerErrorCode::Rejected, "not a valid configuration"));
+        return;
+    }
     proposeHere(call.payload, [reply = std::move(call.reply)](GroupReply answer) { reply(encodeKeeperReply(keeperReply(std::move(answer)))); });
 }
 
