Restore a test whose inputs were narrowed, and mend the fault it shows

Cause: ModelPlacerTests/aModelThatIsHeldAndStillWaitedForIsLoadedElsewhere failed as first written, with three models: the idle fill took the only free server for six seconds while requests waited for a model on a silent one. The inputs are those of the first writing again; it failed so, and passes with this change: no idle fill while requests wait for a model that a server holds.

--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -213,9 +213,11 @@
     }
 }
 
-/** A model of which no server has a copy is loaded where nothing that is wanted makes way for it. */
+/** A model of which no server has a copy is loaded where nothing that is wanted makes way for it, but not on servers that models out of reach may need. */
 void ModelPlacer::fillStore(Round& round)
 {
+    if (!m_waitingSince.empty())
+        return;
     if (round.storeLoads >= m_storeLimit)
         return;
     std::set<ModelName> known;
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -77,7 +77,7 @@
     that requests wait for goes where its weights are at hand and where the least wanted model
     makes way; loads from the weight store, which are slow and few at once, go to the models that
     the most, and the most urgent, requests want. Models whose servers are full, or cannot be reached
-    by those who ask, get another copy. While the store has nothing to do, it gives models of which no
+    by those who ask, get another copy. While no request waits for a model that is held, the store gives models of which no
     server has a copy, since from then on they are quick to load there.
     Thread safety: one thread at a time.
 */
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -249,7 +249,7 @@
 /** The load of a server that answers nobody though it is listed: requests go on waiting for its models. */
 BOOST_AUTO_TEST_CASE(aModelThatIsHeldAndStillWaitedForIsLoadedElsewhere)
 {
-    InstantServers servers(engineOf(1), { server("silent", { "m0" }), server("other", {}) });
+    InstantServers servers(engineOf(3), { server("silent", { "m0" }), server("other", {}) });
     servers.servers.front().mayTakeOrder = false;
     ModelPlacer placer { ModelPlacer::Options() };
     servers.run(placer, { { key("m0"), waiting(3) } }, 5);
