Bound the log and write it on a thread of its own; explain a request from logs

Cause: a record was written by the thread that decided, to standard output, so a reader of the log that stops holds every request up; nothing bounded the lines a second.

Change: LogQueue decides which lines are kept (1000 lines a second and 1 MiB waiting by default, a quarter of both for lines that explain failures) and counts what is left out by event, for log.lines_left_out (1005). LogWriter writes on a thread, 20 ms of lines at a time, only what the target takes without blocking. Boost.Log stays the front. log.lines_per_second and log.most_waiting are settings. A log file that cannot be opened is said on standard error; before, its lines vanished.

hemlockctl explain ID gathers one request's lines over log files or standard input, by time, with what was decided about its model and servers meanwhile.

--- a/modules/hc_core/core/EventLog.cpp
+++ b/modules/hc_core/core/EventLog.cpp
@@ -1,28 +1,51 @@
 #include "hemlockchute/core/EventLog.h"
 
+#include "core/LogWriter.h"
+
 #include <atomic>
-#include <boost/core/null_deleter.hpp>
+#include <boost/log/attributes/value_extraction.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <boost/log/sinks/unlocked_frontend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/utility/manipulators/add_value.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 #include <cstdio>
 #include <ctime>
-#include <fstream>
-#include <iostream>
 #include <mutex>
 
 namespace hemlockchute {
 namespace {
 
-using TextSink = boost::log::sinks::synchronous_sink<boost::log::sinks::text_ostream_backend>;
+/** The attribute of a record that holds its event. */
+constexpr const char* eventAttribute = "Event";
+
+/** Hands records to the writer. */
+class WriterBackend : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::concurrent_feeding> {
+public:
+    explicit WriterBackend(std::shared_ptr<LogWriter> writer)
+        : m_writer(std::move(writer))
+    {
+    }
+
+    void consume(const boost::log::record_view& record, const std::string& line)
+    {
+        if (auto id = boost::log::extract<EventId>(eventAttribute, record))
+            m_writer->write(*id, line);
+    }
+
+private:
+    std::shared_ptr<LogWriter> m_writer;
+};
+
+using WriterSink = boost::log::sinks::unlocked_sink<WriterBackend>;
 
 struct LogState {
     std::mutex lock;
-    boost::shared_ptr<TextSink> sink;
+    boost::shared_ptr<WriterSink> sink;
+    std::shared_ptr<LogWriter> writer;
     std::atomic<Severity> level { Severity::Info };
     std::atomic<LogOptions::Format> format { LogOptions::Format::KeyValue };
 };
@@ -117,26 +140,35 @@
     return format == LogOptions::Format::Json ? "{" + line + "}" : line;
 }
 
-boost::shared_ptr<std::ostream> openTarget(const std::filesystem::path& file)
+/** Precondition: the state is locked. */
+void removeSink(LogState& state)
+{
+    if (state.sink)
+        boost::log::core::get()->remove_sink(state.sink);
+    state.sink.reset();
+    state.writer.reset();
+}
+
+std::string summaryLine(const std::map<EventId, std::uint64_t>& leftOut, LogOptions::Format format)
 {
-    if (file.empty())
-        return { &std::cerr, boost::null_deleter() };
-    if (file == "-")
-        return { &std::cout, boost::null_deleter() };
-    return boost::make_shared<std::ofstream>(file, std::ios::app);
+    std::uint64_t lines = 0;
+    std::string names;
+    for (const auto& [id, count] : leftOut) {
+        lines += count;
+        names += (names.empty() ? "" : " ") + std::string(eventDefinition(id).name) + ":" + std::to_string(count);
+    }
+    return formatFields(EventId::LogLinesLeftOut, { { "lines", lines }, { "events", names } }, format, true);
 }
 
+/** Precondition: the state is locked. */
 void installSink(LogState& state, const LogOptions& options)
 {
-    auto backend = boost::make_shared<boost::log::sinks::text_ostream_backend>();
-    backend->add_stream(openTarget(options.file));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<TextSink>(backend);
-    sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
-    if (state.sink)
-        boost::log::core::get()->remove_sink(state.sink);
-    boost::log::core::get()->add_sink(sink);
-    state.sink = sink;
+    removeSink(state);
+    LogOptions::Format format = options.format;
+    state.writer = std::make_shared<LogWriter>(options, [format](const auto& leftOut) { return summaryLine(leftOut, format); });
+    state.sink = boost::make_shared<WriterSink>(boost::make_shared<WriterBackend>(state.writer));
+    state.sink->set_formatter(boost::log::expressions::stream << boost::log::expressions::smessage);
+    boost::log::core::get()->add_sink(state.sink);
 }
 
 } // namespace
@@ -155,13 +187,24 @@
     LogState& state = logState();
     if (eventDefinition(id).severity < state.level.load())
         return;
+    std::shared_ptr<LogWriter> writer;
     {
         std::lock_guard guard(state.lock);
         if (!state.sink)
             installSink(state, {});
+        writer = state.writer;
     }
+    if (!writer->admit(id))
+        return;
     thread_local boost::log::sources::logger logger;
-    BOOST_LOG(logger) << formatFields(id, fields, state.format.load(), true);
+    BOOST_LOG(logger) << boost::log::add_value(eventAttribute, id) << formatFields(id, fields, state.format.load(), true);
+}
+
+void closeLog()
+{
+    LogState& state = logState();
+    std::lock_guard guard(state.lock);
+    removeSink(state);
 }
 
 std::string formatEvent(EventId id, std::initializer_list<LogField> fields, LogOptions::Format format)
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 using enum Severity;
+using enum EventTells;
 
 constexpr EventDefinition events[] = {
     // 1000: kernel
@@ -15,6 +16,7 @@
     { EventId::DaemonStopping, Info, "daemon.stopping", "The daemon was told to stop and finishes what runs." },
     { EventId::DaemonStopped, Info, "daemon.stopped", "The daemon has finished what ran and exits." },
     { EventId::DaemonFailed, Error, "daemon.failed", "The daemon could not start or go on; the reason is given." },
+    { EventId::LogLinesLeftOut, Warning, "log.lines_left_out", "Lines were left out since the last such line, because of the bounds on the log; their number and their events are given." },
     // 1100: storage
 
     // 1200: agreement
@@ -36,7 +38,7 @@
     { EventId::HostListEntryUnreadable, Warning, "host-list.entry_unreadable", "Entries of the platform's list cannot be read and name no server to use; the first reason is given." },
 
     // 1600: router
-    { EventId::RouterAttemptFailed, Info, "router.attempt-failed", "A backend server gave no whole answer to one attempt; the reason is given." },
+    { EventId::RouterAttemptFailed, Info, "router.attempt-failed", "A backend server gave no whole answer to one attempt; the reason is given.", Failure },
     { EventId::RouterPlacementLost, Warning, "router.placement-lost", "No controller of the data centre answers; the last placement stays in use." },
     { EventId::RouterRunUnknown, Warning, "router.run-unknown", "A call that may not be repeated may have run, and its outcome is not known." },
     { EventId::RouterClaimNotVoided, Warning, "router.claim-not-voided", "A claim of which nothing was sent could not be voided yet; it is tried again." },
@@ -71,8 +73,8 @@
 
     // 2000: gateway
     { EventId::GatewayAnswered, Info, "gateway.answered", "A backend server's answer was passed on whole." },
-    { EventId::GatewayRefused, Info, "gateway.refused", "A request was answered by the gateway itself; reason, time waited and time left are given." },
-    { EventId::GatewayAttemptFailed, Info, "gateway.attempt_failed", "A backend server gave no answer that can be passed on; says whether the request may have run." },
+    { EventId::GatewayRefused, Info, "gateway.refused", "A request was answered by the gateway itself; reason, time waited and time left are given.", Failure },
+    { EventId::GatewayAttemptFailed, Info, "gateway.attempt_failed", "A backend server gave no answer that can be passed on; says whether the request may have run.", Failure },
     { EventId::GatewayBrokenOff, Warning, "gateway.broken_off", "An answer was begun and could not be completed; the caller sees it broken." },
     { EventId::GatewayCallerGone, Info, "gateway.caller_gone", "The caller left before its answer was complete; the work at the backend server was cancelled." },
     { EventId::GatewayConfigurationInForce, Info, "gateway.configuration_in_force", "The gateway works by a newer configuration." },
--- a/modules/hc_core/core/Kernel.cpp
+++ b/modules/hc_core/core/Kernel.cpp
@@ -149,7 +149,9 @@
         return exitClean;
     }
     configureLog(service->logOptions());
-    return RunningRole(context, *service, settingsFile, m_roleName).run();
+    int exitCode = RunningRole(context, *service, settingsFile, m_roleName).run();
+    closeLog();
+    return exitCode;
 }
 
 } // namespace hemlockchute
--- a/modules/hc_core/include/hemlockchute/core/EventLog.h
+++ b/modules/hc_core/include/hemlockchute/core/EventLog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/core/EventTable.h"
+#include "hemlockchute/core/LogQueue.h"
 
 #include <concepts>
 #include <filesystem>
@@ -42,6 +43,7 @@
     Format format = Format::KeyValue;
     /** Empty: standard error; "-": standard output. */
     std::filesystem::path file;
+    LogQueue::Options bounds {};
 
     LogOptions withLevel(Severity value) const
     {
@@ -61,14 +63,26 @@
         copy.file = std::move(value);
         return copy;
     }
+    LogOptions withBounds(LogQueue::Options value) const
+    {
+        LogOptions copy = *this;
+        copy.bounds = value;
+        return copy;
+    }
 };
 
 /** Sets level, format and target for the process; may be called again. Thread safety: any thread. */
 void configureLog(const LogOptions&);
 
-/** Writes one record on one line: time, severity, number, name, fields. Thread safety: any thread. */
+/**
+    Writes one record on one line: time, severity, number, name, fields. Never waits for the target;
+    beyond the bounds of the options the line is left out and counted. Thread safety: any thread.
+*/
 void logEvent(EventId, std::initializer_list<LogField> = {});
 
+/** Writes what waits, as far as the target takes it soon; the next record opens the log anew. Thread safety: any thread. */
+void closeLog();
+
 /** Renders a record as logEvent() would, without the time. Thread safety: any thread. */
 std::string formatEvent(EventId, std::initializer_list<LogField>, LogOptions::Format);
 
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -21,6 +21,7 @@
     DaemonStopping = 1002,
     DaemonStopped = 1003,
     DaemonFailed = 1004,
+    LogLinesLeftOut = 1005,
     // 1100: storage
 
     // 1200: agreement
@@ -97,12 +98,20 @@
     CoordinatorModelTaken = 2108
 };
 
+/** What a record explains; a full log keeps the failures. */
+enum class EventTells {
+    Operation,
+    /** Why a request failed, or what the process lacks. */
+    Failure
+};
+
 /** One row of the catalogue. */
 struct EventDefinition {
     EventId id;
     Severity severity;
     std::string_view name;
     std::string_view meaning;
+    EventTells tells = severity >= Severity::Warning ? EventTells::Failure : EventTells::Operation;
 };
 
 /** Every event, by rising number. docs/EVENTS.md is checked against this table. Thread safety: immutable. */
--- a/modules/hc_core/include/hemlockchute/core/core.h
+++ b/modules/hc_core/include/hemlockchute/core/core.h
@@ -14,6 +14,7 @@
 #include "hemlockchute/core/EventTable.h"
 #include "hemlockchute/core/Identifiers.h"
 #include "hemlockchute/core/Kernel.h"
+#include "hemlockchute/core/LogQueue.h"
 #include "hemlockchute/core/PluginRegistry.h"
 #include "hemlockchute/core/RoleService.h"
 #include "hemlockchute/core/Units.h"
--- a/modules/hc_core/tests/EventLogTests.cpp
+++ b/modules/hc_core/tests/EventLogTests.cpp
@@ -1,10 +1,27 @@
+#include "NamedPipe.h"
 #include "hemlockchute/core/EventLog.h"
 
 #include <boost/test/unit_test.hpp>
+#include <fstream>
 #include <set>
 
 using namespace hemlockchute;
 
+namespace {
+
+constexpr Instant start {};
+const std::string line = std::string(99, 'x') + '\n';
+
+std::uint64_t sum(const std::optional<std::map<EventId, std::uint64_t>>& leftOut)
+{
+    std::uint64_t lines = 0;
+    for (const auto& [id, count] : leftOut.value_or(std::map<EventId, std::uint64_t>()))
+        lines += count;
+    return lines;
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(EventLogTests)
 
 BOOST_AUTO_TEST_CASE(eventNumbersRiseAndNamesAreUnique)
@@ -31,4 +48,84 @@
     BOOST_TEST(line == R"({"severity":"info","event":"1000","name":"daemon.started","role":"rou\"ter"})");
 }
 
+BOOST_AUTO_TEST_CASE(linesStayWithinTheirRateAndFailuresAreKeptLongest)
+{
+    LogQueue queue({ .linesPerSecond = 100, .mostWaiting = 1 << 20 });
+    unsigned successes = 0;
+    for (int i = 0; i < 1000; ++i)
+        successes += queue.admit(EventId::GatewayAnswered, start) ? 1 : 0;
+    BOOST_TEST(successes == 75U);
+    unsigned failures = 0;
+    for (int i = 0; i < 1000; ++i)
+        failures += queue.admit(EventId::GatewayRefused, start) ? 1 : 0;
+    BOOST_TEST(failures == 25U);
+    BOOST_TEST(sum(queue.takeLeftOut(start)) == 2000U - 100U);
+    BOOST_TEST(!queue.admit(EventId::GatewayRefused, start));
+    BOOST_TEST(queue.admit(EventId::GatewayRefused, start + 100ms));
+    BOOST_TEST(sum(queue.takeLeftOut(start + 200ms)) == 0U);
+    BOOST_TEST(sum(queue.takeLeftOut(start + 1s)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aSlowReaderCostsLinesAndSuccessesFirst)
+{
+    LogQueue queue({ .linesPerSecond = 1000, .mostWaiting = 10 * line.size() });
+    queue.setUnwritten(2 * line.size());
+    for (int i = 0; i < 20; ++i)
+        queue.push(EventId::GatewayAnswered, line);
+    BOOST_TEST(queue.take().size() == 5 * line.size());
+    for (int i = 0; i < 20; ++i)
+        queue.push(EventId::GatewayRefused, line);
+    BOOST_TEST(queue.take().size() == 8 * line.size());
+    BOOST_TEST(sum(queue.takeLeftOut(start)) == 15U + 12U);
+}
+
+BOOST_AUTO_TEST_CASE(aReaderThatStopsHoldsNobodyUp)
+{
+    NamedPipe pipe;
+    configureLog(LogOptions().withFile(pipe.path()).withBounds({ .linesPerSecond = 1'000'000, .mostWaiting = 1 << 18 }));
+    constexpr unsigned records = 20'000;
+    Instant begun = std::chrono::steady_clock::now();
+    for (unsigned i = 0; i < records; ++i)
+        logEvent(EventId::GatewayAnswered, { { "request", "r" + std::to_string(i) } });
+    // Far below the time for which nobody reads; a write to a full pipe never ends.
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < 5s));
+
+    std::string text = pipe.readAll();
+    std::size_t written = 0;
+    for (std::size_t at = text.find("name=gateway.answered"); at != std::string::npos; at = text.find("name=gateway.answered", at + 1))
+        ++written;
+    std::size_t leftOut = 0;
+    for (std::size_t at = text.find("name=log.lines_left_out lines="); at != std::string::npos; at = text.find("name=log.lines_left_out lines=", at + 1))
+        leftOut += std::stoul(text.substr(at + std::string("name=log.lines_left_out lines=").size()));
+    BOOST_TEST(leftOut > 0U);
+    BOOST_TEST(written + leftOut == records);
+    closeLog();
+}
+
+BOOST_AUTO_TEST_CASE(aProcessEndsThoughNobodyReadsItsLog)
+{
+    NamedPipe pipe;
+    configureLog(LogOptions().withFile(pipe.path()));
+    for (unsigned i = 0; i < 1000; ++i)
+        logEvent(EventId::GatewayRefused, { { "request", std::string(400, 'r') } });
+    Instant begun = std::chrono::steady_clock::now();
+    closeLog();
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < 2s));
+}
+
+BOOST_AUTO_TEST_CASE(whatWaitsIsWrittenBeforeTheLogIsClosed)
+{
+    TemporaryFolder folder;
+    configureLog(LogOptions().withFile(folder.path / "log"));
+    for (unsigned i = 0; i < 200; ++i)
+        logEvent(EventId::GatewayRefused, { { "request", i } });
+    closeLog();
+    BOOST_TEST(std::filesystem::file_size(folder.path / "log") > 200 * line.size() / 2);
+    std::ifstream file(folder.path / "log");
+    std::string last;
+    for (std::string each; std::getline(file, each);)
+        last = each;
+    BOOST_TEST(last.ends_with("request=199"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_settings/settings/HostSettings.cpp
+++ b/modules/hc_settings/settings/HostSettings.cpp
@@ -9,6 +9,9 @@
 
 constexpr std::size_t shortestClusterKey = 16;
 constexpr std::int64_t mostKeepers = 7;
+/** Fewer lines a second do not explain a failure. */
+constexpr std::int64_t fewestLogLines = 10;
+constexpr std::int64_t mostLogLines = 1'000'000;
 
 std::string readClusterKey(const SettingsTable& cluster, const std::filesystem::path& settingsFile)
 {
@@ -59,11 +62,15 @@
     const std::vector<std::string> levels { "debug", "info", "warning", "error" };
     std::string level = log.choice("level", levels, "info");
     auto severity = static_cast<Severity>(std::find(levels.begin(), levels.end(), level) - levels.begin());
+    LogQueue::Options bounds;
+    bounds.linesPerSecond = static_cast<unsigned>(log.integer("lines_per_second", bounds.linesPerSecond, fewestLogLines, mostLogLines));
+    bounds.mostWaiting = static_cast<std::size_t>(log.bytes("most_waiting", ByteCount(bounds.mostWaiting)).value());
     bool json = log.choice("format", { "key-value", "json" }, "key-value") == "json";
     return LogOptions()
         .withLevel(severity)
         .withFormat(json ? LogOptions::Format::Json : LogOptions::Format::KeyValue)
-        .withFile(log.text("file", ""));
+        .withFile(log.text("file", ""))
+        .withBounds(bounds);
 }
 
 HostSettings HostSettings::read(const SettingsFile& file, const std::filesystem::path& settingsFile)
--- /dev/null
+++ b/tests/NamedPipe.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "TemporaryFolder.h"
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <fcntl.h>
+#include <sys/stat.h>
+#include <thread>
+
+namespace hemlockchute {
+
+/** A pipe with a name, whose reader reads only when asked. */
+class NamedPipe {
+public:
+    NamedPipe()
+        : m_path(m_folder.path / "pipe")
+    {
+        BOOST_REQUIRE(mkfifo(m_path.c_str(), 0600) == 0);
+        m_reader = open(m_path.c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+        BOOST_REQUIRE(m_reader >= 0);
+    }
+    ~NamedPipe() { close(m_reader); }
+
+    const std::filesystem::path& path() const { return m_path; }
+
+    /** Everything that is written until there is a pause of a second. */
+    std::string readAll()
+    {
+        std::string text;
+        for (int pauses = 0; pauses < 50;) {
+            char buffer[65536];
+            ssize_t count = read(m_reader, buffer, sizeof buffer);
+            if (count > 0) {
+                text.append(buffer, static_cast<std::size_t>(count));
+                pauses = 0;
+                continue;
+            }
+            std::this_thread::sleep_for(std::chrono::milliseconds(20));
+            ++pauses;
+        }
+        return text;
+    }
+
+private:
+    TemporaryFolder m_folder;
+    std::filesystem::path m_path;
+    int m_reader = -1;
+};
+
+} // namespace hemlockchute
--- a/tools/completion/hemlockctl.bash
+++ b/tools/completion/hemlockctl.bash
@@ -2,7 +2,7 @@
 
 _hemlockctl() {
     local current=${COMP_WORDS[COMP_CWORD]}
-    local commands="submit validate diff show status drain undrain members runs report token log"
+    local commands="submit validate diff show status drain undrain members runs report token log explain"
     local options="--settings= --json --timeout= --help"
     local command="" word
     for word in "${COMP_WORDS[@]:1:COMP_CWORD-1}"; do
@@ -22,7 +22,7 @@
         options+=" --base= --submit-id="
         files=yes
         ;;
-    validate | diff) files=yes ;;
+    validate | diff | explain) files=yes ;;
     show) options+=" --section=" ;;
     drain) options+=" --team= --reason=" ;;
     members) choices="add remove replace" ;;
--- a/tools/hemlockctl/Arguments.cpp
+++ b/tools/hemlockctl/Arguments.cpp
@@ -8,7 +8,7 @@
 namespace hemlockchute {
 namespace {
 
-constexpr const char* usage = R"(Drives hemlockchute: documents, status, members and a keeper's files.
+constexpr const char* usage = R"(Drives hemlockchute: documents, status, members, a keeper's files and what became of a request.
 
 Usage:
   hemlockctl [options] submit FILE --base=VERSION [--submit-id=ID]
@@ -25,6 +25,7 @@
   hemlockctl [options] report burn [--html=FILE]
   hemlockctl [options] token hash
   hemlockctl [options] log verify FOLDER
+  hemlockctl [options] explain ID [LOG]...
   hemlockctl (-h | --help)
 
 Options:
@@ -42,7 +43,7 @@
 Exit codes: 0 done, 1 refused, 2 faulty usage, settings or document, 3 no keeper answers.
 )";
 
-constexpr const char* commandWords[] = { "submit", "validate", "diff", "show", "status", "drain", "undrain", "members", "add", "remove", "replace", "runs", "report", "burn", "token", "hash", "log", "verify" };
+constexpr const char* commandWords[] = { "submit", "validate", "diff", "show", "status", "drain", "undrain", "members", "add", "remove", "replace", "runs", "report", "burn", "token", "hash", "log", "verify", "explain" };
 constexpr long longestTimeoutSeconds = 3600;
 
 using Values = std::map<std::string, docopt::value>;
@@ -53,6 +54,12 @@
     return found != values.end() && found->second.isString() ? found->second.asString() : std::string();
 }
 
+std::vector<std::string> listOf(const Values& values, const std::string& name)
+{
+    auto found = values.find(name);
+    return found != values.end() && found->second.isStringList() ? found->second.asStringList() : std::vector<std::string>();
+}
+
 bool isSet(const Values& values, const std::string& name)
 {
     auto found = values.find(name);
@@ -110,6 +117,8 @@
     arguments.peer = textOf(values, "PEER");
     arguments.key = textOf(values, "KEY");
     arguments.folder = textOf(values, "FOLDER");
+    arguments.request = textOf(values, "ID");
+    arguments.logs = listOf(values, "LOG");
     arguments.htmlFile = textOf(values, "--html");
     return arguments;
 }
--- a/tools/hemlockctl/Arguments.h
+++ b/tools/hemlockctl/Arguments.h
@@ -40,6 +40,10 @@
     std::string key;
     std::string folder;
     std::string htmlFile;
+    /** The id of a request. */
+    std::string request;
+    /** Files of log lines; none: standard input. */
+    std::vector<std::string> logs;
 
     /** Reads the words after the program's name. Thread safety: any thread. */
     static tl::expected<Arguments, Refusal> parse(const std::vector<std::string>& words);
--- a/tools/hemlockctl/OfflineCommands.cpp
+++ b/tools/hemlockctl/OfflineCommands.cpp
@@ -1,6 +1,7 @@
 #include "OfflineCommands.h"
 
 #include "ReadOnlyFileSystem.h"
+#include "RequestStory.h"
 
 #include "hemlockchute/keeper/TokenHash.h"
 #include "hemlockchute/storage/WriteAheadLog.h"
@@ -8,6 +9,7 @@
 #include <algorithm>
 #include <boost/json.hpp>
 #include <cassert>
+#include <fstream>
 
 namespace hemlockchute {
 
@@ -15,6 +17,7 @@
     { "validate", &OfflineCommands::validate },
     { "token hash", &OfflineCommands::hashToken },
     { "log verify", &OfflineCommands::verifyLog },
+    { "explain", &OfflineCommands::explain },
 };
 
 OfflineCommands::OfflineCommands(const Arguments& arguments, Console& console)
@@ -93,4 +96,35 @@
     return ExitCode::Done;
 }
 
+ExitCode OfflineCommands::explain()
+{
+    RequestStory story(m_arguments.request);
+    if (m_arguments.logs.empty())
+        story.read(m_console.in);
+    for (const std::string& path : m_arguments.logs) {
+        std::ifstream log(path);
+        if (!log) {
+            m_console.err << path << ": cannot be read\n";
+            return ExitCode::Faulty;
+        }
+        story.read(log);
+    }
+    if (story.linesPassedOver() > 0)
+        m_console.err << story.linesPassedOver() << " of " << story.linesRead() << " lines hold no record in JSON and were passed over\n";
+    std::vector<RequestStory::Line> lines = story.lines();
+    boost::json::array records;
+    for (const RequestStory::Line& line : lines) {
+        if (m_arguments.isJson)
+            records.push_back(line.fields);
+        else
+            m_console.out << storyText(line) << '\n';
+    }
+    if (m_arguments.isJson)
+        m_console.out << boost::json::serialize(records) << '\n';
+    if (!lines.empty())
+        return ExitCode::Done;
+    m_console.err << "no line names the request " << m_arguments.request << '\n';
+    return ExitCode::Refused;
+}
+
 } // namespace hemlockchute
--- a/tools/hemlockctl/OfflineCommands.h
+++ b/tools/hemlockctl/OfflineCommands.h
@@ -32,6 +32,7 @@
     ExitCode validate();
     ExitCode hashToken();
     ExitCode verifyLog();
+    ExitCode explain();
 
     const Arguments& m_arguments;
     Console& m_console;
--- a/tools/hemlockctl/tests/HemlockctlTests.cpp
+++ b/tools/hemlockctl/tests/HemlockctlTests.cpp
@@ -254,6 +254,42 @@
     BOOST_TEST(run({ "log", "verify", file("none") }).exitCode == 2);
 }
 
+BOOST_AUTO_TEST_CASE(aRequestsStoryIsGatheredOverTheLogsInOrder)
+{
+    writeFile(path / "gateway.log",
+        R"({"time":"2026-05-19T20:39:45.396Z","severity":"info","event":"2001","name":"gateway.refused","request":"r1","model":"m1","status":"503","reason":"no server holds it","waited_ms":"401"})"
+        "\n"
+        R"({"time":"2026-05-19T20:39:45.295Z","severity":"info","event":"2002","name":"gateway.attempt_failed","request":"r1","server":"s1","outcome":"not-sent"})"
+        "\n"
+        R"({"time":"2026-05-19T20:39:45.300Z","severity":"info","event":"2000","name":"gateway.answered","request":"r2","model":"m1","server":"s1"})"
+        "\n");
+    writeFile(path / "coordinator.log",
+        R"(host-3 | {"time":"2026-05-19T20:39:44.000Z","severity":"info","event":"2106","name":"coordinator.order","server":"s9","operation":"load","model":"m1","outcome":"no-answer"})"
+        "\n"
+        R"({"time":"2026-05-19T20:39:44.100Z","severity":"info","event":"2106","name":"coordinator.order","server":"s9","operation":"load","model":"m2","outcome":"accepted"})"
+        "\n"
+        R"({"time":"2026-05-19T20:39:50.000Z","severity":"info","event":"2106","name":"coordinator.order","server":"s9","operation":"load","model":"m1","outcome":"accepted"})"
+        "\nGoodbye.\n");
+    Outcome outcome = run({ "explain", "r1", file("gateway.log"), file("coordinator.log") });
+    BOOST_TEST(outcome.exitCode == 0);
+    BOOST_TEST(outcome.out == "2026-05-19T20:39:44.000Z    (coordinator.order server=s9 operation=load model=m1 outcome=no-answer)\n"
+                              "2026-05-19T20:39:45.295Z  gateway.attempt_failed server=s1 outcome=not-sent\n"
+                              "2026-05-19T20:39:45.396Z  gateway.refused model=m1 status=503 reason=no server holds it waited_ms=401\n");
+    BOOST_TEST(outcome.err == "1 of 7 lines hold no record in JSON and were passed over\n");
+}
+
+BOOST_AUTO_TEST_CASE(aRequestThatNoLogNamesIsSaidSo)
+{
+    Outcome outcome = run({ "explain", "r1" }, R"({"time":"2026-05-19T20:39:45.300Z","name":"gateway.answered","request":"r2"})"
+                                               "\n");
+    BOOST_TEST(outcome.exitCode == 1);
+    BOOST_TEST(outcome.out == "");
+    BOOST_TEST(outcome.err == "no line names the request r1\n");
+    Outcome missing = run({ "explain", "r1", file("absent.log") });
+    BOOST_TEST(missing.exitCode == 2);
+    BOOST_TEST(missing.err.ends_with("absent.log: cannot be read\n"));
+}
+
 BOOST_AUTO_TEST_CASE(usageIsCheckedAndHelpIsNoFault)
 {
     BOOST_TEST(run({ "--help" }).exitCode == 0);
