--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -111,7 +111,7 @@
     }
     takeAgreed();
     serveCalls();
-    if (auto listening = m_server.listen(m_settings.peers); !listening)
+    if (auto listening = m_server.listen(m_settings.listenPeers); !listening)
         return failureBecause(RoleErrorCode::ListenFailed, listening.error());
     if (auto listening = m_operators.listen(m_settings.operators); !listening)
         return failureBecause(RoleErrorCode::ListenFailed, listening.error());
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
@@ -42,7 +42,9 @@
     settings.host = HostName(host.text("name"));
     settings.dataCentre = DataCentreName(host.text("data_centre"));
     readCluster(file.root().table("cluster"), settings);
-    settings.operators = file.root().table("listen").endpoint("operators");
+    SettingsTable listen = file.root().table("listen");
+    settings.operators = listen.endpoint("operators");
+    settings.listenPeers = listen.optionalEndpoint("peers").value_or(settings.peers);
     settings.dataFolder = path.parent_path() / file.root().table("storage").text("data_folder");
     SettingsTable platform = file.root().table("platform");
     settings.platform = platform.text("plugin");
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.h
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -21,6 +21,8 @@
     /** Where operators and the system's other processes connect. */
     Endpoint operators;
     Endpoint peers;
+    /** Where calls to `peers` arrive on this host; differs where addresses are translated. */
+    Endpoint listenPeers;
     /** Coordinators that the group begins with, or that a newcomer asks first. */
     std::vector<Endpoint> seeds;
     /** True when the whole system starts for the first time. */
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -20,8 +20,11 @@
 constexpr std::size_t idleConnections = 24;
 /** Servers that fail twice in a row are left out for a second at first, for four at the longest; of three data centres two may be cut off. */
 constexpr EjectionTable::Options ejection { 2, 1s, 4s, 100 };
-/** The platform asks once a second and needs two answers to send no more new connections. */
+/** The platform asks once a second and needs two answers to send no more new connections; a short grace leaves half of it for what runs. */
 constexpr Duration newConnectionsEnd = 3s;
+constexpr int newConnectionsPart = 2;
+/** What still runs is ended this long before the process ends, so that its callers can be told. */
+constexpr Duration lastAnswers = 300ms;
 /** How often is looked whether the coordinator's list is current. */
 constexpr Duration listWatchInterval = 200ms;
 /** A read timeout above the header's leaves time for the body. */
@@ -68,6 +71,7 @@
     , m_metrics(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
     , m_listTimer(context)
     , m_stopTimer(context)
+    , m_endTimer(context)
 {
 }
 
@@ -94,18 +98,46 @@
 
 void Gateway::stop(std::function<void()> done)
 {
-    m_core.stopsAt = std::chrono::steady_clock::now() + m_settings.grace;
+    m_stopped = std::move(done);
+    Instant now = std::chrono::steady_clock::now();
+    m_core.stopsAt = now + m_settings.grace;
     m_callers.announceClose();
-    m_stopTimer.expires_after(newConnectionsEnd);
-    m_stopTimer.async_wait([this, done = std::move(done)](const boost::system::error_code&) mutable {
+    m_stopTimer.expires_after(std::min<Duration>(newConnectionsEnd, m_settings.grace / newConnectionsPart));
+    m_stopTimer.async_wait([this](const boost::system::error_code&) {
         m_core.waiting.notifyAll();
-        m_callers.drain([this, done = std::move(done)] {
-            m_listTimer.cancel();
-            m_link.stop();
-            m_listing.stop();
-            done();
-        });
+        m_callers.drain([this] { finishStop(); });
     });
+    m_endTimer.expires_at(*m_core.stopsAt - lastAnswers);
+    m_endTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            endRequests();
+    });
+}
+
+/** Ends what still runs, and then the process, whether or not every caller took its answer. */
+void Gateway::endRequests()
+{
+    std::set<RequestForwarder*> requests = m_core.requests;
+    for (RequestForwarder* request : requests) {
+        if (m_core.requests.contains(request))
+            request->end();
+    }
+    m_endTimer.expires_at(*m_core.stopsAt);
+    m_endTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            finishStop();
+    });
+}
+
+void Gateway::finishStop()
+{
+    if (!m_stopped)
+        return;
+    m_endTimer.cancel();
+    m_listTimer.cancel();
+    m_link.stop();
+    m_listing.stop();
+    std::exchange(m_stopped, nullptr)();
 }
 
 //==============================================================================
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -23,7 +23,7 @@
     Result<void, RoleErrorCode> start();
     /** Takes what may change while the process runs. */
     void reload(const GatewaySettings&);
-    /** Says that it is not ready, serves on until new connections stay away, finishes what runs, then calls `done` once. */
+    /** Says that it is not ready, serves on until new connections stay away, finishes what runs, and calls `done` once: when all is finished, or the grace is over. */
     void stop(std::function<void()> done);
 
 private:
@@ -35,6 +35,8 @@
     void forgetAddresses(const std::vector<Endpoint>&);
     void watchList();
     bool isReady() const;
+    void endRequests();
+    void finishStop();
 
     GatewaySettings m_settings;
     const FleetPlatform& m_platform;
@@ -50,6 +52,8 @@
     HttpServer m_metrics;
     boost::asio::steady_timer m_listTimer;
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_endTimer;
+    std::function<void()> m_stopped;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -9,9 +9,12 @@
 #include "hemlockchute/report/Metrics.h"
 
 #include <random>
+#include <set>
 
 namespace hemlockchute {
 
+class RequestForwarder;
+
 //==============================================================================
 /**
     What the requests at one gateway share.
@@ -42,8 +45,10 @@
     Metrics metrics;
     /** Null until the first one is heard. */
     RouteConfigurationPointer configuration;
-    /** Set when the process stops: requests that have not run by then are refused. */
+    /** Set when the process stops: it ends then, and what goes on is ended just before. */
     std::optional<Instant> stopsAt;
+    /** The requests that are here. */
+    std::set<RequestForwarder*> requests;
     std::minstd_rand random { std::random_device {}() };
 };
 
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -56,11 +56,19 @@
     , m_configuration(core.configuration)
     , m_call(std::make_shared<CallState>())
 {
+    m_core.requests.insert(this);
 }
 
 RequestForwarder::~RequestForwarder()
 {
     m_call->answer = nullptr;
+    m_core.requests.erase(this);
+}
+
+void RequestForwarder::end()
+{
+    m_isEnded = true;
+    m_call->giveUp();
 }
 
 asio::awaitable<void> RequestForwarder::run()
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -26,6 +26,8 @@
 
     /** Answers the request. Call once. */
     boost::asio::awaitable<void> run();
+    /** Gives up what goes on at a server, since the process ends; the caller is told as far as the outcome is known. */
+    void end();
 
 private:
     /** What came of sending the request to one server. */
@@ -52,6 +54,11 @@
         void noteGone()
         {
             isGone = true;
+            giveUp();
+        }
+
+        void giveUp()
+        {
             handle->cancel();
             if (answer)
                 answer->close();
@@ -110,6 +117,8 @@
     std::optional<std::uint64_t> m_lastEvent;
     Duration m_firstByte {};
     std::string m_lastFault;
+    /** True once the process ends. */
+    bool m_isEnded = false;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -48,7 +48,9 @@
 {
     static constexpr std::string_view names[] = { "answered", "not-sent", "not-run", "unknown", "failed", "caller-gone" };
     std::string_view what = names[static_cast<std::size_t>(outcome)];
-    if (outcome != Outcome::NotRun && !m_call->isGone)
+    if (m_isEnded)
+        reason = "the gateway stops";
+    else if (outcome != Outcome::NotRun && !m_call->isGone)
         m_core.servers.noteFailure(name, currentTime());
     m_lastFault = std::string(what) + " at " + name.text() + ": " + std::string(reason);
     m_core.metrics.add(attemptsMetric, { { "outcome", std::string(what) } });
@@ -59,7 +61,7 @@
 /** A request that ran, or may have, is sent again only where its route allows it; each arrival after the first takes from the budget. */
 bool RequestForwarder::mayResend(Outcome outcome)
 {
-    if (m_tries >= mostTries || left() <= leastService)
+    if (m_isEnded || m_tries >= mostTries || left() <= leastService)
         return false;
     if (outcome == Outcome::NotSent)
         return true;
--- a/tests/harness/Relay.cpp
+++ b/tests/harness/Relay.cpp
@@ -4,10 +4,13 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
+#include <mutex>
+#include <vector>
 
 namespace hemlockchute::harness {
 
@@ -41,6 +44,31 @@
     {
     }
 
+    Endpoint currentTarget()
+    {
+        std::lock_guard guard(lock);
+        return target;
+    }
+
+    /** Resets every open connection, on the thread that runs them. */
+    void resetAll()
+    {
+        for (const auto& each : passages) {
+            if (auto passage = each.lock()) {
+                reset(passage->near);
+                reset(passage->far);
+            }
+        }
+        passages.clear();
+    }
+
+    static void reset(tcp::socket& socket)
+    {
+        boost::system::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
     bool isSilent(const Passage& passage) const { return isCut || passage.generation < oldestLive; }
 
     asio::awaitable<void> pause(Duration duration)
@@ -60,6 +88,8 @@
                 continue;
             auto passage = std::make_shared<Passage>(std::move(socket));
             passage->generation = ++generations;
+            std::erase_if(passages, [](const auto& each) { return each.expired(); });
+            passages.push_back(passage);
             asio::co_spawn(
                 acceptor.get_executor(), [self, passage] { return self->open(passage); }, asio::detached);
         }
@@ -70,7 +100,8 @@
         while (isCut)
             co_await pause(pollInterval);
         boost::system::error_code error;
-        co_await passage->far.async_connect(target, asio::redirect_error(asio::use_awaitable, error));
+        Endpoint to = currentTarget();
+        co_await passage->far.async_connect(to, asio::redirect_error(asio::use_awaitable, error));
         if (error) {
             passage->near.close(error);
             co_return;
@@ -79,19 +110,21 @@
         passage->far.set_option(tcp::no_delay(true), error);
         auto self = shared_from_this();
         asio::co_spawn(
-            acceptor.get_executor(), [self, passage] { return self->pump(passage, passage->near, passage->far); }, asio::detached);
+            acceptor.get_executor(), [self, passage] { return self->pump(passage, passage->near, passage->far, Direction::ToTarget); }, asio::detached);
         asio::co_spawn(
-            acceptor.get_executor(), [self, passage] { return self->pump(passage, passage->far, passage->near); }, asio::detached);
+            acceptor.get_executor(), [self, passage] { return self->pump(passage, passage->far, passage->near, Direction::FromTarget); }, asio::detached);
     }
 
-    asio::awaitable<void> pump(std::shared_ptr<Passage> passage, tcp::socket& from, tcp::socket& to)
+    asio::awaitable<void> pump(std::shared_ptr<Passage> passage, tcp::socket& from, tcp::socket& to, Direction direction)
     {
         std::array<char, 65536> buffer {};
         boost::system::error_code error;
         while (!error) {
             std::size_t count = co_await from.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error));
-            if (oneWayDelay > Duration::zero())
-                co_await pause(oneWayDelay);
+            if (Duration delay = oneWayDelay; delay > Duration::zero())
+                co_await pause(delay);
+            while (isHeld[static_cast<std::size_t>(direction)])
+                co_await pause(pollInterval);
             // A silent passage swallows what it is given and never says that either side has closed.
             while (isSilent(*passage))
                 co_await pause(pollInterval);
@@ -104,8 +137,12 @@
     }
 
     tcp::acceptor acceptor;
+    std::mutex lock;
     Endpoint target;
-    Duration oneWayDelay;
+    std::atomic<Duration> oneWayDelay;
+    std::array<std::atomic<bool>, 2> isHeld { false, false };
+    /** Only on the thread that runs them. */
+    std::vector<std::weak_ptr<Passage>> passages;
     std::atomic<bool> isCut { false };
     std::atomic<std::uint64_t> generations { 0 };
     std::atomic<std::uint64_t> oldestLive { 0 };
@@ -136,4 +173,33 @@
     m_impl->oldestLive = m_impl->generations + 1;
 }
 
+void Relay::resetOpenConnections()
+{
+    asio::post(m_impl->acceptor.get_executor(), [impl = m_impl] { impl->resetAll(); });
+}
+
+void Relay::hold(Direction direction)
+{
+    m_impl->isHeld[static_cast<std::size_t>(direction)] = true;
+}
+
+void Relay::release(Direction direction)
+{
+    m_impl->isHeld[static_cast<std::size_t>(direction)] = false;
+}
+
+void Relay::setDelay(Duration oneWayDelay)
+{
+    m_impl->oneWayDelay = oneWayDelay;
+}
+
+void Relay::setTarget(Endpoint target)
+{
+    {
+        std::lock_guard guard(m_impl->lock);
+        m_impl->target = std::move(target);
+    }
+    resetOpenConnections();
+}
+
 } // namespace hemlockchute::harness
--- a/tests/harness/Relay.h
+++ b/tests/harness/Relay.h
@@ -18,6 +18,11 @@
 */
 class Relay {
 public:
+    enum class Direction {
+        ToTarget,
+        FromTarget
+    };
+
     /** Listens on `from` and dials `to` for each connection. Throws when it cannot listen. */
     Relay(boost::asio::io_context&, Endpoint from, Endpoint to, Duration oneWayDelay);
     ~Relay();
@@ -26,6 +31,14 @@
     void heal();
     /** Makes the connections that are open now silent for good; new ones work. */
     void silenceOpenConnections();
+    /** Resets the connections that are open now; new ones work. */
+    void resetOpenConnections();
+    /** Keeps back what goes one way, and passes it on when it is released, as a network does that loses packets one way. */
+    void hold(Direction);
+    void release(Direction);
+    void setDelay(Duration oneWayDelay);
+    /** New connections go there, and those that are open are reset. */
+    void setTarget(Endpoint);
 
 private:
     struct Impl;
