Count the store's loads that an earlier leader began

The limit was also learnt wrongly: loads relabelled as from the store, and the first two of four, which the store serves at full speed, raised it.

Ruled out: the chooser (the hot models' servers were evenly full), the number of copies asked for (four and more), cold loads from disk (551, about 1.2 s).

Change: a server that may be carrying out an order counts as a load from the store until it says otherwise; the limit is learnt from a load's position when it began, only from loads that were ordered from the store, and already while an overdue one goes on.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -204,18 +204,24 @@
     std::map<BackendServerName, ServerLoad> outstanding = m_demand.outstanding(now);
     ModelPlacer::Servers placed;
     for (const auto& [id, server] : m_servers) {
-        if (server.listed.service != name || server.listed.isLeaving || !server.isKnown)
+        if (server.listed.service != name)
             continue;
         PlacedServer each;
         each.id = id;
         each.dataCentre = server.listed.dataCentre;
+        each.isLoadingFromStore = server.isLoadingFromStore || (!server.isKnown && server.mayBeLoading);
+        if (server.listed.isLeaving || !server.isKnown) {
+            // Only its part of the store's capacity matters.
+            if (each.isLoadingFromStore)
+                placed.push_back(std::move(each));
+            continue;
+        }
         each.models = server.state.models;
         each.inMemory = server.inMemory.models();
         each.onDisk = server.onDisk.models();
         each.adaptersOnTheWay = server.state.adaptersOnTheWay;
         each.mayTakeOrder = !server.isOccupied;
         each.loading = server.loading;
-        each.isLoadingFromStore = server.isLoadingFromStore;
         each.loadedAt = server.loadedAt;
         each.outstanding = outstanding[id].requests;
         placed.push_back(std::move(each));
@@ -243,6 +249,7 @@
 void PlacementDirector::noteUnknown(Server& server)
 {
     server.isKnown = false;
+    server.mayBeLoading = true;
     server.loading = ModelName();
     server.isLoadingFromStore = false;
 }
@@ -349,8 +356,17 @@
     auto placed = m_services.find(server.listed.service);
     if (!service || !service->engine || !service->engine->models.contains(model) || placed == m_services.end())
         return;
-    auto atOnce = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto& item) { return item.second.isLoadingFromStore && item.second.listed.service == server.listed.service; });
-    placed->second.placer.noteStoreLoad(took, service->engine->models.at(model).loadFromStore, static_cast<unsigned>(atOnce));
+    placed->second.placer.noteStoreLoad(took, service->engine->models.at(model).loadFromStore, server.storePosition);
+}
+
+/** Loads from the store that go on, or may go on. */
+unsigned PlacementDirector::storeLoads(const ServiceName& service) const
+{
+    auto count = std::count_if(m_servers.begin(), m_servers.end(), [&](const auto& item) {
+        const Server& server = item.second;
+        return server.listed.service == service && (server.isLoadingFromStore || (!server.isKnown && server.mayBeLoading));
+    });
+    return static_cast<unsigned>(count);
 }
 
 /** Waits until an order that was accepted is carried out: the same order given again is accepted again, or refused as a second one, until it holds. */
@@ -375,9 +391,11 @@
         co_return;
     }
     Duration time = isLoad ? step.time : m_options.askAgain;
+    bool isFromStore = isLoad && step.source == PlacementStep::Source::Store;
     if (isLoad) {
         server->loading = step.model;
-        server->isLoadingFromStore = step.source == PlacementStep::Source::Store;
+        server->isLoadingFromStore = isFromStore;
+        server->storePosition = storeLoads(server->listed.service);
         server->loadedAt = begun + time;
     } else {
         server->state.models.erase(step.model);
@@ -392,11 +410,14 @@
         server = find(id, life);
         if (isLate && server && currentTime() - begun > latePart * time)
             isLate = noteFromStore(*server, step.model, begun);
+        // A load that is overdue shows a crowded store long before it ends.
+        if (isFromStore && server && isInProgress(outcome) && currentTime() - begun > latePart * time)
+            noteStoreLoad(*server, step.model, currentTime() - begun);
     }
     server = find(id, life);
     if (!server)
         co_return;
-    if (server->isLoadingFromStore && outcome == OrderOutcome::AlreadyHolds)
+    if (isFromStore && outcome == OrderOutcome::AlreadyHolds)
         noteStoreLoad(*server, step.model, currentTime() - begun);
     server->loading = ModelName();
     server->isLoadingFromStore = false;
@@ -424,6 +445,7 @@
         co_return;
     server->isOccupied = false;
     server->nextReport = currentTime() + m_options.reportPause;
+    server->mayBeLoading = false;
     std::string reason;
     if (!answer)
         reason = answer.error().detail;
@@ -433,8 +455,10 @@
         reason = report.error().detail;
     else if (report->startedAt != life)
         reason = "it is another life of the server";
-    else if (report->isBusy)
+    else if (report->isBusy) {
+        server->mayBeLoading = true;
         reason = "an order is in progress";
+    }
     else {
         server->inMemory.reset(report->inMemory);
         server->onDisk.reset(report->onDisk);
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -64,6 +64,8 @@
         ListedServer listed;
         /** False until the server said what it holds. */
         bool isKnown = false;
+        /** True until the server says otherwise, or nothing: an earlier order, of another giver too, may be in progress there. */
+        bool mayBeLoading = true;
         bool isOccupied = false;
         EngineReport state;
         CopyShelf inMemory;
@@ -72,6 +74,8 @@
         AdapterName withdrawnAdapter;
         ModelName loading;
         bool isLoadingFromStore = false;
+        /** Loads from the store that were going on once this one had begun. */
+        unsigned storePosition = 0;
         Instant loadedAt {};
         Instant nextReport {};
         /** When what gateways may send changed last. */
@@ -103,6 +107,7 @@
     void noteUnknown(Server&);
     void noteLoaded(Server&, const ModelName&);
     void noteStoreLoad(const Server&, const ModelName&, Duration took);
+    unsigned storeLoads(const ServiceName&) const;
     bool noteFromStore(Server&, const ModelName&, Instant begun);
     ListedServer shown(const Server&) const;
     ListedServer shownAs(const Server&, const ListedServer&) const;
--- a/modules/hc_coordinator/tests/FaultyEngines.cpp
+++ b/modules/hc_coordinator/tests/FaultyEngines.cpp
@@ -81,10 +81,11 @@
 }
 
 //==============================================================================
-FaultyEngine::FaultyEngine(asio::io_context& context, std::string id, std::mt19937& random, const OrderFaults& faults)
+FaultyEngine::FaultyEngine(asio::io_context& context, std::string id, std::mt19937& random, const OrderFaults& faults, Duration loadTime)
     : m_context(context)
     , m_random(random)
     , m_faults(faults)
+    , m_loadTime(loadTime)
     , m_id(std::move(id))
     , m_server(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); })
     , m_endpoint(m_server.listen(anyPort).value())
@@ -165,7 +166,7 @@
     }
     m_isOverloaded = m_isOverloaded || m_models.size() >= mostModels;
     m_loading = model;
-    m_loadedAt = std::chrono::steady_clock::now() + loadTime;
+    m_loadedAt = std::chrono::steady_clock::now() + m_loadTime;
     return accepted;
 }
 
--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -48,14 +48,14 @@
 class FaultyEngine {
 public:
     static constexpr unsigned mostModels = 2;
-    static constexpr Duration loadTime = 15ms;
 
-    FaultyEngine(boost::asio::io_context&, std::string id, std::mt19937& random, const OrderFaults&);
+    FaultyEngine(boost::asio::io_context&, std::string id, std::mt19937& random, const OrderFaults&, Duration loadTime);
 
     ListedServer listed() const;
     /** Ends this life: another server with nothing loaded, or with models of its own, takes the address. */
     void replace(std::string id, std::set<std::string> models);
     const std::set<std::string>& models() const { return m_models; }
+    bool isLoading() const { return !m_loading.empty() && std::chrono::steady_clock::now() < m_loadedAt; }
     /** True when a load was accepted for which there was no room. */
     bool wasOverloaded() const { return m_isOverloaded; }
     unsigned ordersAccepted() const { return m_allAccepted; }
@@ -71,6 +71,7 @@
     boost::asio::io_context& m_context;
     std::mt19937& m_random;
     const OrderFaults& m_faults;
+    Duration m_loadTime;
     std::string m_id;
     std::int64_t m_startedAt = 1;
     std::set<std::string> m_models;
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -13,6 +13,7 @@
 constexpr Duration tickInterval = 4ms;
 constexpr Duration withdrawal = 24ms;
 constexpr Duration orderTimeout = 60ms;
+constexpr unsigned storeLoadsAtOnce = 2;
 const std::vector<std::string> modelNames { "a", "b", "c", "d", "e", "f" };
 
 Instant currentTime()
@@ -20,7 +21,7 @@
     return std::chrono::steady_clock::now();
 }
 
-RouteConfigurationPointer configuration()
+RouteConfigurationPointer configuration(Duration loadTime)
 {
     RouteConfiguration::Parts parts;
     parts.version = ConfigurationVersion(1);
@@ -33,9 +34,9 @@
     for (const std::string& name : modelNames) {
         EngineModel model;
         model.weights = ByteCount::gibibytes(1);
-        model.loadFromStore = FaultyEngine::loadTime;
-        model.loadFromDisk = FaultyEngine::loadTime;
-        model.loadFromMemory = FaultyEngine::loadTime;
+        model.loadFromStore = loadTime;
+        model.loadFromDisk = loadTime;
+        model.loadFromMemory = loadTime;
         llm.engine->models.emplace(ModelName(name), model);
     }
     parts.services.emplace(service, llm);
@@ -53,12 +54,13 @@
 /** Two directors, of which one has authority at a time, before engines over faulty links; notes each breach of what must hold. */
 class World {
 public:
-    explicit World(unsigned seed, OrderFaults faults = {})
+    explicit World(unsigned seed, OrderFaults faults = {}, unsigned engines = 3, Duration loadTime = 15ms)
         : m_random(seed)
         , m_faults(faults)
+        , m_loadTime(loadTime)
     {
-        for (unsigned i = 0; i < 3; ++i)
-            m_engines.push_back(std::make_unique<FaultyEngine>(m_context, "s" + std::to_string(++m_lastId), m_random, m_faults));
+        for (unsigned i = 0; i < engines; ++i)
+            m_engines.push_back(std::make_unique<FaultyEngine>(m_context, "s" + std::to_string(++m_lastId), m_random, m_faults, loadTime));
         for (unsigned i = 0; i < 2; ++i)
             m_leaders.push_back(std::make_unique<Leader>(*this, i));
         lead(0);
@@ -129,6 +131,11 @@
         return holdsAllWanted();
     }
 
+    unsigned loadsGoingOn() const
+    {
+        return static_cast<unsigned>(std::count_if(m_engines.begin(), m_engines.end(), [](const auto& engine) { return engine->isLoading(); }));
+    }
+
     unsigned ordersAccepted() const
     {
         unsigned all = 0;
@@ -168,13 +175,14 @@
             , director(world.m_context, platform, client, options(number), [&world, number] { return world.m_leading == number ? std::optional(FencingNumber(world.m_fence)) : std::nullopt; })
         {
             platform.onOrder = [&world, number](const PlacementOrder& order) { world.noteOrder(number, order); };
-            director.takeConfiguration(configuration());
+            director.takeConfiguration(configuration(world.m_loadTime));
         }
 
         static PlacementDirector::Options options(unsigned number)
         {
             PlacementDirector::Options options;
             options.giver = HostName("leader-" + std::to_string(number));
+            options.placer.storeLoadsAtOnce = storeLoadsAtOnce;
             options.placer.leastResidence = 20ms;
             options.placer.unreachableAfter = 50ms;
             options.placer.evictionCost = 5ms;
@@ -237,6 +245,7 @@
 
     std::mt19937 m_random;
     OrderFaults m_faults;
+    Duration m_loadTime;
     asio::io_context m_context;
     unsigned m_lastId = 0;
     std::vector<std::unique_ptr<FaultyEngine>> m_engines;
@@ -263,6 +272,23 @@
     BOOST_TEST(world.breaches() == "");
 }
 
+/** The load of three changes of leader while models are missing: each new one knows nothing of the loads that its predecessors began. */
+BOOST_AUTO_TEST_CASE(aNewLeaderDoesNotCrowdTheStore)
+{
+    World world(1, {}, 6, 600ms);
+    world.want({ "a", "b", "c", "d", "e", "f" });
+    unsigned most = 0;
+    for (unsigned leader : { 1U, 0U, 1U }) {
+        for (int i = 0; i < 20; ++i) {
+            world.run(8ms);
+            most = std::max(most, world.loadsGoingOn());
+        }
+        world.lead(leader);
+    }
+    BOOST_TEST(most == storeLoadsAtOnce);
+    BOOST_TEST(world.breaches() == "");
+}
+
 BOOST_AUTO_TEST_CASE(lateAndLostOrdersNeverOverloadAnEngine)
 {
     checkProperty("late and lost orders", 25, [](unsigned seed) {
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -87,13 +87,13 @@
     m_expected.clear();
 }
 
-/** Loads that take longer than declared were too many at once; one more is tried when as many as allowed were not. */
-void ModelPlacer::noteStoreLoad(Duration took, Duration declared, unsigned atOnce)
+/** A load that takes longer than declared was begun among too many; one more is tried when the last of as many as allowed was not. */
+void ModelPlacer::noteStoreLoad(Duration took, Duration declared, unsigned position)
 {
     double slowdown = static_cast<double>(took.count()) / static_cast<double>(std::max<Duration>(declared, 1ms).count());
     if (slowdown > crowdedStore)
-        m_storeLimit = std::max(1U, static_cast<unsigned>(std::lround(atOnce / slowdown)));
-    else if (slowdown < quietStore && atOnce >= m_storeLimit && m_storeLimit < mostStoreLoads)
+        m_storeLimit = std::max(1U, static_cast<unsigned>(std::lround(position / slowdown)));
+    else if (slowdown < quietStore && position >= m_storeLimit && m_storeLimit < mostStoreLoads)
         ++m_storeLimit;
 }
 
@@ -117,10 +117,10 @@
             auto known = m_heldSince.find({ server.id, model });
             heldSince[{ server.id, model }] = known == m_heldSince.end() ? round.now : known->second;
         }
+        round.storeLoads += server.isLoadingFromStore ? 1 : 0;
         if (server.loading.isEmpty())
             continue;
         ++round.coming[server.loading];
-        round.storeLoads += server.isLoadingFromStore ? 1 : 0;
         m_expected[server.loading] = std::max(server.loadedAt, round.now);
     }
     m_heldSince = std::move(heldSince);
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -33,9 +33,9 @@
     std::map<ModelName, std::set<AdapterName>> adaptersOnTheWay;
     /** True when it may be given an order: its state is known and no order is in progress. */
     bool mayTakeOrder = false;
-    /** The model that is being loaded, which takes up room already. */
+    /** The model that is being loaded, which takes up room already; empty when it is not known. */
     ModelName loading;
-    /** True when that load comes from the weight store. */
+    /** True when the server loads from the weight store, or may do so. */
     bool isLoadingFromStore = false;
     /** When that load is expected to end. */
     Instant loadedAt {};
@@ -117,8 +117,8 @@
 
     /** The orders to give now, at most one for each server. */
     std::vector<PlacementStep> decide(const EngineSpec&, const Servers&, const Demands&, Instant now);
-    /** Notes how long a load from the store took, and how many ran at once. */
-    void noteStoreLoad(Duration took, Duration declared, unsigned atOnce);
+    /** Notes how long a load from the store took, or has taken so far, and how many were going on once it had begun. */
+    void noteStoreLoad(Duration took, Duration declared, unsigned position);
     /** When models that are wanted and not held are expected, as of the last decision. */
     const std::map<ModelName, Instant>& expected() const { return m_expected; }
     /** Forgets what was meant for servers, as after a change of the order-giver. */
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -246,6 +246,20 @@
     BOOST_TEST(loads() == 3U);
 }
 
+/** A leader that follows another finds servers that load it does not know what. */
+BOOST_AUTO_TEST_CASE(loadsFromTheStoreThatAreNotKnownCountToo)
+{
+    ModelPlacer::Servers servers;
+    for (int i = 0; i < 6; ++i)
+        servers.push_back(server("s" + std::to_string(i), {}));
+    for (int i = 0; i < 3; ++i) {
+        servers[i].mayTakeOrder = false;
+        servers[i].isLoadingFromStore = true;
+    }
+    ModelPlacer placer { ModelPlacer::Options() };
+    BOOST_TEST(placer.decide(engineOf(8), servers, { { key("m0"), waiting(1) }, { key("m1"), waiting(1) } }, Instant(1h)).size() == 1U);
+}
+
 /** The load of a server that answers nobody though it is listed: requests go on waiting for its models. */
 BOOST_AUTO_TEST_CASE(aModelThatIsHeldAndStillWaitedForIsLoadedElsewhere)
 {
