Write the last record of a process that ends at once; coordinator metrics; bad input

Change: endProcess(), once in hc_core instead of in keeper and coordinator, closes the log first.

Coordinators serve metrics (listen.metrics): orders by operation and outcome, load times by source, unanswered reports, lead, orders, term, version, members; gateways also version, age of placement and requests in progress.

Two misleading faults mended on the way: a mistyped number was also said to be 0, and a faulty seed to be no seed.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -11,7 +11,6 @@
 
 namespace asio = boost::asio;
 
-constexpr int exitStorageFailed = 1;
 /** The group is let know of the time so often in each heartbeat interval. */
 constexpr int ticksPerHeartbeat = 3;
 constexpr Duration messageTimeout = 1s;
@@ -31,13 +30,6 @@
     return (std::uint64_t(device()) << halfBits) | device();
 }
 
-/** Ends the process at once: after a failed sync nothing that was written since can be trusted. */
-[[noreturn]] void endProcess(EventId event, const std::string& reason)
-{
-    logEvent(event, { { "reason", reason } });
-    std::_Exit(exitStorageFailed);
-}
-
 ReplicatedGroup::Options groupOptions(const CoordinatorSettings& settings, IncarnationId next)
 {
     ReplicatedGroup::Options options;
@@ -85,9 +77,10 @@
     , m_group(m_id, std::move(disk), groupOptions(settings, next), m_clock, m_register,
           { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { takeAgreed(); }); }, endProcess })
     , m_voters(voterOptions(settings))
-    , m_director(context, platform, m_http, directorOptions(settings), [this] { return authority(); })
+    , m_director(context, platform, m_http, m_metrics, directorOptions(settings), [this] { return authority(); })
     , m_listing(context, platform, m_http, settings.listing, listingOptions(), [this](const std::vector<ListedServer>& servers, Instant asked) { m_director.takeListing(servers, asked); })
     , m_operators(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); })
+    , m_metricsPage(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
     , m_timer(context)
     , m_seeds(settings.seeds.begin(), settings.seeds.end())
 {
@@ -115,6 +108,10 @@
         return failureBecause(RoleErrorCode::ListenFailed, listening.error());
     if (auto listening = m_operators.listen(m_settings.operators); !listening)
         return failureBecause(RoleErrorCode::ListenFailed, listening.error());
+    if (m_settings.metrics) {
+        if (auto listening = m_metricsPage.listen(*m_settings.metrics); !listening)
+            return failureBecause(RoleErrorCode::ListenFailed, listening.error());
+    }
     logEvent(EventId::CoordinatorStarted, { { "id", m_id }, { "incarnation", m_group.identity().incarnation }, { "founder", isFounder }, { "version", m_register.current()->version } });
     m_leaderSeen = m_clock.now();
     m_listing.setActive(false);
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -63,6 +63,7 @@
     boost::asio::awaitable<void> answer(HttpExchange&);
     boost::asio::awaitable<void> takeSubmission(HttpExchange&);
     boost::asio::awaitable<void> showConfiguration(HttpExchange&);
+    boost::asio::awaitable<void> answerMetrics(HttpExchange&);
     boost::asio::awaitable<Reply> askLeader(PeerMethod, ByteString payload);
     boost::asio::awaitable<Reply> askHere(PeerMethod, ByteString payload, Instant deadline);
     void proposeHere(const ByteString& body, ReplicatedGroup::Reply);
@@ -76,12 +77,14 @@
     PeerClient m_client;
     PeerServer m_server;
     HttpClient m_http;
+    Metrics m_metrics;
     ConfigurationRegister m_register;
     ReplicatedGroup m_group;
     VoterPolicy m_voters;
     PlacementDirector m_director;
     ListingPoller m_listing;
     HttpServer m_operators;
+    HttpServer m_metricsPage;
     boost::asio::steady_timer m_timer;
     std::mutex m_sendLock;
     std::map<KeeperId, unsigned> m_unanswered;
--- a/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
@@ -39,6 +39,13 @@
     return encodeConfigurationBody({ version, body });
 }
 
+constexpr MetricDefinition leadsMetric { "hemlock_coordinator_leads", "Whether this host leads the group, 1 or 0." };
+constexpr MetricDefinition givesOrdersMetric { "hemlock_coordinator_gives_orders", "Whether this host gives orders to servers, 1 or 0." };
+constexpr MetricDefinition termMetric { "hemlock_coordinator_term", "The latest term of the group that is known here." };
+constexpr MetricDefinition versionMetric { "hemlock_coordinator_configuration_version", "The configuration that is known to be agreed on here." };
+constexpr MetricDefinition votersMetric { "hemlock_coordinator_voters", "Members of the group that vote." };
+constexpr MetricDefinition learnersMetric { "hemlock_coordinator_learners", "Members of the group that do not vote." };
+
 // Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
 
 void noteRefused(ConfigurationVersion version, unsigned status, std::string_view reason)
@@ -160,4 +167,17 @@
     co_return keeperReply(std::move(*reply));
 }
 
+asio::awaitable<void> Coordinator::answerMetrics(HttpExchange& exchange)
+{
+    GroupStatus status = m_group.status();
+    m_metrics.set(leadsMetric, status.isLeader ? 1 : 0);
+    m_metrics.set(givesOrdersMetric, m_givesOrders ? 1 : 0);
+    m_metrics.set(termMetric, static_cast<double>(status.term.value()));
+    m_metrics.set(versionMetric, static_cast<double>(m_register.current()->version.value()));
+    m_metrics.set(votersMetric, static_cast<double>(status.membership.voters.size()));
+    m_metrics.set(learnersMetric, static_cast<double>(status.membership.learners.size()));
+    HttpResponse response = HttpResponse::text(statusOk, m_metrics.snapshot().prometheusText());
+    co_await exchange.respond(std::move(response));
+}
+
 } // namespace hemlockchute
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
@@ -45,6 +45,7 @@
     SettingsTable listen = file.root().table("listen");
     settings.operators = listen.endpoint("operators");
     settings.listenPeers = listen.optionalEndpoint("peers").value_or(settings.peers);
+    settings.metrics = listen.optionalEndpoint("metrics");
     settings.dataFolder = path.parent_path() / file.root().table("storage").text("data_folder");
     SettingsTable platform = file.root().table("platform");
     settings.platform = platform.text("plugin");
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.h
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -2,6 +2,7 @@
 
 #include "hemlockchute/settings/settings.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,8 @@
     Endpoint peers;
     /** Where calls to `peers` arrive on this host; differs where addresses are translated. */
     Endpoint listenPeers;
+    /** Where metrics are served, if anywhere. */
+    std::optional<Endpoint> metrics;
     /** Coordinators that the group begins with, or that a newcomer asks first. */
     std::vector<Endpoint> seeds;
     /** True when the whole system starts for the first time. */
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -23,6 +23,10 @@
 /** A load is asked after so long after its declared time, when its end has reached the server's own books. */
 constexpr Duration loadSlack = 5ms;
 
+constexpr MetricDefinition ordersMetric { "hemlock_coordinator_orders_total", "Orders sent to servers, by operation and what they said." };
+constexpr MetricDefinition loadsMetric { "hemlock_coordinator_load_seconds", "Time from the order of a model until its server holds it, by where the weights came from." };
+constexpr MetricDefinition unreportedMetric { "hemlock_coordinator_reports_unavailable_total", "Questions to servers what they hold that were not answered." };
+
 Instant currentTime()
 {
     return std::chrono::steady_clock::now();
@@ -60,25 +64,29 @@
 
 // Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
 
-void PlacementDirector::noteOrder(const PlacementOrder& order, const PlacementStep& step, std::optional<OrderOutcome> outcome, Duration took)
+void PlacementDirector::noteOrder(const PlacementOrder& order, const PlacementStep& step, std::optional<OrderOutcome> outcome, Duration took) const
 {
+    m_metrics.add(ordersMetric, { { "operation", std::string(nameOf(step)) }, { "outcome", std::string(nameOf(outcome)) } });
     logEvent(EventId::CoordinatorOrder, { { "server", order.server }, { "operation", nameOf(step) }, { "model", step.model }, { "adapter", step.adapter }, { "source", nameOf(step.source) }, { "makes_room_for", step.makesRoomFor }, { "accepted_before", order.ordersAcceptedBefore }, { "fence", order.fence }, { "outcome", nameOf(outcome) }, { "took_ms", milliseconds(took) } });
 }
 
-void PlacementDirector::noteTaken(const BackendServerName& server, const PlacementStep& step, Duration took)
+void PlacementDirector::noteTaken(const BackendServerName& server, const PlacementStep& step, Duration took) const
 {
+    m_metrics.observe(loadsMetric, took, { { "source", std::string(nameOf(step.source)) } });
     logEvent(EventId::CoordinatorModelTaken, { { "server", server }, { "model", step.model }, { "source", nameOf(step.source) }, { "took_ms", milliseconds(took) } });
 }
 
-void PlacementDirector::noteUnreported(const BackendServerName& server, std::string_view reason)
+void PlacementDirector::noteUnreported(const BackendServerName& server, std::string_view reason) const
 {
+    m_metrics.add(unreportedMetric);
     logEvent(EventId::CoordinatorReportUnavailable, { { "server", server }, { "reason", reason } });
 }
 
-PlacementDirector::PlacementDirector(asio::io_context& context, const FleetPlatform& platform, HttpClient& client, Options options, Authority authority)
+PlacementDirector::PlacementDirector(asio::io_context& context, const FleetPlatform& platform, HttpClient& client, Metrics& metrics, Options options, Authority authority)
     : m_context(context)
     , m_platform(platform)
     , m_client(client)
+    , m_metrics(metrics)
     , m_options(std::move(options))
     , m_authority(std::move(authority))
 {
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -4,6 +4,7 @@
 #include "hemlockchute/fleet/CopyShelf.h"
 #include "hemlockchute/fleet/FleetPlatform.h"
 #include "hemlockchute/http/HttpClient.h"
+#include "hemlockchute/report/Metrics.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -47,7 +48,7 @@
     /** Gives the fencing number while this host may give orders. */
     using Authority = std::function<std::optional<FencingNumber>()>;
 
-    PlacementDirector(boost::asio::io_context&, const FleetPlatform&, HttpClient&, Options, Authority);
+    PlacementDirector(boost::asio::io_context&, const FleetPlatform&, HttpClient&, Metrics&, Options, Authority);
 
     void takeConfiguration(RouteConfigurationPointer);
     void takeListing(const std::vector<ListedServer>&, Instant asked);
@@ -99,9 +100,9 @@
     boost::asio::awaitable<std::optional<OrderOutcome>> give(const BackendServerName&, const PlacementStep&);
     boost::asio::awaitable<void> pause(Duration) const;
     PlacementOrder orderFor(const Server&, const PlacementStep&, FencingNumber) const;
-    static void noteOrder(const PlacementOrder&, const PlacementStep&, std::optional<OrderOutcome>, Duration took);
-    static void noteTaken(const BackendServerName&, const PlacementStep&, Duration took);
-    static void noteUnreported(const BackendServerName&, std::string_view reason);
+    void noteOrder(const PlacementOrder&, const PlacementStep&, std::optional<OrderOutcome>, Duration took) const;
+    void noteTaken(const BackendServerName&, const PlacementStep&, Duration took) const;
+    void noteUnreported(const BackendServerName&, std::string_view reason) const;
     Server* find(const BackendServerName&, std::int64_t life);
     void noteChanged(Server&);
     void noteUnknown(Server&);
@@ -115,6 +116,7 @@
     boost::asio::io_context& m_context;
     const FleetPlatform& m_platform;
     HttpClient& m_client;
+    Metrics& m_metrics;
     Options m_options;
     Authority m_authority;
     RouteConfigurationPointer m_configuration;
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -172,7 +172,7 @@
     struct Leader {
         Leader(World& world, unsigned number)
             : client(HttpClient::Options())
-            , director(world.m_context, platform, client, options(number), [&world, number] { return world.m_leading == number ? std::optional(FencingNumber(world.m_fence)) : std::nullopt; })
+            , director(world.m_context, platform, client, metrics, options(number), [&world, number] { return world.m_leading == number ? std::optional(FencingNumber(world.m_fence)) : std::nullopt; })
         {
             platform.onOrder = [&world, number](const PlacementOrder& order) { world.noteOrder(number, order); };
             director.takeConfiguration(configuration(world.m_loadTime));
@@ -196,6 +196,7 @@
 
         PlainPlatform platform;
         HttpClient client;
+        Metrics metrics;
         PlacementDirector director;
     };
 
--- a/modules/hc_core/core/EventLog.cpp
+++ b/modules/hc_core/core/EventLog.cpp
@@ -13,12 +13,14 @@
 #include <boost/log/utility/manipulators/add_value.hpp>
 #include <boost/smart_ptr/make_shared_object.hpp>
 #include <cstdio>
+#include <cstdlib>
 #include <ctime>
 #include <mutex>
 
 namespace hemlockchute {
 namespace {
 
+constexpr int exitFailed = 1;
 /** The attribute of a record that holds its event. */
 constexpr const char* eventAttribute = "Event";
 
@@ -146,6 +148,9 @@
     if (state.sink)
         boost::log::core::get()->remove_sink(state.sink);
     state.sink.reset();
+    // Another thread may still hold it for a line of its own.
+    if (state.writer)
+        state.writer->finish();
     state.writer.reset();
 }
 
@@ -207,6 +212,13 @@
     removeSink(state);
 }
 
+void endProcess(EventId id, const std::string& reason)
+{
+    logEvent(id, { { "reason", reason } });
+    closeLog();
+    std::_Exit(exitFailed);
+}
+
 std::string formatEvent(EventId id, std::initializer_list<LogField> fields, LogOptions::Format format)
 {
     return formatFields(id, fields, format, false);
--- a/modules/hc_core/core/LogWriter.cpp
+++ b/modules/hc_core/core/LogWriter.cpp
@@ -8,6 +8,7 @@
 #include <poll.h>
 #include <system_error>
 #include <unistd.h>
+#include <utility>
 
 namespace hemlockchute {
 namespace {
@@ -86,10 +87,16 @@
 }
 
 LogWriter::~LogWriter()
+{
+    finish();
+}
+
+void LogWriter::finish()
 {
     {
         std::lock_guard guard(m_lock);
-        m_isEnding = true;
+        if (std::exchange(m_isEnding, true))
+            return;
         m_end = currentTime() + endPatience;
     }
     m_changed.notify_all();
--- a/modules/hc_core/core/LogWriter.h
+++ b/modules/hc_core/core/LogWriter.h
@@ -24,7 +24,6 @@
 
     /** Opens the target of the options; standard error, with a line that says so, when it cannot be opened. */
     LogWriter(const LogOptions&, Summary);
-    /** Writes what waits, but gives up soon when the target takes nothing. */
     ~LogWriter();
     LogWriter(const LogWriter&) = delete;
     LogWriter& operator=(const LogWriter&) = delete;
@@ -33,6 +32,8 @@
     bool admit(EventId);
     /** Adds a line that was admitted, without its line end. */
     void write(EventId, std::string line);
+    /** Writes what waits, but gives up soon when the target takes nothing; lines that come later are not written. Once only. */
+    void finish();
 
 private:
     /** The descriptor that lines go to; closed at the end if it was opened here. */
--- a/modules/hc_core/include/hemlockchute/core/EventLog.h
+++ b/modules/hc_core/include/hemlockchute/core/EventLog.h
@@ -83,6 +83,9 @@
 /** Writes what waits, as far as the target takes it soon; the next record opens the log anew. Thread safety: any thread. */
 void closeLog();
 
+/** Writes one last record and ends the process at once, without destructors: for a state that must not be written on. Thread safety: any thread. */
+[[noreturn]] void endProcess(EventId, const std::string& reason);
+
 /** Renders a record as logEvent() would, without the time. Thread safety: any thread. */
 std::string formatEvent(EventId, std::initializer_list<LogField>, LogOptions::Format);
 
--- a/modules/hc_core/tests/EventLogTests.cpp
+++ b/modules/hc_core/tests/EventLogTests.cpp
@@ -4,6 +4,8 @@
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <set>
+#include <sys/wait.h>
+#include <unistd.h>
 
 using namespace hemlockchute;
 
@@ -128,4 +130,23 @@
     BOOST_TEST(last.ends_with("request=199"));
 }
 
+BOOST_AUTO_TEST_CASE(theLastRecordOfAProcessThatEndsAtOnceIsWritten)
+{
+    TemporaryFolder folder;
+    std::filesystem::path log = folder.path / "log";
+    pid_t child = fork();
+    BOOST_REQUIRE(child >= 0);
+    if (child == 0) {
+        configureLog(LogOptions().withFile(log));
+        endProcess(EventId::KeeperStorageFailed, "the disk is full");
+    }
+    int status = 0;
+    BOOST_REQUIRE(waitpid(child, &status, 0) == child);
+    BOOST_TEST((WIFEXITED(status) && WEXITSTATUS(status) == 1));
+    std::ifstream file(log);
+    std::string line;
+    std::getline(file, line);
+    BOOST_TEST(line.ends_with("reason=\"the disk is full\""));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -30,6 +30,10 @@
 /** A read timeout above the header's leaves time for the body. */
 constexpr unsigned bodyTimeoutFactor = 4;
 
+constexpr MetricDefinition versionMetric { "hemlock_gateway_configuration_version", "The configuration in force here; 0 before the first." };
+constexpr MetricDefinition placementAgeMetric { "hemlock_gateway_placement_age_seconds", "Time since a coordinator that leads was heard." };
+constexpr MetricDefinition requestsHereMetric { "hemlock_gateway_requests_in_progress", "Requests that wait or run." };
+
 HttpClient::Options clientOptions()
 {
     return HttpClient::Options().withConnectTimeout(connectTimeout).withMaximumIdle(idleConnections).withAcknowledgeTimeout(acknowledgeTimeout);
@@ -164,7 +168,12 @@
 
 asio::awaitable<void> Gateway::answerMetrics(HttpExchange& exchange)
 {
-    co_await exchange.respond(HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText()));
+    Instant now = std::chrono::steady_clock::now();
+    m_core.metrics.set(versionMetric, m_core.configuration ? static_cast<double>(m_core.configuration->version().value()) : 0);
+    m_core.metrics.set(placementAgeMetric, std::chrono::duration<double>(m_link.silence(now)).count());
+    m_core.metrics.set(requestsHereMetric, static_cast<double>(m_core.requests.size()));
+    HttpResponse response = HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText());
+    co_await exchange.respond(std::move(response));
 }
 
 //==============================================================================
--- a/modules/hc_gateway/gateway/GatewaySettings.cpp
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -19,13 +19,14 @@
     settings.clusterName = cluster.text("name");
     settings.clusterKey = cluster.text("key");
     auto port = static_cast<unsigned short>(cluster.integer("port", 0, 1, largestPort));
-    for (const std::string& seed : cluster.texts("seeds")) {
+    std::vector<std::string> seeds = cluster.texts("seeds");
+    for (const std::string& seed : seeds) {
         if (auto endpoint = parseEndpoint(seed))
             settings.seeds.emplace_back(endpoint->address(), port);
         else
             cluster.addFault("seeds", "holds " + seed + ", which is not an address and port");
     }
-    if (settings.seeds.empty())
+    if (seeds.empty())
         cluster.addFault("seeds", "must name a coordinator");
     SettingsTable listen = file.root().table("listen");
     settings.callers = listen.endpoint("callers");
--- /dev/null
+++ b/modules/hc_gateway/tests/GatewaySettingsTests.cpp
@@ -0,0 +1,86 @@
+#include "TemporaryFolder.h"
+#include "gateway/GatewaySettings.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+
+using namespace hemlockchute;
+
+namespace {
+
+const std::string sound = R"([host]
+name = "edge-1"
+data_centre = "z1"
+[cluster]
+name = "c"
+key = "a key of sixteen or more characters"
+port = 9001
+seeds = ["127.0.0.1:9000"]
+[listen]
+callers = "127.0.0.1:8080"
+readiness = "127.0.0.1:8081"
+[platform]
+plugin = "users"
+list = "127.0.0.1:9100"
+)";
+
+std::vector<std::string> faultsOf(const std::string& text)
+{
+    TemporaryFolder folder;
+    std::filesystem::path path = folder.path / "settings.toml";
+    std::ofstream(path) << text;
+    std::vector<std::string> faults;
+    GatewaySettings::read(path, faults);
+    return faults;
+}
+
+std::string with(std::string text, const std::string& from, const std::string& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+/** The one fault of a text; it names the key. */
+void checkFault(const std::string& text, const std::string& key)
+{
+    std::vector<std::string> faults = faultsOf(text);
+    std::string all;
+    for (const std::string& fault : faults)
+        all += fault + "; ";
+    BOOST_REQUIRE_MESSAGE(faults.size() == 1U, key << ": " << all);
+    BOOST_TEST(faults.front().find(key) != std::string::npos, faults.front());
+    BOOST_TEST(faults.front().find("settings.toml:") != std::string::npos, faults.front());
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(GatewaySettingsTests)
+
+BOOST_AUTO_TEST_CASE(soundSettingsHaveNoFault)
+{
+    BOOST_TEST(faultsOf(sound).empty());
+    BOOST_TEST(faultsOf(sound + "[stop]\ngrace = \"3s\"\n[log]\nlines_per_second = 50\nmost_waiting = \"64KiB\"\n").empty());
+}
+
+BOOST_AUTO_TEST_CASE(eachMissingMistypedOrUnknownKeyIsNamed)
+{
+    checkFault(with(sound, "callers = \"127.0.0.1:8080\"\n", ""), "callers");
+    checkFault(with(sound, "callers = \"127.0.0.1:8080\"", "callers = 8080"), "callers");
+    checkFault(with(sound, "port = 9001\n", ""), "port: is missing");
+    checkFault(with(sound, "port = 9001", "port = 70000"), "port: is 70000");
+    checkFault(with(sound, "port = 9001", "port = \"9001\""), "port: must be a whole number");
+    checkFault(with(sound, "127.0.0.1:9000", "core-1"), "seeds");
+    checkFault(with(sound, "readiness", "readyness = \"127.0.0.1:1\"\nreadiness"), "readyness");
+    checkFault(sound + "[stop]\ngrace = 8\n", "grace");
+    checkFault(sound + "[retries]\nratio = 1.5\n", "ratio");
+    checkFault(sound + "[log]\nlines_per_second = 0\n", "lines_per_second");
+}
+
+BOOST_AUTO_TEST_CASE(aFileThatCannotBeReadOrParsedIsAFault)
+{
+    std::vector<std::string> faults;
+    GatewaySettings::read("/nowhere/settings.toml", faults);
+    BOOST_TEST(!faults.empty());
+    BOOST_TEST(!faultsOf("[host\nname = ").empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_keeper/keeper/Keeper.cpp
+++ b/modules/hc_keeper/keeper/Keeper.cpp
@@ -17,7 +17,6 @@
 constexpr Duration pollInterval = 1s;
 constexpr Duration pollIntervalWithoutLeader = 200ms;
 constexpr Duration pauseWithoutLeader = 100ms;
-constexpr int exitStorageFailed = 1;
 
 std::uint64_t randomSeed()
 {
@@ -26,13 +25,6 @@
     return (std::uint64_t(device()) << halfBits) | device();
 }
 
-/** Ends the process at once: after a failed sync nothing that was written since can be trusted. */
-[[noreturn]] void endProcess(EventId event, const std::string& reason)
-{
-    logEvent(event, { { "reason", reason } });
-    std::_Exit(exitStorageFailed);
-}
-
 AgreementGroup::Options groupOptions(const KeeperSettings& settings, IncarnationId next)
 {
     auto replica = Replica::Options().withHeartbeatInterval(settings.heartbeatInterval).withElectionTimeout(settings.electionTimeout).withSeed(randomSeed());
--- a/modules/hc_settings/settings/SettingsFile.cpp
+++ b/modules/hc_settings/settings/SettingsFile.cpp
@@ -183,19 +183,25 @@
 
 std::int64_t SettingsTable::integer(std::string_view key, std::int64_t fallback, std::int64_t least, std::int64_t most) const
 {
-    std::int64_t number = m_impl->value<std::int64_t>(key, "a whole number").value_or(fallback);
+    auto given = m_impl->value<std::int64_t>(key, "a whole number");
+    if (!given && has(key))
+        return fallback;
+    std::int64_t number = given.value_or(fallback);
     if (number >= least && number <= most)
         return number;
-    addFault(key, "is " + std::to_string(number) + ", but must lie from " + std::to_string(least) + " to " + std::to_string(most));
+    addFault(key, given ? "is " + std::to_string(number) + ", but must lie from " + std::to_string(least) + " to " + std::to_string(most) : "is missing");
     return fallback;
 }
 
 double SettingsTable::number(std::string_view key, double fallback, double least, double most) const
 {
-    double number = m_impl->value<double>(key, "a number").value_or(fallback);
+    auto given = m_impl->value<double>(key, "a number");
+    if (!given && has(key))
+        return fallback;
+    double number = given.value_or(fallback);
     if (number >= least && number <= most)
         return number;
-    addFault(key, "is " + std::to_string(number) + ", but must lie from " + std::to_string(least) + " to " + std::to_string(most));
+    addFault(key, given ? "is " + std::to_string(number) + ", but must lie from " + std::to_string(least) + " to " + std::to_string(most) : "is missing");
     return fallback;
 }
 
