Leave half of the store to requests, and learn its limit sooner

A load cannot be called back.

Change: loads that nobody waits for take at most half of what the store does at once; the limit begins at two and is lowered once a load is overdue by a quarter; the time of a crowded load follows the learnt limit, not the setting.

--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.h
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -39,7 +39,8 @@
     Endpoint listing;
     /** Orders of two hosts to one server are at least so far apart. */
     Duration orderLease = 3s;
-    unsigned storeLoadsAtOnce = 4;
+    /** To begin with; more and fewer are learnt from the loads. */
+    unsigned storeLoadsAtOnce = 2;
     LogOptions log;
 
     /** Reads the file; every fault is added. Thread safety: any thread. */
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -18,6 +18,8 @@
 constexpr unsigned statusOk = 200;
 /** A load that was to come from memory or disk and takes so many times as long comes from the store. */
 constexpr int latePart = 2;
+/** A load from the store that takes longer than declared by this part shares the store with too many. */
+constexpr int overduePart = 4;
 /** The longer an order takes, the less often is asked: each time this part of its time so far. */
 constexpr int lateAskPart = 16;
 /** A load is asked after so long after its declared time, when its end has reached the server's own books. */
@@ -419,7 +421,7 @@
         if (isLate && server && currentTime() - begun > latePart * time)
             isLate = noteFromStore(*server, step.model, begun);
         // A load that is overdue shows a crowded store long before it ends.
-        if (isFromStore && server && isInProgress(outcome) && currentTime() - begun > latePart * time)
+        if (isFromStore && server && isInProgress(outcome) && currentTime() - begun > time + time / overduePart)
             noteStoreLoad(*server, step.model, currentTime() - begun);
     }
     server = find(id, life);
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -18,6 +18,8 @@
 constexpr double quietStore = 1.1;
 /** Beyond this the store's limit is not tried out; letter 1's fleet has 930 servers. */
 constexpr unsigned mostStoreLoads = 64;
+/** Loads that nobody waits for may take this part of what the store does at once. */
+constexpr unsigned idleFillPart = 2;
 /** An unload and the order after it, when the unloaded model is idle. */
 constexpr Duration unloadTime = 150ms;
 /** A model that is planned for and has no server yet; one more round of unload and load. */
@@ -213,12 +215,13 @@
     }
 }
 
-/** A model of which no server has a copy is loaded where nothing that is wanted makes way for it, but not on servers that models out of reach may need. */
+/** A model of which no server has a copy is loaded where nothing that is wanted makes way for it, but not on servers that models out of reach may need. Part of the store is left to requests, since a load cannot be called back. */
 void ModelPlacer::fillStore(Round& round)
 {
     if (!m_waitingSince.empty())
         return;
-    if (round.storeLoads >= m_storeLimit)
+    unsigned most = std::max(1U, m_storeLimit / idleFillPart);
+    if (round.storeLoads >= most)
         return;
     std::set<ModelName> known;
     for (const PlacedServer& server : round.servers) {
@@ -228,7 +231,7 @@
             known.insert(model);
     }
     for (const auto& [model, spec] : round.engine.models) {
-        if (round.storeLoads >= m_storeLimit)
+        if (round.storeLoads >= most)
             return;
         if (!known.contains(model) && round.coming[model] == 0)
             place(round, model, m_options.idleFill, true);
@@ -356,7 +359,7 @@
         step.source = intent.source;
         static constexpr Duration EngineModel::*times[] = { &EngineModel::loadFromMemory, &EngineModel::loadFromDisk, &EngineModel::loadFromStore };
         step.time = spec.*times[static_cast<std::size_t>(intent.source)];
-        if (intent.source == PlacementStep::Source::Store && round.storeLoads > m_options.storeLoadsAtOnce)
+        if (intent.source == PlacementStep::Source::Store && round.storeLoads > m_storeLimit)
             step.time = step.time * round.storeLoads / m_storeLimit;
     }
     round.steps.push_back(std::move(step));
