Give each soak a loopback network of its own

Change: the scenarios' lock is a class of its own, LoopbackNetwork, and the soak takes its network there.

--- a/tests/harness/Deployment.cpp
+++ b/tests/harness/Deployment.cpp
@@ -4,7 +4,6 @@
 #include <csignal>
 #include <fstream>
 #include <stdexcept>
-#include <unistd.h>
 
 namespace hemlockchute::harness {
 namespace {
@@ -19,10 +18,7 @@
 constexpr int backendPort = 9001;
 constexpr int platformPort = 9000;
 constexpr int storePort = 9002;
-constexpr int lockPort = 9999;
 constexpr int firstRelayPort = 10000;
-constexpr int firstNetwork = 20;
-constexpr int networkCount = 200;
 /** The administrator's token, and its salt and hash as "hemlockctl token hash" makes them. */
 constexpr const char* adminToken = "demo-admin-token";
 constexpr const char* adminSalt = "00112233445566778899aabbccddeeff";
@@ -39,29 +35,11 @@
     return parseEndpoint(text).value();
 }
 
-/** The first part of addresses that no other deployment on this machine uses; held as long as the acceptor is open. */
-std::string takeNetwork(boost::asio::ip::tcp::acceptor& lock)
-{
-    for (int i = 0; i < networkCount; ++i) {
-        std::string network = "127." + std::to_string(firstNetwork + (::getpid() + i) % networkCount);
-        Endpoint endpoint = endpointOf(joined(network + ".254.1", lockPort));
-        boost::system::error_code error;
-        lock.open(endpoint.protocol());
-        lock.bind(endpoint, error);
-        if (!error)
-            return network;
-        lock.close();
-    }
-    throw std::runtime_error("every network is taken");
-}
-
 } // namespace
 
 Deployment::Deployment(std::filesystem::path programs, std::filesystem::path folder)
     : m_programs(std::move(programs))
     , m_folder(std::move(folder))
-    , m_networkLock(m_context)
-    , m_network(takeNetwork(m_networkLock))
     , m_work(boost::asio::make_work_guard(m_context))
     , m_thread([this] { m_context.run(); })
 {
@@ -82,7 +60,7 @@
     int number = static_cast<int>(m_dataCentres.size()) + 1;
     int keepers = static_cast<int>(std::count_if(m_hosts.begin(), m_hosts.end(), [](const Host& host) { return host.keeperId != 0; }));
     for (int i = 1; i <= shape.hosts; ++i) {
-        std::string address = m_network + "." + std::to_string(number) + "." + std::to_string(i);
+        std::string address = m_network.prefix() + "." + std::to_string(number) + "." + std::to_string(i);
         m_hosts.push_back({ shape.name + "-" + std::to_string(i), shape.name, address, i <= shape.keepers ? ++keepers : 0 });
     }
     m_dataCentres.push_back(std::move(shape));
@@ -97,7 +75,7 @@
 {
     auto found = std::find_if(m_backends.begin(), m_backends.end(), [&](const BackendShape& shape) { return shape.name == name; });
     auto index = found - m_backends.begin() + 1;
-    return joined(m_network + ".100." + std::to_string(index), backendPort);
+    return joined(m_network.prefix() + ".100." + std::to_string(index), backendPort);
 }
 
 std::string Deployment::addressSeenFrom(const std::string& dataCentre, const std::string& targetDataCentre, const std::string& address)
@@ -106,7 +84,7 @@
         return address;
     auto [entry, isNew] = m_relays.try_emplace({ dataCentre, address });
     if (isNew) {
-        std::string relayAddress = joined(m_network + ".200.1", firstRelayPort + static_cast<int>(m_relays.size()));
+        std::string relayAddress = joined(m_network.prefix() + ".200.1", firstRelayPort + static_cast<int>(m_relays.size()));
         entry->second = { dataCentre, targetDataCentre, relayAddress, std::make_unique<Relay>(m_context, endpointOf(relayAddress), endpointOf(address), m_delay) };
     }
     return entry->second.address;
@@ -154,7 +132,7 @@
     for (const Host& host : m_hosts) {
         routers += (routers.empty() ? "\"" : ", \"") + joined(host.address, routerOperatorPort) + "\"";
         std::string common = commonSettings(host);
-        std::string platform = "[platform]\naddress = \"" + m_network + ".101." + std::to_string(1 + static_cast<int>(std::find_if(m_dataCentres.begin(), m_dataCentres.end(), [&](const DataCentreShape& shape) { return shape.name == host.dataCentre; }) - m_dataCentres.begin())) + ":" + std::to_string(platformPort) + "\"\n\n";
+        std::string platform = "[platform]\naddress = \"" + m_network.prefix() + ".101." + std::to_string(1 + static_cast<int>(std::find_if(m_dataCentres.begin(), m_dataCentres.end(), [&](const DataCentreShape& shape) { return shape.name == host.dataCentre; }) - m_dataCentres.begin())) + ":" + std::to_string(platformPort) + "\"\n\n";
         auto listen = [&](int peers, int operators) {
             return "[listen]\npeers = \"" + joined(host.address, peers) + "\"\noperators = \"" + joined(host.address, operators) + "\"\n";
         };
@@ -196,11 +174,11 @@
 
 void Deployment::addStandIns()
 {
-    std::string store = joined(m_network + ".102.1", storePort);
+    std::string store = joined(m_network.prefix() + ".102.1", storePort);
     addCommand("weight-store", "hemlock-stand-in", { "weight-store", "--listen=" + store });
     int number = 0;
     for (const DataCentreShape& shape : m_dataCentres) {
-        std::string address = joined(m_network + ".101." + std::to_string(++number), platformPort);
+        std::string address = joined(m_network.prefix() + ".101." + std::to_string(++number), platformPort);
         addCommand("platform@" + shape.name, "hemlock-stand-in", { "platform", "--listen=" + address, "--hosts=" + (m_folder / (shape.name + ".hosts.json")).string() });
     }
     for (const BackendShape& shape : m_backends) {
@@ -326,7 +304,7 @@
 Endpoint Deployment::backendEndpoint(const std::string& name) const
 {
     if (name == "weight-store")
-        return endpointOf(joined(m_network + ".102.1", storePort));
+        return endpointOf(joined(m_network.prefix() + ".102.1", storePort));
     return endpointOf(backendAddress(backend(name).name));
 }
 
--- a/tests/harness/Deployment.h
+++ b/tests/harness/Deployment.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LoopbackNetwork.h"
 #include "Process.h"
 #include "Relay.h"
 
@@ -110,8 +111,7 @@
     std::filesystem::path m_programs;
     std::filesystem::path m_folder;
     boost::asio::io_context m_context;
-    boost::asio::ip::tcp::acceptor m_networkLock;
-    std::string m_network;
+    LoopbackNetwork m_network;
     Duration m_delay {};
     int m_maximumWaiting = 4096;
     std::vector<DataCentreShape> m_dataCentres;
