Do not serve a request that crosses the close of its connection

Change: what was read before the connection was closed here is not handled.

The log: lines that explain failures are not gathered for 20 ms any more.

--- a/modules/hc_core/core/LogQueue.cpp
+++ b/modules/hc_core/core/LogQueue.cpp
@@ -44,17 +44,20 @@
 void LogQueue::push(EventId id, const std::string& line)
 {
     auto most = static_cast<double>(m_options.mostWaiting);
-    if (eventDefinition(id).tells != EventTells::Failure)
+    bool isFailure = eventDefinition(id).tells == EventTells::Failure;
+    if (!isFailure)
         most *= 1 - failureShare;
     if (static_cast<double>(m_waiting.size() + m_unwritten + line.size()) > most) {
         ++m_leftOut[id];
         return;
     }
     m_waiting += line;
+    m_holdsFailure = m_holdsFailure || isFailure;
 }
 
 std::string LogQueue::take()
 {
+    m_holdsFailure = false;
     return std::exchange(m_waiting, {});
 }
 
--- a/modules/hc_core/core/LogWriter.cpp
+++ b/modules/hc_core/core/LogWriter.cpp
@@ -13,7 +13,7 @@
 namespace hemlockchute {
 namespace {
 
-/** Lines are gathered for so long and written together, so that a host under load is not woken for each. */
+/** Lines are gathered for so long and written together, so that a host under load is not woken for each; those that explain failures are not gathered, so that a process that is killed has written them. */
 constexpr Duration gathering = 20ms;
 /** A target that takes nothing is tried again after this, to see whether the process ends. */
 constexpr Duration targetPatience = 100ms;
@@ -114,8 +114,9 @@
     line += '\n';
     std::lock_guard guard(m_lock);
     bool wasEmpty = m_queue.isEmpty();
+    bool heldFailure = m_queue.holdsFailure();
     m_queue.push(id, line);
-    if (wasEmpty)
+    if (wasEmpty || heldFailure != m_queue.holdsFailure())
         m_changed.notify_one();
 }
 
@@ -136,7 +137,7 @@
     std::unique_lock guard(m_lock);
     m_changed.wait(guard, [this] { return m_isEnding || !m_queue.isEmpty(); });
     if (!m_isEnding)
-        m_changed.wait_for(guard, gathering, [this] { return m_isEnding; });
+        m_changed.wait_for(guard, gathering, [this] { return m_isEnding || m_queue.holdsFailure(); });
     if (m_isEnding && m_queue.isEmpty())
         return std::nullopt;
     std::string lines = m_queue.take();
--- a/modules/hc_core/include/hemlockchute/core/LogQueue.h
+++ b/modules/hc_core/include/hemlockchute/core/LogQueue.h
@@ -40,6 +40,8 @@
     std::string take();
     /** Counts bytes that were taken and not written yet, so that they go on filling the queue. */
     void setUnwritten(std::size_t bytes) { m_unwritten = bytes; }
+    /** True when a line that explains a failure waits. */
+    bool holdsFailure() const { return m_holdsFailure; }
     /** True when there is nothing to write, and nothing to say of lines left out. */
     bool isEmpty() const { return m_waiting.empty() && m_leftOut.empty(); }
 
@@ -53,6 +55,7 @@
     double m_lines;
     std::optional<Instant> m_refilled;
     std::string m_waiting;
+    bool m_holdsFailure = false;
     std::size_t m_unwritten = 0;
     std::map<EventId, std::uint64_t> m_leftOut;
     std::optional<Instant> m_summed;
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -168,8 +168,10 @@
     void closeIfIdle()
     {
         asio::post(m_stream.get_executor(), [self = shared_from_this()] {
-            if (!self->m_inRequest)
-                self->close();
+            if (self->m_inRequest)
+                return;
+            self->m_isClosed = true;
+            self->close();
         });
     }
 
@@ -295,6 +297,9 @@
         m_stream.expires_after(m_options.readTimeout);
         co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         m_stream.expires_never();
+        // What had arrived before the connection was closed here is not served: nobody could be told.
+        if (m_isClosed)
+            co_return false;
         if (error) {
             co_await refuse(error);
             co_return false;
@@ -373,6 +378,8 @@
     std::function<void()> m_callerGone;
     std::atomic<bool> m_gone { false };
     bool m_inRequest = false;
+    /** True once this side closed the connection between two requests. */
+    bool m_isClosed = false;
     bool m_keepAlive = true;
     bool m_answered = false;
     bool m_finished = false;
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -334,6 +334,44 @@
     BOOST_TEST(answer.find("Connection: close") != std::string::npos);
 }
 
+/** A request and the close of its connection that cross, at many moments: it is answered, or was not handled. */
+BOOST_AUTO_TEST_CASE(aRequestThatCrossesTheCloseIsAnsweredOrNotHandled)
+{
+    constexpr int trials = 600;
+    constexpr int longestSpin = 300;
+    int handled = 0;
+    int lost = 0;
+    for (int trial = 0; trial < trials; ++trial) {
+        asio::io_context world;
+        std::atomic<bool> isHandled { false };
+        HttpServer own(world, HttpServer::Options().withSingleThread(), [&](HttpExchange& exchange) -> asio::awaitable<void> {
+            isHandled = true;
+            HttpResponse response = HttpResponse::text(200, "ok");
+            co_await exchange.respond(std::move(response));
+        });
+        tcp::endpoint address = own.listen(anyPort).value();
+        auto work = asio::make_work_guard(world);
+        std::thread thread([&] { world.run(); });
+        asio::io_context here;
+        tcp::socket socket(here);
+        socket.connect(address);
+        eventually([&] { return own.connectionCount() == 1; });
+        socket.send(asio::buffer(std::string("GET /x HTTP/1.1\r\n\r\n")));
+        Instant closing = std::chrono::steady_clock::now() + std::chrono::microseconds(trial % longestSpin);
+        while (std::chrono::steady_clock::now() < closing) { }
+        own.announceClose();
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        handled += isHandled ? 1 : 0;
+        lost += isHandled && !answer.ends_with("ok") ? 1 : 0;
+        world.stop();
+        thread.join();
+    }
+    BOOST_TEST(lost == 0);
+    BOOST_TEST((handled > 0 && handled < trials));
+}
+
 BOOST_AUTO_TEST_CASE(drainWaitsForTheRequestInProgress)
 {
     asio::io_context own;
