--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -468,8 +468,7 @@
     else if (report->isBusy) {
         server->mayBeLoading = true;
         reason = "an order is in progress";
-    }
-    else {
+    } else {
         server->inMemory.reset(report->inMemory);
         server->onDisk.reset(report->onDisk);
         server->state = std::move(*report);
