--- a/tools/hemlockctl/RequestStory.cpp
+++ b/tools/hemlockctl/RequestStory.cpp
@@ -6,6 +6,7 @@
 #include <ctime>
 #include <istream>
 #include <optional>
+#include <set>
 
 namespace hemlockchute {
 namespace {
--- a/tools/hemlockctl/RequestStory.h
+++ b/tools/hemlockctl/RequestStory.h
@@ -2,7 +2,6 @@
 
 #include <boost/json/object.hpp>
 #include <iosfwd>
-#include <set>
 #include <string>
 #include <vector>
 
