Let requests outlive their gateway at the end of a process

A request's coroutine is destroyed with the io_context, after the gateway; since its destructor takes it off a list that was the gateway's. A daemon that ends at its grace with requests in progress can crash the same way.

Change: the list is shared by gateway and requests.

--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -121,9 +121,9 @@
 /** Ends what still runs, and then the process, whether or not every caller took its answer. */
 void Gateway::endRequests()
 {
-    std::set<RequestForwarder*> requests = m_core.requests;
+    std::set<RequestForwarder*> requests = *m_core.requests;
     for (RequestForwarder* request : requests) {
-        if (m_core.requests.contains(request))
+        if (m_core.requests->contains(request))
             request->end();
     }
     m_endTimer.expires_at(*m_core.stopsAt);
@@ -171,7 +171,7 @@
     Instant now = std::chrono::steady_clock::now();
     m_core.metrics.set(versionMetric, m_core.configuration ? static_cast<double>(m_core.configuration->version().value()) : 0);
     m_core.metrics.set(placementAgeMetric, std::chrono::duration<double>(m_link.silence(now)).count());
-    m_core.metrics.set(requestsHereMetric, static_cast<double>(m_core.requests.size()));
+    m_core.metrics.set(requestsHereMetric, static_cast<double>(m_core.requests->size()));
     HttpResponse response = HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText());
     co_await exchange.respond(std::move(response));
 }
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -8,6 +8,7 @@
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/report/Metrics.h"
 
+#include <memory>
 #include <random>
 #include <set>
 
@@ -47,8 +48,8 @@
     RouteConfigurationPointer configuration;
     /** Set when the process stops: it ends then, and what goes on is ended just before. */
     std::optional<Instant> stopsAt;
-    /** The requests that are here. */
-    std::set<RequestForwarder*> requests;
+    /** The requests that are here; shared, since a request may end after the gateway, with the io_context. */
+    std::shared_ptr<std::set<RequestForwarder*>> requests = std::make_shared<std::set<RequestForwarder*>>();
     std::minstd_rand random { std::random_device {}() };
 };
 
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -55,14 +55,15 @@
     , m_received(currentTime())
     , m_configuration(core.configuration)
     , m_call(std::make_shared<CallState>())
+    , m_requests(core.requests)
 {
-    m_core.requests.insert(this);
+    m_requests->insert(this);
 }
 
 RequestForwarder::~RequestForwarder()
 {
     m_call->answer = nullptr;
-    m_core.requests.erase(this);
+    m_requests->erase(this);
 }
 
 void RequestForwarder::end()
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -100,6 +100,8 @@
     ModelKey m_key;
     Instant m_deadline {};
     std::shared_ptr<CallState> m_call;
+    /** Outlives the core. */
+    std::shared_ptr<std::set<RequestForwarder*>> m_requests;
     std::set<BackendServerName> m_tried;
     unsigned m_sends = 0;
     unsigned m_tries = 0;
