Answer requests that are on their way when a server stops

Cause: looked for on the users' word that a planned stop cuts requests that had just been accepted. A stop closed the listening socket while connections waited in it, which resets them; it closed connections that had begun to receive a request, and new connections whose first request was on its way.

Change: a drain first takes what the system has accepted; a connection is idle only when no byte of a request has come; a connection without a request so far keeps its place until the drain, and then has 500 ms. The table of connections moves to a file of its own.

Ruled out: a bound of its own for slow requests at a stop; the process ends at its grace in any case.

Tests, each seen failing before: connectionsThatWaitToBeTakenAtAStopAreAnswered (0 of 40 answered), requestsOnTheirWayAtAStopAreAnswered (all six cases). idleConnectionsDoNotHoldAStopUp is new and passed before too. aRequestThatCrossesTheCloseIsAnsweredOrNotHandled now lets a first request pass on each connection: an unused connection is not closed any more, so that its close could not be crossed, and its check that both sides of the race were met could not hold. Its checks and numbers are the same.

Conclusion: it could happen here, and does not any more.

--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "hemlockchute/http/HttpServer.h"
 
 #include "http/BeastMessages.h"
+#include "http/ConnectionTable.h"
 #include "http/LiveOptions.h"
 
 #include <atomic>
@@ -18,8 +19,6 @@
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
-#include <mutex>
-#include <set>
 #include <sstream>
 
 namespace hemlockchute {
@@ -32,10 +31,10 @@
 namespace {
 
 constexpr Duration acceptPause = 50ms;
+/** At a stop, the first request of a connection has so long to begin to arrive; more than a caller's way across regions. */
+constexpr Duration firstRequestTime = 500ms;
 constexpr unsigned httpVersion = 11;
 
-class Connection;
-
 unsigned statusForUnreadable(beast::error_code error)
 {
     static const std::pair<beast::error_code, unsigned> statuses[] = {
@@ -61,85 +60,13 @@
     return text.str();
 }
 
-/** The connections open now, which drain() waits for. */
-class ConnectionTable {
-public:
-    bool add(std::shared_ptr<Connection> connection, std::size_t limit)
-    {
-        std::lock_guard guard(m_lock);
-        if (m_draining || m_connections.size() >= limit)
-            return false;
-        m_connections.insert(std::move(connection));
-        return true;
-    }
-
-    void remove(const std::shared_ptr<Connection>& connection)
-    {
-        std::function<void()> done;
-        {
-            std::lock_guard guard(m_lock);
-            m_connections.erase(connection);
-            if (m_draining && m_connections.empty())
-                done = std::exchange(m_done, nullptr);
-        }
-        if (done)
-            done();
-    }
-
-    /** Returns the connections left to end; `done` is called when the last has ended. */
-    std::set<std::shared_ptr<Connection>> drain(std::function<void()> done)
-    {
-        std::unique_lock guard(m_lock);
-        m_draining = true;
-        if (!m_connections.empty()) {
-            m_done = std::move(done);
-            return m_connections;
-        }
-        guard.unlock();
-        done();
-        return {};
-    }
-
-    /** Returns the connections open now; from now on each closes after its answer. */
-    std::set<std::shared_ptr<Connection>> announceClose()
-    {
-        std::lock_guard guard(m_lock);
-        m_isClosing = true;
-        return m_connections;
-    }
-
-    /** True when connections close after their answers. */
-    bool isClosing() const
-    {
-        std::lock_guard guard(m_lock);
-        return m_isClosing || m_draining;
-    }
-
-    bool isDraining() const
-    {
-        std::lock_guard guard(m_lock);
-        return m_draining;
-    }
-
-    std::size_t size() const
-    {
-        std::lock_guard guard(m_lock);
-        return m_connections.size();
-    }
-
-private:
-    mutable std::mutex m_lock;
-    std::set<std::shared_ptr<Connection>> m_connections;
-    bool m_draining = false;
-    bool m_isClosing = false;
-    std::function<void()> m_done;
-};
-
 //==============================================================================
+using Connections = ConnectionTable<class Connection>;
+
 /** One accepted connection: reads requests one after the other and runs the handler for each. */
 class Connection : public HttpExchange, public std::enable_shared_from_this<Connection> {
 public:
-    Connection(tcp::socket socket, std::shared_ptr<const LiveOptions> options, HttpServer::Handler handler, std::shared_ptr<ConnectionTable> table)
+    Connection(tcp::socket socket, std::shared_ptr<const LiveOptions> options, HttpServer::Handler handler, std::shared_ptr<Connections> table)
         : m_stream(std::move(socket))
         , m_liveOptions(std::move(options))
         , m_handler(std::move(handler))
@@ -150,8 +77,9 @@
     asio::awaitable<void> run()
     {
         bool mayGoOn = true;
-        while (mayGoOn && !m_table->isDraining()) {
+        while (mayGoOn && (m_isUnused || !m_table->isDraining())) {
             mayGoOn = co_await readRequest();
+            m_isUnused = false;
             if (mayGoOn)
                 mayGoOn = co_await handleRequest();
         }
@@ -164,14 +92,14 @@
         m_table->remove(shared_from_this());
     }
 
-    /** Closes the connection unless a request is in progress. Thread safety: any thread. */
-    void closeIfIdle()
+    /** Closes the connection unless a request is in progress, or on its way. A connection without a request so far has some time for its first one at a stop. Thread safety: any thread. */
+    void closeIfIdle(bool isStop)
     {
-        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
-            if (self->m_inRequest)
-                return;
-            self->m_isClosed = true;
-            self->close();
+        asio::post(m_stream.get_executor(), [self = shared_from_this(), isStop] {
+            if (!self->m_isUnused)
+                self->closeUnlessBusy();
+            else if (isStop)
+                self->closeAfterFirstRequestTime();
         });
     }
 
@@ -243,6 +171,25 @@
 private:
     bool mayKeepAlive() const { return m_keepAlive && !m_table->isClosing(); }
 
+    void closeUnlessBusy()
+    {
+        beast::error_code error;
+        bool isOnItsWay = m_isReading || m_stream.socket().available(error) > 0;
+        if (m_inRequest || isOnItsWay)
+            return;
+        m_isClosed = true;
+        close();
+    }
+
+    void closeAfterFirstRequestTime()
+    {
+        auto timer = std::make_shared<asio::steady_timer>(m_stream.get_executor(), firstRequestTime);
+        timer->async_wait([self = shared_from_this(), timer](beast::error_code) {
+            if (self->m_isUnused)
+                self->closeUnlessBusy();
+        });
+    }
+
     template <typename Buffers>
     asio::awaitable<beast::error_code> send(Buffers buffers)
     {
@@ -290,6 +237,7 @@
             hasBytes = co_await waitForFirstByte();
         if (!hasBytes)
             co_return false;
+        m_isReading = true;
         http::request_parser<http::string_body> parser;
         parser.header_limit(static_cast<std::uint32_t>(m_options.maximumHeaderBytes));
         parser.body_limit(m_options.maximumBodyBytes);
@@ -297,6 +245,7 @@
         m_stream.expires_after(m_options.readTimeout);
         co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
         m_stream.expires_never();
+        m_isReading = false;
         // What had arrived before the connection was closed here is not served: nobody could be told.
         if (m_isClosed)
             co_return false;
@@ -372,12 +321,16 @@
     std::shared_ptr<const LiveOptions> m_liveOptions;
     HttpServer::Options m_options;
     HttpServer::Handler m_handler;
-    std::shared_ptr<ConnectionTable> m_table;
+    std::shared_ptr<Connections> m_table;
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     std::function<void()> m_callerGone;
     std::atomic<bool> m_gone { false };
     bool m_inRequest = false;
+    /** True from the first byte of a request to its last. */
+    bool m_isReading = false;
+    /** True until the first request was read. */
+    bool m_isUnused = true;
     /** True once this side closed the connection between two requests. */
     bool m_isClosed = false;
     bool m_keepAlive = true;
@@ -424,6 +377,22 @@
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
 
+    /** Takes the connections that the system has accepted already: closing the listening socket would reset them. */
+    void acceptPending()
+    {
+        beast::error_code error;
+        acceptor.non_blocking(true, error);
+        while (!error) {
+            asio::any_io_executor executor = context.get_executor();
+            if (!options->load().isSingleThreaded)
+                executor = asio::make_strand(context);
+            tcp::socket socket(executor);
+            acceptor.accept(socket, error);
+            if (!error)
+                startConnection(std::move(socket));
+        }
+    }
+
     void startConnection(tcp::socket socket)
     {
         beast::error_code ignored;
@@ -440,7 +409,7 @@
     std::shared_ptr<LiveOptions> options;
     Handler handler;
     tcp::acceptor acceptor;
-    std::shared_ptr<ConnectionTable> table = std::make_shared<ConnectionTable>();
+    std::shared_ptr<Connections> table = std::make_shared<Connections>();
 };
 
 HttpServer::HttpServer(asio::io_context& context, Options options, Handler handler)
@@ -481,16 +450,20 @@
 void HttpServer::announceClose()
 {
     for (const auto& connection : m_impl->table->announceClose())
-        connection->closeIfIdle();
+        connection->closeIfIdle(false);
 }
 
 void HttpServer::drain(std::function<void()> done)
 {
     asio::post(m_impl->acceptor.get_executor(), [impl = m_impl, done = std::move(done)]() mutable {
+        impl->acceptPending();
         beast::error_code ignored;
         impl->acceptor.close(ignored);
-        for (const auto& connection : impl->table->drain(std::move(done)))
-            connection->closeIfIdle();
+        // A connection that was accepted just before is entered in the table first.
+        asio::post(impl->acceptor.get_executor(), [impl, done = std::move(done)]() mutable {
+            for (const auto& connection : impl->table->drain(std::move(done)))
+                connection->closeIfIdle(true);
+        });
     });
 }
 
