Bound what a server in trouble can do to a gateway

Cause: looked for on the users' words, with a stand-in that answers with any bytes. Seen before the change: a failure without an id that came late on a used connection was passed on as the next caller's answer; 64 answers without end took 258 MB of a host of 160; an event without end was kept whole and searched anew with each piece (73 MB, and the answer came after its time); a stream that sent a byte or a comment now and then was never resumed elsewhere.

Change: an answer without an id counts only on a connection that carried nothing before. Only events with an id count as a stream's progress. A connection with bytes left on it is not kept. Streams have no bound on their whole length any more, only on one event.

Ruled out: a lower bound on a stream's speed (a slow one that goes on is sound).

Conclusion: two of the users' failures could happen here in part, and answers without end could; they are mended.

--- a/modules/hc_fleet/fleet/EventStreamSplitter.cpp
+++ b/modules/hc_fleet/fleet/EventStreamSplitter.cpp
@@ -1,11 +1,14 @@
 #include "hemlockchute/fleet/EventStreamSplitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace hemlockchute {
 namespace {
 
 constexpr std::string_view idField = "id:";
+/** Bytes of the longest end of an event. */
+constexpr std::size_t longestEnd = 3;
 
 /** The id of one whole event, when it has one that is a number. */
 std::optional<std::uint64_t> idOf(std::string_view event)
@@ -41,10 +44,12 @@
 
 WholeEvents EventStreamSplitter::take(std::string_view bytes)
 {
+    // The end of an event may have begun with the bytes before.
+    std::size_t from = m_partial.size() - std::min(m_partial.size(), longestEnd - 1);
     m_partial += bytes;
     WholeEvents events;
     std::size_t taken = 0;
-    for (std::size_t end = endOfEvent(m_partial, 0); end != std::string_view::npos; end = endOfEvent(m_partial, taken)) {
+    for (std::size_t end = endOfEvent(m_partial, from); end != std::string_view::npos; end = endOfEvent(m_partial, taken)) {
         if (auto id = idOf(std::string_view(m_partial).substr(taken, end - taken)))
             events.lastId = id;
         taken = end;
--- a/modules/hc_fleet/include/hemlockchute/fleet/EventStreamSplitter.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/EventStreamSplitter.h
@@ -30,6 +30,8 @@
     WholeEvents take(std::string_view bytes);
     /** True when an event has begun and is not whole. */
     bool hasPartialEvent() const { return !m_partial.empty(); }
+    /** The bytes of an event that is not whole. */
+    std::size_t partialBytes() const { return m_partial.size(); }
 
 private:
     ByteString m_partial;
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/AnswerMemory.h"
 #include "gateway/CoordinatorLink.h"
 #include "gateway/DemandLedger.h"
 #include "gateway/GatewaySettings.h"
@@ -43,6 +44,8 @@
     RetryBudget retries;
     ServerChooser chooser { ServerChooser::Options() };
     WaitingRoom waiting;
+    /** Shared, since a request may end after the gateway. */
+    std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
     Metrics metrics;
     /** Null until the first one is heard. */
     RouteConfigurationPointer configuration;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -285,7 +285,9 @@
     unsigned status = answer->status();
     bool isOther = said.attempt && *said.attempt != m_metadata.attempt;
     bool isSuccess = status < firstFailure && !said.isNotRun && std::find(std::begin(promises), std::end(promises), status) == std::end(promises);
-    if (isOther || (isSuccess && !said.attempt))
+    // A failure or a refusal without an id may be a late copy of another request's, unless nothing came before it.
+    bool mayBeOther = !said.attempt && (isSuccess || answer->isOnUsedConnection());
+    if (isOther || mayBeOther)
         co_return noteFault(name, Outcome::Unknown, "the answer belongs to another request");
     if (said.isNotRun || status == wrongServer) {
         if (hasModel())
@@ -303,6 +305,7 @@
 
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveWhole(const BackendServerName& name, HttpResponseStream& answer)
 {
+    HeldAnswer held(m_core.answerMemory);
     HttpResponse response;
     response.status = answer.status();
     response.headers = m_core.platform.forwardedAnswerHeaders(answer.headers());
@@ -313,6 +316,8 @@
         if (!*piece)
             break;
         response.body += **piece;
+        if (!held.resize(response.body.capacity()))
+            co_return noteFault(name, Outcome::Unknown, "the answer is too long");
     }
     if (response.status >= firstFailure) {
         m_failure = std::move(response);
@@ -333,8 +338,11 @@
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::passEvents(const BackendServerName& name, HttpResponseStream& answer)
 {
     EventStreamSplitter splitter;
+    HeldAnswer held(m_core.answerMemory);
+    // Only events count as progress: a server may send bytes, and comments, and never go on.
+    Instant due = attemptDeadline();
     while (true) {
-        auto piece = co_await answer.read(attemptDeadline());
+        auto piece = co_await answer.read(due);
         if (m_call->isGone)
             co_return Outcome::CallerGone;
         if (!piece || (!*piece && splitter.hasPartialEvent()))
@@ -342,6 +350,8 @@
         WholeEvents events;
         if (*piece)
             events = splitter.take(**piece);
+        if (!held.resize(splitter.partialBytes()))
+            co_return noteFault(name, Outcome::Unknown, "an event of the stream is too long");
         if (*piece && events.bytes.empty())
             continue;
         if (events.lastId)
@@ -354,6 +364,8 @@
             isSent = co_await m_exchange.startStream(answer.status(), m_core.platform.forwardedAnswerHeaders(answer.headers()), std::move(events.bytes));
         } else if (*piece)
             isSent = co_await m_exchange.write(std::move(events.bytes));
+        if (events.lastId)
+            due = attemptDeadline();
         if (!*piece) {
             m_core.servers.noteSuccess(name);
             if (isSent)
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -50,6 +50,10 @@
     beast::tcp_stream stream;
     beast::flat_buffer buffer;
     Instant idleSince;
+    /** True once it carried a request. */
+    bool isUsed = false;
+    /** True when it is for one request only. */
+    bool isSingle = false;
     /** How long the other side keeps it while it is idle, when it says so. */
     std::optional<Duration> idleLimit;
 };
@@ -91,6 +95,7 @@
     auto moved = std::make_unique<ClientConnection>(executor);
     moved->idleSince = connection->idleSince;
     moved->idleLimit = connection->idleLimit;
+    moved->isUsed = connection->isUsed;
     moved->stream.socket().assign(protocol, handle, error);
     return error ? nullptr : std::move(moved);
 }
@@ -167,11 +172,12 @@
 
     void giveBack(const tcp::endpoint& endpoint, std::unique_ptr<ClientConnection> connection)
     {
-        if (connection->buffer.size() > 0)
+        if (connection->isSingle || connection->buffer.size() > 0 || !isQuiet(*connection))
             return;
         std::lock_guard guard(lock);
         auto& connections = idle[endpoint];
         connection->idleSince = std::chrono::steady_clock::now();
+        connection->isUsed = true;
         if (connections.size() < options.maximumIdle)
             connections.push_back(std::move(connection));
     }
@@ -182,11 +188,19 @@
         idle.erase(endpoint);
     }
 
+    void dropBroken()
+    {
+        std::lock_guard guard(lock);
+        for (auto& [endpoint, connections] : idle)
+            std::erase_if(connections, [](const auto& connection) { return !isQuiet(*connection); });
+        std::erase_if(idle, [](const auto& item) { return item.second.empty(); });
+    }
+
     /** An idle connection, or a new one dialled before the deadline. */
     asio::awaitable<Result<std::unique_ptr<ClientConnection>, HttpClientErrorCode>> connect(tcp::endpoint endpoint, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
     {
         auto executor = co_await asio::this_coro::executor;
-        if (use != ConnectionUse::Fresh) {
+        if (use == ConnectionUse::Pooled || use == ConnectionUse::Recent) {
             auto idleConnection = takeIdle(endpoint, executor, use == ConnectionUse::Recent ? options.recentWithin : options.idleTimeout);
             if (idleConnection)
                 idleConnection = moveTo(executor, std::move(idleConnection));
@@ -194,6 +208,7 @@
                 co_return idleConnection;
         }
         auto connection = std::make_unique<ClientConnection>(executor);
+        connection->isSingle = use == ConnectionUse::Single;
         ScopedHttpCall call(handle, *connection);
         connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
         beast::error_code error;
@@ -225,9 +240,10 @@
         , m_endpoint(std::move(endpoint))
         , m_connection(std::move(connection))
         , m_write(std::move(write))
+        , m_isOnUsedConnection(m_connection->isUsed)
     {
         m_parser.header_limit(static_cast<std::uint32_t>(m_client->options.maximumHeaderBytes));
-        m_parser.body_limit(m_client->options.maximumBodyBytes);
+        m_parser.body_limit(boost::none);
     }
 
     asio::awaitable<Result<void, HttpClientErrorCode>> readHeader(Instant deadline)
@@ -245,6 +261,7 @@
 
     unsigned status() const override { return m_parser.get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
+    bool isOnUsedConnection() const override { return m_isOnUsedConnection; }
 
     asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) override
     {
@@ -298,6 +315,7 @@
     tcp::endpoint m_endpoint;
     std::unique_ptr<ClientConnection> m_connection;
     std::shared_ptr<RequestWrite> m_write;
+    bool m_isOnUsedConnection;
     http::response_parser<http::buffer_body> m_parser;
     HttpHeaders m_headers;
 };
@@ -364,9 +382,16 @@
         if (!*piece)
             co_return response;
         response.body += **piece;
+        if (response.body.size() > m_impl->options.maximumBodyBytes)
+            co_return failure(HttpClientErrorCode::TooLarge, "the body is too large");
     }
 }
 
+void HttpClient::dropBroken()
+{
+    m_impl->dropBroken();
+}
+
 void HttpClient::forget(const tcp::endpoint& endpoint)
 {
     m_impl->forget(endpoint);
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -45,6 +45,8 @@
 
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
+    /** True when the connection carried another request before: bytes may be left of that one's answer. */
+    virtual bool isOnUsedConnection() const = 0;
     /** The next piece, or nothing after the body's own end; a body cut short is an error. */
     virtual boost::asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) = 0;
     /** Gives up; a read in progress fails. */
@@ -94,6 +96,7 @@
         /** Bytes that the other side's host does not acknowledge for so long end the connection; 0 leaves it to the system. */
         std::chrono::milliseconds acknowledgeTimeout { 0 };
         std::size_t maximumHeaderBytes = 16U << 10U;
+        /** For send(); who reads a body piece by piece bounds it. */
         std::size_t maximumBodyBytes = 16U << 20U;
 
         Options withConnectTimeout(Duration) const;
@@ -108,7 +111,9 @@
         /** An idle connection only if it was used just now: for requests whose loss would leave their outcome unknown. */
         Recent,
         /** Dials a connection of its own: for requests that may not be repeated, and to tell a silent connection from a dead host. */
-        Fresh
+        Fresh,
+        /** As Fresh, and closes it after the answer: for answers that do not say which request they belong to. */
+        Single
     };
 
     explicit HttpClient(Options);
@@ -118,6 +123,8 @@
     boost::asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> send(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled);
     /** Sends a request and reads the answer up to the end of its header; the rest of a long request goes on meanwhile. A Host header of the request's own is kept. */
     boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
+    /** Closes idle connections that the other side has closed, or sent something on that nobody asked for. Call now and then. */
+    void dropBroken();
     /** Closes the idle connections to an endpoint, as when its host has left. */
     void forget(const boost::asio::ip::tcp::endpoint&);
 
