--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/Coordinator.h"
 
 #include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/fleet/FollowPace.h"
 
 #include <algorithm>
 #include <cstdlib>
@@ -23,6 +24,9 @@
 /** Added to the lease between the orders of two hosts, for orders that were on their way. */
 constexpr Duration orderMargin = 500ms;
 
+/** The leader's table takes a new epoch by itself after many departures. */
+constexpr std::uint64_t epochsInTerm = 1U << 16U;
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -78,6 +82,7 @@
           { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { takeAgreed(); }); }, endProcess })
     , m_voters(voterOptions(settings))
     , m_director(context, platform, m_http, m_metrics, directorOptions(settings), [this] { return authority(); })
+    , m_relay(context, m_client, { settings.host, m_id, settings.dataCentre }, FleetRelay::Options(), { [this] { return otherLeader(); }, [this] { return m_register.current()->version; } })
     , m_listing(context, platform, m_http, settings.listing, listingOptions(), [this](const std::vector<ListedServer>& servers, Instant asked) { m_director.takeListing(servers, asked); })
     , m_operators(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); })
     , m_metricsPage(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
@@ -116,6 +121,7 @@
     m_leaderSeen = m_clock.now();
     m_listing.setActive(false);
     m_listing.start();
+    m_relay.start();
     tick();
     return {};
 }
@@ -129,6 +135,7 @@
 {
     m_isStopping = true;
     m_timer.cancel();
+    m_relay.stop();
     m_listing.stop();
     m_operators.drain([this, done = std::move(done)] {
         m_group.stop();
@@ -213,7 +220,7 @@
     if (status.isLeader && m_leadsIn != status.term) {
         m_leadsIn = status.term;
         m_leadsSince = now;
-        m_director.begin(status.term.value());
+        m_director.begin(status.term.value() * epochsInTerm);
     }
     m_listing.setActive(status.isLeader);
     bool gives = authority().has_value();
@@ -286,26 +293,61 @@
         return;
     }
     GroupStatus status = m_group.status();
-    auto agreed = m_register.current();
+    Instant now = std::chrono::steady_clock::now();
     FollowReply reply;
-    reply.isCurrent = m_group.holdsLease();
     if (status.leader)
         reply.leader = status.leader->keeper;
     for (const ReplicaId& id : status.membership.voters)
         reply.coordinators.push_back(id.keeper);
     for (const ReplicaId& id : status.membership.learners)
         reply.coordinators.push_back(id.keeper);
-    reply.version = agreed->version;
-    if (agreed->version > request->configuration)
-        reply.configuration = agreed->body;
-    if (reply.isCurrent) {
-        Instant now = std::chrono::steady_clock::now();
+    if (m_group.holdsLease() && m_leadsIn == status.term) {
+        m_hasLed = true;
+        reply.isCurrent = true;
         m_director.takeDemand(*request, now);
         m_director.fill(reply, *request, now);
+        reply.relays = relays(now);
+    } else if (request->relay.isNone()) {
+        m_relay.takeDemand(*request, now);
+        if (m_relay.isCurrent(now))
+            m_relay.fill(reply, *request, now);
     }
+    // An old configuration, read from a disk after a restart, is not told to anybody before a leader was heard.
+    if (reply.isCurrent || m_hasLed || m_relay.hasCaughtUp())
+        fillConfiguration(reply, request->configuration);
     call.reply(encodeFollowReply(reply));
 }
 
+/** The newest configuration that is known here, where it is newer than the one that is known there. */
+void Coordinator::fillConfiguration(FollowReply& reply, ConfigurationVersion known) const
+{
+    auto agreed = m_register.current();
+    const ConfigurationBody& heard = m_relay.configuration();
+    bool isHeardNewer = heard.version > agreed->version;
+    reply.version = isHeardNewer ? heard.version : agreed->version;
+    if (reply.version > known)
+        reply.configuration = isHeardNewer ? heard.body : agreed->body;
+}
+
+/** The coordinators that gateways are to ask, this one included; none while there are few gateways. */
+std::vector<CoordinatorPlace> Coordinator::relays(Instant now)
+{
+    const GatewayBook& gateways = m_director.gateways(now);
+    if (gateways.gateways() < fewestGatewaysForRelays)
+        return {};
+    std::vector<CoordinatorPlace> all = gateways.relays();
+    all.push_back({ m_id, m_settings.dataCentre });
+    return all;
+}
+
+std::optional<KeeperId> Coordinator::otherLeader() const
+{
+    GroupStatus status = m_group.status();
+    if (!status.leader || status.leader->keeper == m_id)
+        return std::nullopt;
+    return status.leader->keeper;
+}
+
 void Coordinator::serveJoin(PeerCall call)
 {
     auto newcomer = decodeMembership(call.payload);
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -2,6 +2,7 @@
 
 #include "coordinator/ConfigurationRegister.h"
 #include "coordinator/CoordinatorSettings.h"
+#include "coordinator/FleetRelay.h"
 #include "coordinator/PlacementDirector.h"
 #include "coordinator/VoterPolicy.h"
 #include "hemlockchute/core/RoleService.h"
@@ -55,6 +56,9 @@
     void serveCalls();
     void serveAgreement(PeerCall);
     void serveFollow(PeerCall);
+    void fillConfiguration(FollowReply&, ConfigurationVersion known) const;
+    std::vector<CoordinatorPlace> relays(Instant now);
+    std::optional<KeeperId> otherLeader() const;
     void serveJoin(PeerCall);
     void servePropose(PeerCall);
     void serveRead(PeerCall);
@@ -82,6 +86,7 @@
     ReplicatedGroup m_group;
     VoterPolicy m_voters;
     PlacementDirector m_director;
+    FleetRelay m_relay;
     ListingPoller m_listing;
     HttpServer m_operators;
     HttpServer m_metricsPage;
@@ -93,6 +98,8 @@
     AgreementTerm m_leadsIn;
     Instant m_leadsSince {};
     bool m_givesOrders = false;
+    /** True once this coordinator has led in this life. */
+    bool m_hasLed = false;
     Instant m_leaderSeen {};
     Instant m_nextSeek {};
     Instant m_nextTend {};
--- a/modules/hc_coordinator/coordinator/DemandBook.cpp
+++ b/modules/hc_coordinator/coordinator/DemandBook.cpp
@@ -18,7 +18,7 @@
 
 void DemandBook::take(const FollowRequest& request, Instant now)
 {
-    m_gateways[request.host] = { now, request.demands, request.outstanding };
+    m_gateways.take(request, now);
     for (const ModelDemandReport& report : request.demands) {
         auto [found, isNew] = m_flows.try_emplace(report.key);
         Flow& flow = found->second;
@@ -40,37 +40,24 @@
             demands[{ key.model, key.adapter }] = { 0, 0, flow.rank, flow.arrivalsPerSecond, flow.refused };
     }
     std::erase_if(m_flows, [](const auto& item) { return item.second.arrivalsPerSecond < leastFlow && item.second.refused < leastFlow; });
-    for (const auto& [host, gateway] : m_gateways) {
-        if (now - gateway.heard >= m_options.gatewayLifetime)
+    m_gateways.expire(now);
+    for (const auto& [key, wanted] : m_gateways.wanted()) {
+        if (key.service != service)
             continue;
-        for (const ModelDemandReport& report : gateway.demands) {
-            if (report.key.service != service)
-                continue;
-            auto [found, isNew] = demands.try_emplace({ report.key.model, report.key.adapter });
-            CombinedDemand& demand = found->second;
-            demand.rank = isNew ? report.rank : std::min(demand.rank, report.rank);
-            demand.waiting += report.waiting;
-            demand.active += report.active;
-        }
+        unsigned rank = wanted.ranks.begin()->first;
+        auto [found, isNew] = demands.try_emplace({ key.model, key.adapter });
+        CombinedDemand& demand = found->second;
+        demand.rank = isNew ? rank : std::min(demand.rank, rank);
+        demand.waiting = wanted.waiting;
+        demand.active = wanted.active;
     }
     return demands;
 }
 
-std::map<BackendServerName, ServerLoad> DemandBook::outstanding(Instant now) const
+const GatewayBook& DemandBook::gateways(Instant now)
 {
-    std::map<BackendServerName, ServerLoad> all;
-    for (const auto& [host, gateway] : m_gateways) {
-        if (now - gateway.heard >= m_options.gatewayLifetime)
-            continue;
-        for (const ServerOutstanding& each : gateway.outstanding)
-            all[each.server] = all[each.server] + each.load;
-    }
-    return all;
-}
-
-unsigned DemandBook::gateways(Instant now) const
-{
-    return static_cast<unsigned>(std::count_if(m_gateways.begin(), m_gateways.end(), [&](const auto& item) { return now - item.second.heard < m_options.gatewayLifetime; }));
+    m_gateways.expire(now);
+    return m_gateways;
 }
 
 void DemandBook::fade(Flow& flow, Instant now) const
--- a/modules/hc_coordinator/coordinator/DemandBook.h
+++ b/modules/hc_coordinator/coordinator/DemandBook.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockchute/fleet/FleetMessages.h"
+#include "coordinator/GatewayBook.h"
 #include "hemlockchute/fleet/ModelPlacer.h"
 
 #include <map>
@@ -18,8 +18,6 @@
 public:
     /** Times over which what was reported counts. */
     struct Options {
-        /** A gateway that was not heard of for so long counts no more. */
-        Duration gatewayLifetime = 2s;
         Duration arrivalsFade = 4s;
         Duration refusalsFade = 3s;
     };
@@ -29,21 +27,15 @@
     {
     }
 
+    /** Counts requests at servers by the handles of this epoch only; does nothing when it goes on. */
+    void begin(std::uint64_t epoch) { m_gateways.begin(epoch); }
     void take(const FollowRequest&, Instant now);
     /** The demand for one service's models, as of now. */
     ModelPlacer::Demands demands(const ServiceName&, Instant now);
-    /** Requests at each server from all gateways. */
-    std::map<BackendServerName, ServerLoad> outstanding(Instant now) const;
-    /** Gateways heard of lately. */
-    unsigned gateways(Instant now) const;
+    /** The gateways and their requests, as of now. */
+    const GatewayBook& gateways(Instant now);
 
 private:
-    struct Gateway {
-        Instant heard {};
-        std::vector<ModelDemandReport> demands;
-        std::vector<ServerOutstanding> outstanding;
-    };
-
     struct Flow {
         double arrivalsPerSecond = 0;
         double refused = 0;
@@ -54,7 +46,7 @@
     void fade(Flow&, Instant now) const;
 
     Options m_options;
-    std::map<HostName, Gateway> m_gateways;
+    GatewayBook m_gateways { GatewayBook::Options() };
     std::map<ModelKey, Flow> m_flows;
 };
 
--- /dev/null
+++ b/modules/hc_coordinator/coordinator/GatewayBook.cpp
@@ -0,0 +1,107 @@
+#include "coordinator/GatewayBook.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+namespace {
+
+/** Silent gateways are looked for so many times in their lifetime. */
+constexpr int expiriesInLifetime = 10;
+
+} // namespace
+
+void GatewayBook::begin(std::uint64_t epoch)
+{
+    if (m_epoch == epoch)
+        return;
+    m_epoch = epoch;
+    m_outstanding.clear();
+    for (auto& [host, report] : m_reports)
+        report.outstanding.clear();
+}
+
+void GatewayBook::take(const FollowRequest& request, Instant now)
+{
+    Report& report = m_reports[request.host];
+    if (report.heard != Instant())
+        subtract(report);
+    if (request.isLast) {
+        m_reports.erase(request.host);
+        return;
+    }
+    report = { now, request.relay, request.dataCentre, request.gateways, request.demands, {} };
+    if (request.epoch == m_epoch)
+        report.outstanding = request.outstanding;
+    add(report);
+}
+
+void GatewayBook::expire(Instant now)
+{
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + m_options.lifetime / expiriesInLifetime;
+    std::erase_if(m_reports, [&](const auto& item) {
+        bool isSilent = now - item.second.heard >= m_options.lifetime;
+        if (isSilent)
+            subtract(item.second);
+        return isSilent;
+    });
+}
+
+void GatewayBook::add(const Report& report)
+{
+    m_gateways += report.gateways;
+    m_followers += report.relay.isNone() ? 1 : 0;
+    for (const ModelDemandReport& demand : report.demands) {
+        Wanted& wanted = m_wanted[demand.key];
+        wanted.waiting += demand.waiting;
+        wanted.active += demand.active;
+        ++wanted.ranks[demand.rank];
+    }
+    for (const ServerOutstanding& each : report.outstanding)
+        m_outstanding[each.server] = m_outstanding[each.server] + each.load;
+}
+
+void GatewayBook::subtract(const Report& report)
+{
+    m_gateways -= report.gateways;
+    m_followers -= report.relay.isNone() ? 1 : 0;
+    for (const ModelDemandReport& demand : report.demands) {
+        auto found = m_wanted.find(demand.key);
+        Wanted& wanted = found->second;
+        wanted.waiting -= demand.waiting;
+        wanted.active -= demand.active;
+        if (--wanted.ranks[demand.rank] == 0)
+            wanted.ranks.erase(demand.rank);
+        if (wanted.ranks.empty())
+            m_wanted.erase(found);
+    }
+    for (const ServerOutstanding& each : report.outstanding) {
+        auto found = m_outstanding.find(each.server);
+        found->second = found->second - each.load;
+        if (found->second.requests == 0 && found->second.unreadTokens == 0)
+            m_outstanding.erase(found);
+    }
+}
+
+unsigned GatewayBook::mostBehindRelay() const
+{
+    unsigned most = 0;
+    for (const auto& [host, report] : m_reports) {
+        if (!report.relay.isNone())
+            most = std::max(most, report.gateways);
+    }
+    return most;
+}
+
+std::vector<CoordinatorPlace> GatewayBook::relays() const
+{
+    std::vector<CoordinatorPlace> all;
+    for (const auto& [host, report] : m_reports) {
+        if (!report.relay.isNone())
+            all.push_back({ report.relay, report.dataCentre });
+    }
+    return all;
+}
+
+} // namespace hemlockchute
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -1,6 +1,7 @@
 #include "coordinator/PlacementDirector.h"
 
 #include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/fleet/FollowPace.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -112,15 +113,12 @@
         auto known = m_servers.extract(listed.id);
         bool isSame = !known.empty() && known.mapped().listed.startedAt == listed.startedAt && known.mapped().listed.address == listed.address;
         Server server = isSame ? std::move(known.mapped()) : Server();
-        bool isShownAlike = isSame && shown(server) == shownAs(server, listed);
         server.listed = listed;
-        if (!isShownAlike)
-            noteChanged(server);
-        m_gone.erase(listed.id);
+        noteChanged(server);
         servers.insert_or_assign(listed.id, std::move(server));
     }
     for (const auto& [id, server] : m_servers)
-        m_gone[id] = ++m_revision;
+        m_table.remove(id);
     m_servers = std::move(servers);
 }
 
@@ -131,9 +129,8 @@
 
 void PlacementDirector::begin(std::uint64_t epoch)
 {
-    m_epoch = epoch;
-    m_revision = 0;
-    m_gone.clear();
+    m_table.begin(epoch);
+    m_demand.begin(epoch);
     m_listAsked.reset();
     for (auto& [id, server] : m_servers) {
         noteUnknown(server);
@@ -144,40 +141,33 @@
 }
 
 //==============================================================================
-void PlacementDirector::fill(FollowReply& reply, const FollowRequest& request, Instant now) const
+void PlacementDirector::fill(FollowReply& reply, const FollowRequest& request, Instant now)
 {
-    reply.epoch = m_epoch;
-    reply.revision = m_revision;
-    reply.gateways = m_demand.gateways(now);
-    reply.isWhole = request.epoch != m_epoch;
-    std::uint64_t known = reply.isWhole ? 0 : request.revision;
+    // The table may have gone on to another epoch.
+    m_demand.begin(m_table.epoch());
+    const GatewayBook& gateways = m_demand.gateways(now);
+    reply.gateways = gateways.gateways();
+    reply.followers = gateways.followers();
     if (m_listAsked)
         reply.listAge = now - *m_listAsked;
-    for (const auto& [id, server] : m_servers) {
-        if (server.revision > known)
-            reply.servers.push_back(shown(server));
-    }
-    for (const auto& [id, revision] : m_gone) {
-        if (revision > known)
-            reply.gone.push_back(id);
-    }
-    for (const auto& [id, load] : m_demand.outstanding(now))
-        reply.outstanding.push_back({ id, load });
-    for (const auto& [name, service] : m_services) {
-        for (const auto& [model, at] : service.placer.expected())
-            reply.expectations.push_back({ name, model, std::max<Duration>(at - now, Duration::zero()) });
+    m_table.fill(reply, request);
+    for (const auto& [server, load] : gateways.outstanding())
+        reply.outstanding.push_back({ server, load });
+    std::set<std::pair<ServiceName, ModelName>> told;
+    for (const ModelDemandReport& demand : request.demands) {
+        auto service = m_services.find(demand.key.service);
+        if (service == m_services.end() || !told.emplace(demand.key.service, demand.key.model).second)
+            continue;
+        auto at = service->second.placer.expected().find(demand.key.model);
+        if (at != service->second.placer.expected().end())
+            reply.expectations.push_back({ demand.key.service, demand.key.model, std::max<Duration>(at->second - now, Duration::zero()) });
     }
 }
 
-ListedServer PlacementDirector::shown(const Server& server) const
-{
-    return shownAs(server, server.listed);
-}
-
 /** A server as gateways see it: with the models that requests may be sent for, which are those that it holds, but for what is about to go. */
-ListedServer PlacementDirector::shownAs(const Server& server, const ListedServer& listed) const
+ListedServer PlacementDirector::shown(const Server& server)
 {
-    ListedServer shown = listed;
+    ListedServer shown = server.listed;
     shown.inMemory.clear();
     shown.onDisk.clear();
     if (server.isKnown)
@@ -189,6 +179,12 @@
     return shown;
 }
 
+Duration PlacementDirector::withdrawal(Instant now)
+{
+    const GatewayBook& gateways = m_demand.gateways(now);
+    return m_options.withdrawal.value_or(newsTime(gateways.followers(), gateways.mostBehindRelay()));
+}
+
 //==============================================================================
 void PlacementDirector::tick(Instant now)
 {
@@ -211,7 +207,7 @@
 
 void PlacementDirector::decide(const ServiceName& name, const EngineSpec& engine, Service& service, Instant now)
 {
-    std::map<BackendServerName, ServerLoad> outstanding = m_demand.outstanding(now);
+    const std::map<ServerHandle, ServerLoad>& outstanding = m_demand.gateways(now).outstanding();
     ModelPlacer::Servers placed;
     for (const auto& [id, server] : m_servers) {
         if (server.listed.service != name)
@@ -233,7 +229,8 @@
         each.mayTakeOrder = !server.isOccupied;
         each.loading = server.loading;
         each.loadedAt = server.loadedAt;
-        each.outstanding = outstanding[id].requests;
+        auto load = outstanding.find(m_table.handleOf(id));
+        each.outstanding = load == outstanding.end() ? 0 : load->second.requests;
         placed.push_back(std::move(each));
     }
     for (const PlacementStep& step : service.placer.decide(engine, placed, m_demand.demands(name, now), now)) {
@@ -250,9 +247,9 @@
     return found != m_servers.end() && found->second.listed.startedAt == life ? &found->second : nullptr;
 }
 
-void PlacementDirector::noteChanged(Server& server)
+void PlacementDirector::noteChanged(const Server& server)
 {
-    server.revision = ++m_revision;
+    m_table.put(shown(server));
 }
 
 /** What the server holds is asked for before it gets another order. */
@@ -295,7 +292,8 @@
     HttpRequest request = m_platform.orderRequest(order);
     Endpoint address = found->second.listed.address;
     Instant sent = currentTime();
-    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout);
+    // Nothing in an answer to an order says which order it answers: a late copy of an earlier one must not pass for it.
+    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::Single);
     std::optional<OrderOutcome> outcome;
     if (answer)
         outcome = m_platform.decodeOrderAnswer(answer->status);
@@ -311,7 +309,7 @@
         server.withdrawn = step.model;
         server.withdrawnAdapter = step.adapter;
         noteChanged(server);
-        co_await pause(m_options.withdrawal);
+        co_await pause(withdrawal(currentTime()));
     }
     auto outcome = co_await give(id, step);
     Server* server = find(id, life);
@@ -449,7 +447,7 @@
     std::int64_t life = m_servers.at(id).listed.startedAt;
     Endpoint address = m_servers.at(id).listed.address;
     HttpRequest request = m_platform.reportRequest();
-    auto answer = co_await m_client.send(address, std::move(request), currentTime() + m_options.orderTimeout);
+    auto answer = co_await m_client.send(address, std::move(request), currentTime() + m_options.orderTimeout, HttpClient::ConnectionUse::Single);
     Server* server = find(id, life);
     if (!server)
         co_return;
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -3,6 +3,7 @@
 #include "coordinator/DemandBook.h"
 #include "hemlockchute/fleet/CopyShelf.h"
 #include "hemlockchute/fleet/FleetPlatform.h"
+#include "hemlockchute/fleet/FleetTable.h"
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/report/Metrics.h"
 
@@ -33,8 +34,8 @@
         HostName giver;
         ModelPlacer::Options placer;
         Duration orderTimeout = 1s;
-        /** Gateways have heard of a withdrawn model after this; their link's interval. */
-        Duration withdrawal = 160ms;
+        /** Gateways have heard of a withdrawn model after this; as long as their pace takes when nothing is given. */
+        std::optional<Duration> withdrawal;
         /** An adapter is there at the latest after this, when few are on their way. */
         Duration adapterTime = 20ms;
         /** Between two questions whether an order was carried out. */
@@ -53,8 +54,10 @@
     void takeConfiguration(RouteConfigurationPointer);
     void takeListing(const std::vector<ListedServer>&, Instant asked);
     void takeDemand(const FollowRequest&, Instant now);
-    /** Fills in servers, expectations and counts for one gateway. */
-    void fill(FollowReply&, const FollowRequest&, Instant now) const;
+    /** Fills in servers, expectations and counts for one gateway or relay. */
+    void fill(FollowReply&, const FollowRequest&, Instant now);
+    /** The relays heard of, and the gateways that report. */
+    const GatewayBook& gateways(Instant now) { return m_demand.gateways(now); }
     /** Decides and gives orders. Call often while this host has authority. */
     void tick(Instant now);
     /** Forgets what is known of the servers, under a new epoch, as when this host begins to lead. */
@@ -79,8 +82,6 @@
         unsigned storePosition = 0;
         Instant loadedAt {};
         Instant nextReport {};
-        /** When what gateways may send changed last. */
-        std::uint64_t revision = 0;
     };
 
     struct Service {
@@ -104,14 +105,14 @@
     void noteTaken(const BackendServerName&, const PlacementStep&, Duration took) const;
     void noteUnreported(const BackendServerName&, std::string_view reason) const;
     Server* find(const BackendServerName&, std::int64_t life);
-    void noteChanged(Server&);
+    void noteChanged(const Server&);
     void noteUnknown(Server&);
     void noteLoaded(Server&, const ModelName&);
     void noteStoreLoad(const Server&, const ModelName&, Duration took);
     unsigned storeLoads(const ServiceName&) const;
     bool noteFromStore(Server&, const ModelName&, Instant begun);
-    ListedServer shown(const Server&) const;
-    ListedServer shownAs(const Server&, const ListedServer&) const;
+    static ListedServer shown(const Server&);
+    Duration withdrawal(Instant now);
 
     boost::asio::io_context& m_context;
     const FleetPlatform& m_platform;
@@ -123,10 +124,7 @@
     std::map<ServiceName, Service> m_services;
     std::map<BackendServerName, Server> m_servers;
     DemandBook m_demand { DemandBook::Options() };
-    std::uint64_t m_epoch = 0;
-    std::uint64_t m_revision = 0;
-    /** Servers that left the list, with the revision in which they did. */
-    std::map<BackendServerName, std::uint64_t> m_gone;
+    FleetTable m_table;
     std::optional<Instant> m_listAsked;
 };
 
--- a/modules/hc_coordinator/tests/DemandBookTests.cpp
+++ b/modules/hc_coordinator/tests/DemandBookTests.cpp
@@ -13,7 +13,7 @@
     FollowRequest request;
     request.host = HostName(host);
     request.demands = { { { service, ModelName(model), AdapterName() }, waiting, 1, arrivals, 0, rank } };
-    request.outstanding = { { BackendServerName("s"), { 2, 100 } } };
+    request.outstanding = { { ServerHandle(1), { 2, 100 } } };
     return request;
 }
 
@@ -33,13 +33,14 @@
     book.take(report("a", "m", 3, 4, 2), now);
     book.take(report("b", "m", 1, 4, 0), now);
     BOOST_TEST((of(book, "m", now).waiting == 4 && of(book, "m", now).active == 2 && of(book, "m", now).rank == 0));
-    BOOST_TEST(book.gateways(now) == 2U);
-    BOOST_TEST(book.outstanding(now).at(BackendServerName("s")).requests == 4U);
+    BOOST_TEST(book.gateways(now).gateways() == 2U);
+    BOOST_TEST(book.gateways(now).outstanding().at(ServerHandle(1)).requests == 4U);
     now += 1500ms;
     book.take(report("a", "m", 2, 0, 2), now);
     now += 1s;
     BOOST_TEST(of(book, "m", now).waiting == 2U);
-    BOOST_TEST(book.gateways(now) == 1U);
+    BOOST_TEST(book.gateways(now).gateways() == 1U);
+    BOOST_TEST(book.gateways(now).outstanding().at(ServerHandle(1)).requests == 2U);
 }
 
 BOOST_AUTO_TEST_CASE(arrivalsBecomeARateThatFades)
@@ -54,4 +55,57 @@
     BOOST_TEST(of(book, "m", now).arrivalsPerSecond < 0.2);
 }
 
+/** A relay's report stands for many gateways, and replaces the one before it. */
+BOOST_AUTO_TEST_CASE(aRelayCountsForItsGateways)
+{
+    DemandBook book { DemandBook::Options() };
+    Instant now(1h);
+    FollowRequest relayed = report("core", "m", 7, 20);
+    relayed.relay = KeeperId(5);
+    relayed.dataCentre = DataCentreName("z1");
+    relayed.gateways = 30;
+    for (int i = 0; i < 3; ++i)
+        book.take(relayed, now);
+    book.take(report("a", "m", 1, 0), now);
+    const GatewayBook& gateways = book.gateways(now);
+    BOOST_TEST((gateways.gateways() == 31 && gateways.followers() == 1 && gateways.mostBehindRelay() == 30));
+    BOOST_TEST((gateways.relays() == std::vector<CoordinatorPlace> { { KeeperId(5), DataCentreName("z1") } }));
+    BOOST_TEST((of(book, "m", now).waiting == 8 && of(book, "m", now).active == 2));
+}
+
+/** A gateway that turns to another coordinator counts there from then on. */
+BOOST_AUTO_TEST_CASE(aGatewayThatTakesItsLeaveCountsNoMore)
+{
+    DemandBook book { DemandBook::Options() };
+    Instant now(1h);
+    book.take(report("a", "m", 3, 1), now);
+    book.take(report("b", "m", 1, 1), now);
+    FollowRequest last;
+    last.host = HostName("a");
+    last.isLast = true;
+    book.take(last, now);
+    const GatewayBook& gateways = book.gateways(now);
+    BOOST_TEST((gateways.gateways() == 1 && gateways.followers() == 1 && of(book, "m", now).waiting == 1));
+    BOOST_TEST(gateways.outstanding().at(ServerHandle(1)).requests == 2U);
+}
+
+/** Handles begin anew with each leader. */
+BOOST_AUTO_TEST_CASE(requestsAtServersOfAnotherEpochAreNotCounted)
+{
+    DemandBook book { DemandBook::Options() };
+    Instant now(1h);
+    FollowRequest old = report("a", "m", 1, 1);
+    old.epoch = 4;
+    book.begin(4);
+    book.take(old, now);
+    BOOST_TEST(book.gateways(now).outstanding().size() == 1U);
+    book.begin(5);
+    BOOST_TEST(book.gateways(now).outstanding().empty());
+    book.take(old, now);
+    BOOST_TEST(book.gateways(now).outstanding().empty());
+    old.epoch = 5;
+    book.take(old, now);
+    BOOST_TEST(book.gateways(now).outstanding().at(ServerHandle(1)).requests == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -214,9 +214,9 @@
         director.tick(now);
         FollowReply reply;
         director.fill(reply, {}, now);
-        for (const ListedServer& server : reply.servers) {
-            for (const auto& [model, adapters] : server.models)
-                m_shown[{ server.id, model }] = now;
+        for (const FleetEntry& entry : reply.servers) {
+            for (const auto& [model, adapters] : entry.server.models)
+                m_shown[{ entry.server.id, model }] = now;
         }
     }
 
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -92,6 +92,7 @@
     { EventId::CoordinatorOrder, Info, "coordinator.order", "An order was sent to a server; what it said, or that it said nothing, is given." },
     { EventId::CoordinatorReportUnavailable, Warning, "coordinator.report_unavailable", "A server did not say what it holds; it is given no orders until it does." },
     { EventId::CoordinatorModelTaken, Info, "coordinator.model_taken", "A server holds a model that was ordered; the time since the order is given." },
+    { EventId::CoordinatorRelayUnreadable, Warning, "coordinator.relay_unreadable", "What the coordinator that leads said to this one cannot be read; the reason is given." },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -95,7 +95,8 @@
     CoordinatorOrdersEnded = 2105,
     CoordinatorOrder = 2106,
     CoordinatorReportUnavailable = 2107,
-    CoordinatorModelTaken = 2108
+    CoordinatorModelTaken = 2108,
+    CoordinatorRelayUnreadable = 2109
 };
 
 /** What a record explains; a full log keeps the failures. */
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -14,10 +14,11 @@
   rank @7 :UInt32;
 }
 
-struct Outstanding {
-  server @0 :Text;
-  requests @1 :UInt32;
-  unreadTokens @2 :UInt64;
+# Lists of one length: the numbers of servers, the requests there and the prompt tokens to read.
+struct Loads {
+  servers @0 :List(UInt32);
+  requests @1 :List(UInt32);
+  unreadTokens @2 :List(UInt32);
 }
 
 struct FollowRequest {
@@ -26,7 +27,11 @@
   epoch @2 :UInt64;
   revision @3 :UInt64;
   demands @4 :List(Demand);
-  outstanding @5 :List(Outstanding);
+  loads @5 :Loads;
+  gateways @6 :UInt32;
+  relay @7 :UInt64;
+  dataCentre @8 :Text;
+  isLast @9 :Bool;
 }
 
 struct HeldModel {
@@ -43,6 +48,18 @@
   slots @5 :UInt32;
   isLeaving @6 :Bool;
   models @7 :List(HeldModel);
+  handle @8 :UInt32;
+  revision @9 :UInt64;
+}
+
+struct Departure {
+  server @0 :Text;
+  revision @1 :UInt64;
+}
+
+struct Relay {
+  coordinator @0 :UInt64;
+  dataCentre @1 :Text;
 }
 
 struct Expectation {
@@ -61,11 +78,15 @@
   revision @6 :UInt64;
   servers @7 :List(Server);
   expectations @8 :List(Expectation);
-  outstanding @9 :List(Outstanding);
+  loads @9 :Loads;
   gateways @10 :UInt32;
   isWhole @11 :Bool;
-  gone @12 :List(Text);
+  gone @12 :List(Departure);
   listAgeNanoseconds @13 :Int64;
+  hasMore @14 :Bool;
+  ageNanoseconds @15 :Int64;
+  relays @16 :List(Relay);
+  followers @17 :UInt32;
 }
 
 struct ConfigurationBody {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -17,10 +17,12 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(8a0ce8fbfa75e417);
-CAPNP_DECLARE_SCHEMA(dfe76c0620fa37b1);
+CAPNP_DECLARE_SCHEMA(c5e990f4f6e5d2b1);
 CAPNP_DECLARE_SCHEMA(cca27ee069c78981);
 CAPNP_DECLARE_SCHEMA(e9823317390a82bc);
 CAPNP_DECLARE_SCHEMA(f80cdec24f7e05b5);
+CAPNP_DECLARE_SCHEMA(be2a95c7ce1d18b6);
+CAPNP_DECLARE_SCHEMA(b86ce297690d2b5b);
 CAPNP_DECLARE_SCHEMA(a2b5574e43229750);
 CAPNP_DECLARE_SCHEMA(a52826c2739da656);
 CAPNP_DECLARE_SCHEMA(d0a2fa66431668a5);
@@ -46,15 +48,15 @@
   };
 };
 
-struct Outstanding {
-  Outstanding() = delete;
+struct Loads {
+  Loads() = delete;
 
   class Reader;
   class Builder;
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dfe76c0620fa37b1, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c5e990f4f6e5d2b1, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -69,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -99,7 +101,37 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(f80cdec24f7e05b5, 2, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(f80cdec24f7e05b5, 4, 5)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Departure {
+  Departure() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(be2a95c7ce1d18b6, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Relay {
+  Relay() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b86ce297690d2b5b, 1, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -129,7 +161,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 6, 6)
+    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 8, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -279,9 +311,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Outstanding::Reader {
+class Loads::Reader {
 public:
-  typedef Outstanding Reads;
+  typedef Loads Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -296,12 +328,14 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getServers() const;
 
-  inline  ::uint32_t getRequests() const;
+  inline bool hasRequests() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getRequests() const;
 
-  inline  ::uint64_t getUnreadTokens() const;
+  inline bool hasUnreadTokens() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreadTokens() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -315,9 +349,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Outstanding::Builder {
+class Loads::Builder {
 public:
-  typedef Outstanding Builds;
+  typedef Loads Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -331,18 +365,29 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
-
-  inline  ::uint32_t getRequests();
-  inline void setRequests( ::uint32_t value);
-
-  inline  ::uint64_t getUnreadTokens();
-  inline void setUnreadTokens( ::uint64_t value);
+  inline bool hasServers();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getServers();
+  inline void setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setServers(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownServers();
+
+  inline bool hasRequests();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getRequests();
+  inline void setRequests( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRequests(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initRequests(unsigned int size);
+  inline void adoptRequests(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownRequests();
+
+  inline bool hasUnreadTokens();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getUnreadTokens();
+  inline void setUnreadTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setUnreadTokens(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initUnreadTokens(unsigned int size);
+  inline void adoptUnreadTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUnreadTokens();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -354,9 +399,9 @@
 };
 
 #if !CAPNP_LITE
-class Outstanding::Pipeline {
+class Loads::Pipeline {
 public:
-  typedef Outstanding Pipelines;
+  typedef Loads Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -399,8 +444,17 @@
   inline bool hasDemands() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
 
-  inline bool hasOutstanding() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader getOutstanding() const;
+  inline bool hasLoads() const;
+  inline  ::hemlockchute::fleetwire::Loads::Reader getLoads() const;
+
+  inline  ::uint32_t getGateways() const;
+
+  inline  ::uint64_t getRelay() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+  inline bool getIsLast() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -453,12 +507,28 @@
   inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
 
-  inline bool hasOutstanding();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder getOutstanding();
-  inline void setOutstanding( ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder initOutstanding(unsigned int size);
-  inline void adoptOutstanding(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>> disownOutstanding();
+  inline bool hasLoads();
+  inline  ::hemlockchute::fleetwire::Loads::Builder getLoads();
+  inline void setLoads( ::hemlockchute::fleetwire::Loads::Reader value);
+  inline  ::hemlockchute::fleetwire::Loads::Builder initLoads();
+  inline void adoptLoads(::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> disownLoads();
+
+  inline  ::uint32_t getGateways();
+  inline void setGateways( ::uint32_t value);
+
+  inline  ::uint64_t getRelay();
+  inline void setRelay( ::uint64_t value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+  inline bool getIsLast();
+  inline void setIsLast(bool value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -478,6 +548,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hemlockchute::fleetwire::Loads::Pipeline getLoads();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -616,6 +687,10 @@
   inline bool hasModels() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader getModels() const;
 
+  inline  ::uint32_t getHandle() const;
+
+  inline  ::uint64_t getRevision() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -688,6 +763,12 @@
   inline void adoptModels(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>> disownModels();
 
+  inline  ::uint32_t getHandle();
+  inline void setHandle( ::uint32_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -714,6 +795,178 @@
 };
 #endif  // !CAPNP_LITE
 
+class Departure::Reader {
+public:
+  typedef Departure Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Departure::Builder {
+public:
+  typedef Departure Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Departure::Pipeline {
+public:
+  typedef Departure Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class Relay::Reader {
+public:
+  typedef Relay Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCoordinator() const;
+
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Relay::Builder {
+public:
+  typedef Relay Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getCoordinator();
+  inline void setCoordinator( ::uint64_t value);
+
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Relay::Pipeline {
+public:
+  typedef Relay Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class Expectation::Reader {
 public:
   typedef Expectation Reads;
@@ -849,18 +1102,27 @@
   inline bool hasExpectations() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Reader getExpectations() const;
 
-  inline bool hasOutstanding() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader getOutstanding() const;
+  inline bool hasLoads() const;
+  inline  ::hemlockchute::fleetwire::Loads::Reader getLoads() const;
 
   inline  ::uint32_t getGateways() const;
 
   inline bool getIsWhole() const;
 
   inline bool hasGone() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getGone() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader getGone() const;
 
   inline  ::int64_t getListAgeNanoseconds() const;
 
+  inline bool getHasMore() const;
+
+  inline  ::int64_t getAgeNanoseconds() const;
+
+  inline bool hasRelays() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+
+  inline  ::uint32_t getFollowers() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -933,12 +1195,12 @@
   inline void adoptExpectations(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>> disownExpectations();
 
-  inline bool hasOutstanding();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder getOutstanding();
-  inline void setOutstanding( ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder initOutstanding(unsigned int size);
-  inline void adoptOutstanding(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>> disownOutstanding();
+  inline bool hasLoads();
+  inline  ::hemlockchute::fleetwire::Loads::Builder getLoads();
+  inline void setLoads( ::hemlockchute::fleetwire::Loads::Reader value);
+  inline  ::hemlockchute::fleetwire::Loads::Builder initLoads();
+  inline void adoptLoads(::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> disownLoads();
 
   inline  ::uint32_t getGateways();
   inline void setGateways( ::uint32_t value);
@@ -947,16 +1209,31 @@
   inline void setIsWhole(bool value);
 
   inline bool hasGone();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getGone();
-  inline void setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initGone(unsigned int size);
-  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownGone();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder getGone();
+  inline void setGone( ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder initGone(unsigned int size);
+  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>> disownGone();
 
   inline  ::int64_t getListAgeNanoseconds();
   inline void setListAgeNanoseconds( ::int64_t value);
 
+  inline bool getHasMore();
+  inline void setHasMore(bool value);
+
+  inline  ::int64_t getAgeNanoseconds();
+  inline void setAgeNanoseconds( ::int64_t value);
+
+  inline bool hasRelays();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder getRelays();
+  inline void setRelays( ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
+  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>> disownRelays();
+
+  inline  ::uint32_t getFollowers();
+  inline void setFollowers( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -975,6 +1252,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hemlockchute::fleetwire::Loads::Pipeline getLoads();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1243,66 +1521,118 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Outstanding::Reader::hasServer() const {
+inline bool Loads::Reader::hasServers() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Outstanding::Builder::hasServer() {
+inline bool Loads::Builder::hasServers() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader Outstanding::Reader::getServer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder Outstanding::Builder::getServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Outstanding::Builder::setServer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+inline void Loads::Builder::setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder Outstanding::Builder::initServer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+inline void Loads::Builder::setServers(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Outstanding::Builder::adoptServer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+inline void Loads::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::Text> Outstanding::Builder::disownServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint32_t Outstanding::Reader::getRequests() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Loads::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-
-inline  ::uint32_t Outstanding::Builder::getRequests() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+inline bool Loads::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline void Outstanding::Builder::setRequests( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-
-inline  ::uint64_t Outstanding::Reader::getUnreadTokens() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Loads::Builder::setRequests( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Loads::Builder::setRequests(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Loads::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t Outstanding::Builder::getUnreadTokens() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+inline bool Loads::Reader::hasUnreadTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline void Outstanding::Builder::setUnreadTokens( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+inline bool Loads::Builder::hasUnreadTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getUnreadTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getUnreadTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Loads::Builder::setUnreadTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Loads::Builder::setUnreadTokens(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initUnreadTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Loads::Builder::adoptUnreadTokens(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownUnreadTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
 inline bool FollowRequest::Reader::hasHost() const {
@@ -1415,40 +1745,121 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool FollowRequest::Reader::hasOutstanding() const {
+inline bool FollowRequest::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowRequest::Builder::hasOutstanding() {
+inline bool FollowRequest::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getOutstanding() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::hemlockchute::fleetwire::Loads::Reader FollowRequest::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getOutstanding() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::hemlockchute::fleetwire::Loads::Builder FollowRequest::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::setOutstanding( ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::hemlockchute::fleetwire::Loads::Pipeline FollowRequest::Pipeline::getLoads() {
+  return  ::hemlockchute::fleetwire::Loads::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void FollowRequest::Builder::setLoads( ::hemlockchute::fleetwire::Loads::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initOutstanding(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+inline  ::hemlockchute::fleetwire::Loads::Builder FollowRequest::Builder::initLoads() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void FollowRequest::Builder::adoptOutstanding(
-    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void FollowRequest::Builder::adoptLoads(
+    ::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownOutstanding() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> FollowRequest::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t FollowRequest::Reader::getGateways() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FollowRequest::Builder::getGateways() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setGateways( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowRequest::Reader::getRelay() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getRelay() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setRelay( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowRequest::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader FollowRequest::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder FollowRequest::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder FollowRequest::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> FollowRequest::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool FollowRequest::Reader::getIsLast() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowRequest::Builder::getIsLast() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setIsLast(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HeldModel::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1733,6 +2144,130 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Server::Reader::getHandle() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Server::Builder::getHandle() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setHandle( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Server::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Server::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void Server::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Departure::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Departure::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Departure::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Departure::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Departure::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Departure::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Departure::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Departure::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t Departure::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Departure::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Departure::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t Relay::Reader::getCoordinator() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Relay::Builder::getCoordinator() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Relay::Builder::setCoordinator( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Relay::Reader::hasDataCentre() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Relay::Builder::hasDataCentre() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Relay::Reader::getDataCentre() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Relay::Builder::getDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Relay::Builder::setDataCentre( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Relay::Builder::initDataCentre(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Relay::Builder::adoptDataCentre(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Relay::Builder::disownDataCentre() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline bool Expectation::Reader::hasService() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2025,37 +2560,42 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline bool FollowReply::Reader::hasOutstanding() const {
+inline bool FollowReply::Reader::hasLoads() const {
   return !_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline bool FollowReply::Builder::hasOutstanding() {
+inline bool FollowReply::Builder::hasLoads() {
   return !_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getOutstanding() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+inline  ::hemlockchute::fleetwire::Loads::Reader FollowReply::Reader::getLoads() const {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::get(_reader.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getOutstanding() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+inline  ::hemlockchute::fleetwire::Loads::Builder FollowReply::Builder::getLoads() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::get(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void FollowReply::Builder::setOutstanding( ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+#if !CAPNP_LITE
+inline  ::hemlockchute::fleetwire::Loads::Pipeline FollowReply::Pipeline::getLoads() {
+  return  ::hemlockchute::fleetwire::Loads::Pipeline(_typeless.getPointerField(4));
+}
+#endif  // !CAPNP_LITE
+inline void FollowReply::Builder::setLoads( ::hemlockchute::fleetwire::Loads::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::set(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initOutstanding(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+inline  ::hemlockchute::fleetwire::Loads::Builder FollowReply::Builder::initLoads() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
-inline void FollowReply::Builder::adoptOutstanding(
-    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+inline void FollowReply::Builder::adoptLoads(
+    ::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::adopt(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownOutstanding() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Outstanding,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> FollowReply::Builder::disownLoads() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::Loads>::disown(_builder.getPointerField(
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
@@ -2095,33 +2635,29 @@
   return !_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader FollowReply::Reader::getGone() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getGone() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::getGone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
-inline void FollowReply::Builder::setGone( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
+inline void FollowReply::Builder::setGone( ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), value);
 }
-inline void FollowReply::Builder::setGone(::kj::ArrayPtr<const  ::capnp::Text::Reader> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::set(_builder.getPointerField(
-      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder FollowReply::Builder::initGone(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initGone(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), size);
 }
 inline void FollowReply::Builder::adoptGone(
-    ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> FollowReply::Builder::disownGone() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownGone() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<5>() * ::capnp::POINTERS));
 }
 
@@ -2139,6 +2675,82 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::getHasMore() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline bool FollowReply::Builder::getHasMore() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setHasMore(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t FollowReply::Reader::getAgeNanoseconds() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t FollowReply::Builder::getAgeNanoseconds() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setAgeNanoseconds( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FollowReply::Reader::hasRelays() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasRelays() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getRelays() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getRelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setRelays( ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initRelays(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptRelays(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownRelays() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t FollowReply::Reader::getFollowers() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FollowReply::Builder::getFollowers() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setFollowers( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigurationBody::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -3,6 +3,8 @@
 #include "fleet/Fleet.capnp.h"
 #include "hemlockchute/peer/MessageBytes.h"
 
+#include <limits>
+
 namespace hemlockchute {
 namespace {
 
@@ -35,25 +37,44 @@
     return { std::move(key), from.getWaiting(), from.getActive(), from.getArrivals(), from.getRefused(), from.getRank() };
 }
 
-void write(capnp::List<fleetwire::Outstanding>::Builder to, const std::vector<ServerOutstanding>& from)
+/** Numbers that do not fit are sent as the largest that does. */
+std::uint32_t narrow(std::uint64_t value)
 {
+    return static_cast<std::uint32_t>(std::min<std::uint64_t>(value, std::numeric_limits<std::uint32_t>::max()));
+}
+
+void write(fleetwire::Loads::Builder to, const std::vector<ServerOutstanding>& from)
+{
+    auto servers = to.initServers(sizeOf(from));
+    auto requests = to.initRequests(sizeOf(from));
+    auto unreadTokens = to.initUnreadTokens(sizeOf(from));
     for (unsigned i = 0; i < from.size(); ++i) {
-        to[i].setServer(from[i].server.text());
-        to[i].setRequests(from[i].load.requests);
-        to[i].setUnreadTokens(from[i].load.unreadTokens);
+        servers.set(i, narrow(from[i].server.value()));
+        requests.set(i, from[i].load.requests);
+        unreadTokens.set(i, narrow(from[i].load.unreadTokens));
     }
 }
 
-std::vector<ServerOutstanding> read(capnp::List<fleetwire::Outstanding>::Reader from)
+/** Nothing when the lists differ in length. */
+std::optional<std::vector<ServerOutstanding>> read(fleetwire::Loads::Reader from)
 {
+    auto servers = from.getServers();
+    auto requests = from.getRequests();
+    auto unreadTokens = from.getUnreadTokens();
+    if (servers.size() != requests.size() || servers.size() != unreadTokens.size())
+        return std::nullopt;
     std::vector<ServerOutstanding> all;
-    for (auto each : from)
-        all.push_back({ BackendServerName(textOf(each.getServer())), { each.getRequests(), each.getUnreadTokens() } });
+    all.reserve(servers.size());
+    for (unsigned i = 0; i < servers.size(); ++i)
+        all.push_back({ ServerHandle(servers[i]), { requests[i], unreadTokens[i] } });
     return all;
 }
 
-void write(fleetwire::Server::Builder to, const ListedServer& server)
+void write(fleetwire::Server::Builder to, const FleetEntry& entry)
 {
+    const ListedServer& server = entry.server;
+    to.setHandle(narrow(entry.handle.value()));
+    to.setRevision(entry.revision);
     to.setId(server.id.text());
     to.setService(server.service.text());
     to.setAddress(formatEndpoint(server.address));
@@ -74,7 +95,7 @@
 }
 
 /** Nothing when the address is none. */
-std::optional<ListedServer> read(fleetwire::Server::Reader from)
+std::optional<FleetEntry> read(fleetwire::Server::Reader from)
 {
     auto address = parseEndpoint(textOf(from.getAddress()));
     if (!address)
@@ -92,7 +113,13 @@
         for (auto name : held.getAdapters())
             adapters.insert(AdapterName(textOf(name)));
     }
-    return server;
+    return FleetEntry { std::move(server), ServerHandle(from.getHandle()), from.getRevision() };
+}
+
+void write(fleetwire::Departure::Builder to, const ServerDeparture& departure)
+{
+    to.setServer(departure.server.text());
+    to.setRevision(departure.revision);
 }
 
 /** Stands for a list that a coordinator does not have. */
@@ -112,13 +139,17 @@
     auto demands = root.initDemands(sizeOf(request.demands));
     for (unsigned i = 0; i < request.demands.size(); ++i)
         write(demands[i], request.demands[i]);
-    write(root.initOutstanding(sizeOf(request.outstanding)), request.outstanding);
+    write(root.initLoads(), request.outstanding);
+    root.setGateways(request.gateways);
+    root.setIsLast(request.isLast);
+    root.setRelay(request.relay.value());
+    root.setDataCentre(request.dataCentre.text());
     return messageBytes(message);
 }
 
 FleetMessageResult<FollowRequest> decodeFollowRequest(std::string_view bytes)
 {
-    return readFleetMessage<fleetwire::FollowRequest, FollowRequest>(bytes, [](auto root) {
+    return readFleetMessage<fleetwire::FollowRequest, FollowRequest>(bytes, [](auto root) -> FleetMessageResult<FollowRequest> {
         FollowRequest request;
         request.host = HostName(textOf(root.getHost()));
         request.configuration = ConfigurationVersion(root.getConfiguration());
@@ -126,7 +157,14 @@
         request.revision = root.getRevision();
         for (auto demand : root.getDemands())
             request.demands.push_back(read(demand));
-        request.outstanding = read(root.getOutstanding());
+        auto loads = read(root.getLoads());
+        if (!loads)
+            return failure(FleetMessageErrorCode::Malformed, "a server's load cannot be read");
+        request.outstanding = std::move(*loads);
+        request.gateways = root.getGateways();
+        request.isLast = root.getIsLast();
+        request.relay = KeeperId(root.getRelay());
+        request.dataCentre = DataCentreName(textOf(root.getDataCentre()));
         return request;
     });
 }
@@ -151,7 +189,7 @@
         write(servers[i], reply.servers[i]);
     auto gone = root.initGone(sizeOf(reply.gone));
     for (unsigned i = 0; i < reply.gone.size(); ++i)
-        gone.set(i, reply.gone[i].text());
+        write(gone[i], reply.gone[i]);
     root.setListAgeNanoseconds(reply.listAge ? reply.listAge->count() : noList);
     auto expectations = root.initExpectations(sizeOf(reply.expectations));
     for (unsigned i = 0; i < reply.expectations.size(); ++i) {
@@ -159,8 +197,16 @@
         expectations[i].setModel(reply.expectations[i].model.text());
         expectations[i].setRemainingNanoseconds(reply.expectations[i].remaining.count());
     }
-    write(root.initOutstanding(sizeOf(reply.outstanding)), reply.outstanding);
+    write(root.initLoads(), reply.outstanding);
     root.setGateways(reply.gateways);
+    root.setFollowers(reply.followers);
+    root.setHasMore(reply.hasMore);
+    root.setAgeNanoseconds(reply.age.count());
+    auto relays = root.initRelays(sizeOf(reply.relays));
+    for (unsigned i = 0; i < reply.relays.size(); ++i) {
+        relays[i].setCoordinator(reply.relays[i].coordinator.value());
+        relays[i].setDataCentre(reply.relays[i].dataCentre.text());
+    }
     return messageBytes(message);
 }
 
@@ -183,14 +229,22 @@
                 return failure(FleetMessageErrorCode::Malformed, "a server's address cannot be read");
             reply.servers.push_back(std::move(*server));
         }
-        for (auto id : root.getGone())
-            reply.gone.emplace_back(textOf(id));
+        for (auto departure : root.getGone())
+            reply.gone.push_back({ BackendServerName(textOf(departure.getServer())), departure.getRevision() });
         if (root.getListAgeNanoseconds() != noList)
             reply.listAge = Duration(root.getListAgeNanoseconds());
         for (auto expectation : root.getExpectations())
             reply.expectations.push_back({ ServiceName(textOf(expectation.getService())), ModelName(textOf(expectation.getModel())), Duration(expectation.getRemainingNanoseconds()) });
-        reply.outstanding = read(root.getOutstanding());
+        auto loads = read(root.getLoads());
+        if (!loads)
+            return failure(FleetMessageErrorCode::Malformed, "a server's load cannot be read");
+        reply.outstanding = std::move(*loads);
         reply.gateways = root.getGateways();
+        reply.followers = root.getFollowers();
+        reply.hasMore = root.getHasMore();
+        reply.age = Duration(root.getAgeNanoseconds());
+        for (auto relay : root.getRelays())
+            reply.relays.push_back({ KeeperId(relay.getCoordinator()), DataCentreName(textOf(relay.getDataCentre())) });
         return reply;
     });
 }
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -35,17 +35,52 @@
     unsigned rank = 0;
 };
 
+/** A server's number in the messages of one epoch; none while it has not been given one. */
+using ServerHandle = NumberId<struct ServerHandleTag>;
+
 /** Requests at a server. */
 struct ServerOutstanding {
-    BackendServerName server;
+    ServerHandle server;
     ServerLoad load;
 };
 
-/** What a gateway asks a coordinator for, again and again. */
+/** A server as gateways are told of it. */
+struct FleetEntry {
+    ListedServer server;
+    ServerHandle handle;
+    /** When it changed last. */
+    std::uint64_t revision = 0;
+};
+
+/** A server that left the list, and in which revision. */
+struct ServerDeparture {
+    BackendServerName server;
+    std::uint64_t revision = 0;
+
+    friend bool operator==(const ServerDeparture&, const ServerDeparture&) = default;
+};
+
+/** A coordinator that answers gateways, and where it stands. */
+struct CoordinatorPlace {
+    KeeperId coordinator;
+    DataCentreName dataCentre;
+
+    friend bool operator==(const CoordinatorPlace&, const CoordinatorPlace&) = default;
+};
+
+/** What a gateway asks a coordinator for, and a relay its leader, again and again. */
 struct FollowRequest {
     HostName host;
+    /** The coordinator that asks for the gateways that follow it; none when a gateway asks. */
+    KeeperId relay;
+    /** Where the relay stands. */
+    DataCentreName dataCentre;
+    /** Gateways for which this is asked. */
+    unsigned gateways = 1;
+    /** True when the gateway turns to another coordinator; nothing is asked for. */
+    bool isLast = false;
     ConfigurationVersion configuration;
-    /** What the gateway knows of the servers: revisions count within an epoch. */
+    /** What is known of the servers: revisions and handles count within an epoch. */
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     std::vector<ModelDemandReport> demands;
@@ -61,30 +96,37 @@
 
 /** What a coordinator says to a gateway. */
 struct FollowReply {
-    /** True when the coordinator led, for certain, when it answered. */
+    /** True when the coordinator that leads said this, here or to the relay that passes it on. */
     bool isCurrent = false;
+    /** How long ago it said so. */
+    Duration age {};
     /** Where to ask instead; none when unknown. */
     KeeperId leader;
     /** Every coordinator of the group. */
     std::vector<KeeperId> coordinators;
+    /** Coordinators that answer gateways now. */
+    std::vector<CoordinatorPlace> relays;
     ConfigurationVersion version;
     /** Empty when the gateway has that version. */
     ByteString configuration;
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
-    /** True when `servers` holds every server, and not only those that changed since the revision that the gateway knows. */
+    /** True when `servers` begins a list of every server, and does not go on from the revision that the gateway knows. */
     bool isWhole = false;
+    /** True when this is a part: the next one is to be asked for at once. */
+    bool hasMore = false;
     /** Servers with the models that requests may be sent for. */
-    std::vector<ListedServer> servers;
+    std::vector<FleetEntry> servers;
     /** Servers that left the platform's list since that revision. */
-    std::vector<BackendServerName> gone;
+    std::vector<ServerDeparture> gone;
     /** How long ago the platform's list was asked for; nothing when this coordinator has none. */
     std::optional<Duration> listAge;
     std::vector<ModelExpectation> expectations;
     /** Requests at each server from all gateways. */
     std::vector<ServerOutstanding> outstanding;
-    /** Gateways heard of lately. */
+    /** Gateways heard of lately, by all coordinators and by the one that answers. */
     unsigned gateways = 0;
+    unsigned followers = 0;
 };
 
 /** A configuration under its version, as it is agreed on. */
--- /dev/null
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "hemlockchute/core/Clock.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+
+/** How often gateways ask their coordinator, and relays the leader. Thread safety: any thread. */
+
+/** The most often that a gateway asks while nothing is urgent. */
+inline constexpr Duration shortestFollowInterval = 150ms;
+/** A coordinator's share of a core that goes to its followers stays the same, however many there are. */
+inline constexpr Duration followIntervalPerFollower = 5ms;
+/** How often a relay asks the leader. */
+inline constexpr Duration relayInterval = 100ms;
+/** Between two calls when something urgent came up. */
+inline constexpr Duration urgentFollowInterval = 20ms;
+/** The way of a call and its answer. */
+inline constexpr Duration newsMargin = 10ms;
+/** With fewer gateways, each asks the leader itself: its news comes sooner then. */
+inline constexpr unsigned fewestGatewaysForRelays = 25;
+
+/** The interval of gateways that share their coordinator with so many. */
+inline Duration followInterval(unsigned followers)
+{
+    return std::max<Duration>(shortestFollowInterval, followers * followIntervalPerFollower);
+}
+
+/** The time in which every gateway has heard the leader's news, with so many that follow it and so many behind the busiest relay; 0 when there are no relays. */
+inline Duration newsTime(unsigned followers, unsigned behindRelay)
+{
+    Duration direct = followInterval(followers);
+    return newsMargin + (behindRelay == 0 ? direct : std::max(direct, relayInterval + followInterval(behindRelay)));
+}
+
+} // namespace hemlockchute
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -15,7 +15,11 @@
     sent.epoch = 5;
     sent.revision = 6;
     sent.demands = { { { ServiceName("llm"), ModelName("m"), AdapterName("a") }, 1, 2, 3, 4, 5 } };
-    sent.outstanding = { { BackendServerName("s"), { 7, 800 } } };
+    sent.outstanding = { { ServerHandle(3), { 7, 800 } } };
+    sent.gateways = 9;
+    sent.isLast = true;
+    sent.relay = KeeperId(10);
+    sent.dataCentre = DataCentreName("z1");
     auto read = decodeFollowRequest(encodeFollowRequest(sent));
     BOOST_REQUIRE(read);
     BOOST_TEST((read->host == sent.host && read->configuration == sent.configuration && read->epoch == 5 && read->revision == 6));
@@ -23,7 +27,8 @@
     const ModelDemandReport& demand = read->demands.front();
     BOOST_TEST((demand.key == sent.demands.front().key));
     BOOST_TEST((demand.waiting == 1 && demand.active == 2 && demand.arrivals == 3 && demand.refused == 4 && demand.rank == 5));
-    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == BackendServerName("s") && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
+    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(3) && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
+    BOOST_TEST((read->gateways == 9 && read->isLast && read->relay == sent.relay && read->dataCentre == sent.dataCentre));
 }
 
 BOOST_AUTO_TEST_CASE(whatACoordinatorSaysArrives)
@@ -46,18 +51,26 @@
     server.isLeaving = true;
     server.models = { { ModelName("m"), { AdapterName("a1"), AdapterName("a2") } }, { ModelName("n"), {} } };
     sent.isWhole = true;
-    sent.servers = { server };
-    sent.gone = { BackendServerName("old") };
+    sent.hasMore = true;
+    sent.age = 40ms;
+    sent.relays = { { KeeperId(10), DataCentreName("z1") } };
+    sent.followers = 5;
+    sent.servers = { { server, ServerHandle(4), 12 } };
+    sent.gone = { { BackendServerName("old"), 8 } };
     sent.listAge = 300ms;
     sent.expectations = { { ServiceName("llm"), ModelName("x"), 1500ms } };
-    sent.outstanding = { { BackendServerName("s"), { 2, 0 } } };
+    sent.outstanding = { { ServerHandle(4), { 2, 0 } } };
     sent.gateways = 7;
     auto read = decodeFollowReply(encodeFollowReply(sent));
     BOOST_REQUIRE(read);
     BOOST_TEST((read->isCurrent && read->leader == sent.leader && read->coordinators == sent.coordinators && read->version == sent.version));
     BOOST_TEST(read->configuration == sent.configuration);
     BOOST_TEST((read->epoch == 11 && read->revision == 12 && read->gateways == 7));
-    BOOST_TEST((read->isWhole && read->servers == sent.servers && read->gone == sent.gone && read->listAge == sent.listAge));
+    BOOST_REQUIRE(read->servers.size() == 1U);
+    BOOST_TEST((read->servers.front().server == server && read->servers.front().handle == ServerHandle(4) && read->servers.front().revision == 12));
+    BOOST_TEST((read->isWhole && read->hasMore && read->gone == sent.gone && read->listAge == sent.listAge));
+    BOOST_TEST((read->age == 40ms && read->relays == sent.relays && read->followers == 5));
+    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(4) && read->outstanding.front().load.requests == 2));
     sent.listAge.reset();
     BOOST_TEST(!decodeFollowReply(encodeFollowReply(sent))->listAge);
     BOOST_TEST((read->expectations.size() == 1 && read->expectations.front().remaining == 1500ms));
--- /dev/null
+++ b/modules/hc_gateway/gateway/CoordinatorChoice.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "hemlockchute/fleet/FleetMessages.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace hemlockchute {
+
+//==============================================================================
+/**
+    Chooses the coordinator that this gateway asks.
+
+    Answers the load in which hundreds of gateways follow one leader: where coordinators relay its
+    word, those of one's own data centre go first, and gateways spread over several of them by a
+    hash, as they do over the others when theirs fail. Without relays the leader is asked. Who
+    failed rests for a while, and who is all that is known is asked in turn. Thread safety: one
+    thread at a time.
+
+    @see CoordinatorLink
+*/
+class CoordinatorChoice {
+public:
+    /** Time bounds. */
+    struct Options {
+        /** A coordinator that did not answer, or had nothing to say, is not preferred for so long. */
+        Duration rest = 700ms;
+        /** One that leads and cannot say so for certain yet is asked again after this. */
+        Duration leaderRest = 50ms;
+    };
+
+    CoordinatorChoice(HostName self, DataCentreName own, Options);
+
+    /** Adds coordinators that may be asked. */
+    void add(const std::set<Endpoint>&);
+    /** Takes what a coordinator said with authority. */
+    void takePlaces(const std::vector<CoordinatorPlace>& relays, const std::optional<Endpoint>& leader);
+    /** Notes that a coordinator had nothing to say, or did not answer; it may have named a leader. */
+    void noteFault(const Endpoint&, const std::optional<Endpoint>& leader, Instant now);
+
+    /** The coordinator to ask next. Precondition: one was added. */
+    Endpoint next(Instant now);
+
+private:
+    using Places = std::map<Endpoint, DataCentreName>;
+
+    bool isResting(const Endpoint&, Instant now) const;
+    std::optional<Endpoint> preferredRelay(bool isOwnDataCentre, Instant now) const;
+
+    HostName m_self;
+    DataCentreName m_own;
+    Options m_options;
+    std::set<Endpoint> m_all;
+    Places m_relays;
+    std::optional<Endpoint> m_leader;
+    std::map<Endpoint, Instant> m_restsUntil;
+    /** The last one that was asked in turn. */
+    std::optional<Endpoint> m_last;
+};
+
+} // namespace hemlockchute
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -1,6 +1,8 @@
 #include "gateway/CoordinatorLink.h"
 
 #include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/fleet/CoordinatorAddress.h"
+#include "hemlockchute/fleet/FollowPace.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -18,7 +20,7 @@
 } // namespace
 
 //==============================================================================
-CoordinatorLink::CoordinatorLink(asio::io_context& context, PeerClient& client, HostName self, std::vector<Endpoint> seeds, Options options, ServerTable& servers, DemandLedger& demand, Hooks hooks)
+CoordinatorLink::CoordinatorLink(asio::io_context& context, PeerClient& client, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options options, ServerTable& servers, DemandLedger& demand, Hooks hooks)
     : m_client(client)
     , m_self(std::move(self))
     , m_options(options)
@@ -26,8 +28,9 @@
     , m_demand(demand)
     , m_hooks(std::move(hooks))
     , m_timer(context)
-    , m_coordinators(seeds.begin(), seeds.end())
+    , m_choice(m_self, std::move(own), CoordinatorChoice::Options())
 {
+    setSeeds(seeds);
 }
 
 void CoordinatorLink::start()
@@ -50,7 +53,7 @@
 
 void CoordinatorLink::setSeeds(const std::vector<Endpoint>& seeds)
 {
-    m_coordinators.insert(seeds.begin(), seeds.end());
+    m_choice.add({ seeds.begin(), seeds.end() });
 }
 
 std::optional<Instant> CoordinatorLink::expected(const ServiceName& service, const ModelName& model) const
@@ -82,66 +85,102 @@
 /** What is left of the time until the next call. */
 Duration CoordinatorLink::pause(Instant asked) const
 {
-    Duration interval = std::max<Duration>(m_options.interval, m_gateways.value_or(0) * m_options.intervalPerGateway);
-    return asked + (m_isHurried ? m_options.shortestInterval : interval) - std::chrono::steady_clock::now();
+    if (m_hasMore)
+        return Duration::zero();
+    return asked + (m_isHurried ? urgentFollowInterval : followInterval(m_followers)) - std::chrono::steady_clock::now();
 }
 
 asio::awaitable<void> CoordinatorLink::askOnce()
 {
-    if (!m_target)
-        turnTo(std::nullopt);
-    Endpoint target = *m_target;
+    Endpoint target = m_choice.next(std::chrono::steady_clock::now());
+    takeLeave(target);
     ByteString request = nextRequest();
     auto bytes = co_await m_client.call(target, PeerMethod::FollowFleet, std::move(request), m_options.timeout);
     Instant now = std::chrono::steady_clock::now();
     std::string fault;
+    m_hasMore = false;
     if (!bytes)
         fault = bytes.error().detail;
     else if (auto reply = decodeFollowReply(*bytes); reply)
-        take(*reply, now);
+        fault = take(target, *reply, now);
     else
         fault = reply.error().detail;
-    if (!fault.empty())
-        turnTo(std::nullopt);
+    if (!fault.empty() && !bytes)
+        m_choice.noteFault(target, std::nullopt, now);
     noteIfLost(target, fault, now);
 }
 
+/** The coordinator that was asked before must not count this gateway's requests any more. */
+void CoordinatorLink::takeLeave(const Endpoint& target)
+{
+    std::optional<Endpoint> before = std::exchange(m_followed, std::nullopt);
+    if (!before || *before == target)
+        return;
+    FollowRequest last;
+    last.host = m_self;
+    last.isLast = true;
+    // Without an answer the coordinator forgets this gateway after a while.
+    m_client.call(*before, PeerMethod::FollowFleet, encodeFollowRequest(last), m_options.timeout, [](const Result<ByteString, PeerErrorCode>&) {});
+}
+
 ByteString CoordinatorLink::nextRequest()
 {
-    return encodeFollowRequest({ m_self, m_version, m_epoch, m_revision, m_demand.takeReports(), m_servers.outstanding() });
+    FollowRequest request;
+    request.host = m_self;
+    request.configuration = m_version;
+    request.epoch = m_epoch;
+    request.revision = m_revision;
+    request.demands = m_demand.takeReports();
+    request.outstanding = m_servers.outstanding();
+    return encodeFollowRequest(request);
 }
 
 void CoordinatorLink::noteIfLost(const Endpoint& asked, const std::string& fault, Instant now)
 {
     bool isLost = silence(now) > lostAfter;
     if (isLost && !std::exchange(m_isLost, true))
-        logEvent(EventId::GatewayCoordinatorLost, { { "asked", formatEndpoint(asked) }, { "reason", fault.empty() ? "it does not lead" : fault } });
+        logEvent(EventId::GatewayCoordinatorLost, { { "asked", formatEndpoint(asked) }, { "reason", fault } });
 }
 
-void CoordinatorLink::take(const FollowReply& reply, Instant now)
+/** Takes an answer; gives the reason when it does not tell what the leader says now. */
+std::string CoordinatorLink::take(const Endpoint& asked, const FollowReply& reply, Instant now)
 {
+    std::set<Endpoint> coordinators;
     for (KeeperId coordinator : reply.coordinators)
-        m_coordinators.insert(endpointOf(coordinator));
+        coordinators.insert(endpointOf(coordinator));
+    m_choice.add(coordinators);
+    std::optional<Endpoint> leader;
+    if (!reply.leader.isNone())
+        leader = endpointOf(reply.leader);
     takeConfiguration(reply, now);
-    if (!reply.isCurrent) {
-        turnTo(reply.leader.isNone() ? std::nullopt : std::optional(endpointOf(reply.leader)));
-        return;
+    // A relay may not have heard yet of the leader that this gateway has heard.
+    bool isOutdated = reply.epoch < m_newestEpoch && silence(now) < m_options.patience;
+    if (!reply.isCurrent || isOutdated) {
+        m_choice.noteFault(asked, leader, now);
+        m_isHurried = m_isHurried || (leader && *leader != asked);
+        return isOutdated ? "it speaks for an earlier leader" : "it does not speak for a leader";
     }
-    m_heard = now;
+    m_choice.takePlaces(reply.relays, leader);
+    m_followed = asked;
+    m_heard = now - reply.age;
     if (std::exchange(m_isLost, false))
-        logEvent(EventId::GatewayCoordinatorRegained, { { "coordinator", formatEndpoint(*m_target) } });
+        logEvent(EventId::GatewayCoordinatorRegained, { { "coordinator", formatEndpoint(asked) } });
     m_gateways = reply.gateways;
+    m_followers = reply.followers;
     std::vector<Endpoint> gone;
     if (reply.listAge) {
         m_listAsked = now - *reply.listAge;
         m_epoch = reply.epoch;
+        m_newestEpoch = reply.epoch;
         m_revision = reply.revision;
+        m_hasMore = reply.hasMore;
         gone = m_servers.takeReply(reply);
     }
     m_expected.clear();
     for (const ModelExpectation& expectation : reply.expectations)
         m_expected[{ expectation.service, expectation.model }] = now + expectation.remaining;
     m_hooks.changed(gone);
+    return {};
 }
 
 /** Only a coordinator that leads is believed, unless there is nothing to go by at all. */
@@ -152,16 +191,4 @@
         m_hooks.configuration(reply.version, reply.configuration);
 }
 
-/** Turns to the coordinator given, or to the one after the last. */
-void CoordinatorLink::turnTo(std::optional<Endpoint> coordinator)
-{
-    if (coordinator && coordinator != m_target) {
-        m_target = coordinator;
-        m_isHurried = true;
-        return;
-    }
-    auto next = m_target ? m_coordinators.upper_bound(*m_target) : m_coordinators.begin();
-    m_target = next == m_coordinators.end() ? *m_coordinators.begin() : *next;
-}
-
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/CoordinatorChoice.h"
 #include "gateway/DemandLedger.h"
 #include "gateway/ServerTable.h"
 #include "hemlockchute/peer/PeerClient.h"
@@ -12,20 +13,15 @@
 
 //==============================================================================
 /**
-    Keeps in touch with the coordinator that leads: tells it the demand, and hears of it the
-    configuration, the placement and when missing models are expected.
+    Keeps in touch with the coordinator that leads, itself or by a relay: tells it the demand, and
+    hears of it the configuration, the placement and when missing models are expected.
 
     Thread safety: only on the io_context, which runs one thread.
 */
 class CoordinatorLink {
 public:
-    /** How often to ask and when to give up on an answer. */
+    /** When to give up on an answer, and on what was heard before. */
     struct Options {
-        Duration interval = 150ms;
-        /** Between two calls when something urgent came up. */
-        Duration shortestInterval = 20ms;
-        /** The interval grows by this for each gateway, so that a coordinator's load does not follow their number. */
-        Duration intervalPerGateway = 8ms;
         Duration timeout = 500ms;
         /** After so long without a leader, the configuration of any coordinator will do for a gateway that has none. */
         Duration patience = 3s;
@@ -41,7 +37,7 @@
         std::function<void(const std::vector<Endpoint>& gone)> changed;
     };
 
-    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, std::vector<Endpoint> seeds, Options, ServerTable&, DemandLedger&, Hooks);
+    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options, ServerTable&, DemandLedger&, Hooks);
 
     void start();
     void stop();
@@ -64,11 +60,11 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> askOnce();
+    void takeLeave(const Endpoint& target);
     ByteString nextRequest();
     void noteIfLost(const Endpoint& asked, const std::string& fault, Instant now);
-    void take(const FollowReply&, Instant now);
+    std::string take(const Endpoint& asked, const FollowReply&, Instant now);
     void takeConfiguration(const FollowReply&, Instant now);
-    void turnTo(std::optional<Endpoint>);
     Duration pause(Instant asked) const;
 
     PeerClient& m_client;
@@ -78,13 +74,20 @@
     DemandLedger& m_demand;
     Hooks m_hooks;
     boost::asio::steady_timer m_timer;
-    std::set<Endpoint> m_coordinators;
-    std::optional<Endpoint> m_target;
+    CoordinatorChoice m_choice;
+    /** The coordinator that counts this gateway's requests. */
+    std::optional<Endpoint> m_followed;
     ConfigurationVersion m_version;
+    /** The epoch of the servers in the table, and the highest that was heard of. */
     std::uint64_t m_epoch = 0;
+    std::uint64_t m_newestEpoch = 0;
     std::uint64_t m_revision = 0;
     std::map<std::pair<ServiceName, ModelName>, Instant> m_expected;
     std::optional<unsigned> m_gateways;
+    /** Gateways that share the coordinator with this one. */
+    unsigned m_followers = 0;
+    /** True while parts of a list are to come. */
+    bool m_hasMore = false;
     std::optional<Instant> m_heard;
     std::optional<Instant> m_listAsked;
     Instant m_begun {};
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -25,6 +25,8 @@
 constexpr int newConnectionsPart = 2;
 /** What still runs is ended this long before the process ends, so that its callers can be told. */
 constexpr Duration lastAnswers = 300ms;
+/** A server may send bytes that nobody asked for on an idle connection; they take memory until they are found. */
+constexpr Duration brokenConnectionsInterval = 2s;
 /** How often is looked whether the coordinator's list is current. */
 constexpr Duration listWatchInterval = 200ms;
 /** A read timeout above the header's leaves time for the body. */
@@ -46,6 +48,16 @@
     return options;
 }
 
+/** A server serves for a while after it is listed as leaving: the list may be half as old, and the rest is left for the way of what is sent. */
+CoordinatorLink::Options linkOptions(const GatewaySettings& settings)
+{
+    constexpr int listPart = 2;
+    constexpr Duration listMargin = 100ms;
+    CoordinatorLink::Options options;
+    options.listLifetime = settings.leavingNotice / listPart + listMargin;
+    return options;
+}
+
 ListingPoller::Options listingOptions()
 {
     ListingPoller::Options options;
@@ -61,7 +73,7 @@
     , m_client(clientOptions())
     , m_peers(context, { settings.clusterName, settings.clusterKey, settings.host, "gateway" }, PeerClient::Options())
     , m_servers(settings.dataCentre, tableOptions())
-    , m_link(context, m_peers, settings.host, settings.seeds, CoordinatorLink::Options(), m_servers, m_demand,
+    , m_link(context, m_peers, settings.host, settings.dataCentre, settings.seeds, linkOptions(settings), m_servers, m_demand,
           { [this](ConfigurationVersion version, const ByteString& body) { takeConfiguration(version, body); },
               [this](const std::vector<Endpoint>& gone) {
                   forgetAddresses(gone);
@@ -74,6 +86,7 @@
     , m_readiness(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); })
     , m_metrics(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
     , m_listTimer(context)
+    , m_connectionTimer(context)
     , m_stopTimer(context)
     , m_endTimer(context)
 {
@@ -91,6 +104,7 @@
     m_link.start();
     m_listing.start();
     watchList();
+    dropBrokenConnections();
     return {};
 }
 
@@ -139,6 +153,7 @@
         return;
     m_endTimer.cancel();
     m_listTimer.cancel();
+    m_connectionTimer.cancel();
     m_link.stop();
     m_listing.stop();
     std::exchange(m_stopped, nullptr)();
@@ -220,4 +235,14 @@
     });
 }
 
+void Gateway::dropBrokenConnections()
+{
+    m_client.dropBroken();
+    m_connectionTimer.expires_after(brokenConnectionsInterval);
+    m_connectionTimer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            dropBrokenConnections();
+    });
+}
+
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -34,6 +34,7 @@
     void takeListing(std::vector<ListedServer>);
     void forgetAddresses(const std::vector<Endpoint>&);
     void watchList();
+    void dropBrokenConnections();
     bool isReady() const;
     void endRequests();
     void finishStop();
@@ -51,6 +52,7 @@
     HttpServer m_readiness;
     HttpServer m_metrics;
     boost::asio::steady_timer m_listTimer;
+    boost::asio::steady_timer m_connectionTimer;
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_endTimer;
     std::function<void()> m_stopped;
--- a/modules/hc_gateway/gateway/GatewaySettings.cpp
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -35,6 +35,7 @@
     SettingsTable platform = file.root().table("platform");
     settings.platform = platform.text("plugin");
     settings.listing = platform.endpoint("list");
+    settings.leavingNotice = platform.duration("leaving_notice", settings.leavingNotice);
     SettingsTable retries = file.root().table("retries");
     settings.retries = settings.retries.withRatio(retries.number("ratio", settings.retries.ratio, 0, 1));
     settings.retries = settings.retries.withAllowance(static_cast<unsigned>(retries.integer("allowance", settings.retries.allowance, 0, largestAllowance)));
--- a/modules/hc_gateway/gateway/GatewaySettings.h
+++ b/modules/hc_gateway/gateway/GatewaySettings.h
@@ -28,6 +28,8 @@
     /** The name of the platform's plug-in, and the address of its list of backend servers. */
     std::string platform;
     Endpoint listing;
+    /** A server takes requests for so long after the list says that it leaves. */
+    Duration leavingNotice = 3s;
     RetryBudget::Options retries;
     /** Time from the signal to stop to the end of the process. */
     Duration grace = 8s;
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -1,6 +1,7 @@
 #include "gateway/ServerTable.h"
 
 #include <algorithm>
+#include <unordered_map>
 
 namespace hemlockchute {
 
@@ -17,46 +18,72 @@
     for (const ListedServer& server : servers)
         listed.insert(server.id);
     std::set<Endpoint> gone;
-    std::erase_if(m_servers, [&](const auto& item) {
-        bool isGone = !listed.contains(item.first);
-        if (isGone) {
-            gone.insert(item.second.listed.address);
-            m_ejections.forget(item.first);
-        }
-        return isGone;
-    });
+    std::vector<BackendServerName> left;
+    for (const auto& [id, server] : m_servers) {
+        if (!listed.contains(id))
+            left.push_back(id);
+    }
+    for (const BackendServerName& id : left)
+        remove(id, gone);
     for (ListedServer& server : servers)
         take(std::move(server), gone);
     m_hasListing = true;
     return { gone.begin(), gone.end() };
 }
 
+void ServerTable::remove(const BackendServerName& id, std::set<Endpoint>& gone)
+{
+    auto server = m_servers.extract(id);
+    if (!server.empty())
+        gone.insert(server.mapped().listed.address);
+    m_ejections.forget(id);
+}
+
 std::vector<Endpoint> ServerTable::takeReply(const FollowReply& reply)
 {
     std::set<Endpoint> gone;
     if (reply.isWhole) {
-        std::vector<Endpoint> left = takeAll(reply.servers);
-        gone.insert(left.begin(), left.end());
-    } else {
-        for (const ListedServer& server : reply.servers)
-            take(server, gone);
-        for (const BackendServerName& id : reply.gone) {
-            auto server = m_servers.extract(id);
-            if (!server.empty())
-                gone.insert(server.mapped().listed.address);
-            m_ejections.forget(id);
+        m_isRenewing = true;
+        for (auto& [id, server] : m_servers) {
+            server.isUnconfirmed = true;
+            server.handle = ServerHandle();
         }
     }
-    std::map<BackendServerName, ServerLoad> totals;
-    for (const ServerOutstanding& each : reply.outstanding)
-        totals[each.server] = each.load;
-    for (auto& [id, server] : m_servers)
-        server.others = totals[id] - server.reportedOwn;
+    for (const FleetEntry& entry : reply.servers) {
+        Server& server = take(entry.server, gone);
+        server.handle = entry.handle;
+        server.isUnconfirmed = false;
+    }
+    for (const ServerDeparture& departure : reply.gone)
+        remove(departure.server, gone);
+    if (m_isRenewing && !reply.hasMore) {
+        std::vector<BackendServerName> left;
+        for (const auto& [id, server] : m_servers) {
+            if (server.isUnconfirmed)
+                left.push_back(id);
+        }
+        for (const BackendServerName& id : left)
+            remove(id, gone);
+        m_isRenewing = false;
+        m_hasListing = true;
+    }
+    takeLoads(reply);
     return { gone.begin(), gone.end() };
 }
 
+void ServerTable::takeLoads(const FollowReply& reply)
+{
+    std::unordered_map<std::uint64_t, ServerLoad> totals;
+    for (const ServerOutstanding& each : reply.outstanding)
+        totals[each.server.value()] = each.load;
+    for (auto& [id, server] : m_servers) {
+        auto total = totals.find(server.handle.value());
+        server.others = total == totals.end() ? ServerLoad() : total->second - server.reportedOwn;
+    }
+}
+
 /** A server in another life, or at another address, begins without requests and failures. */
-void ServerTable::take(ListedServer listed, std::set<Endpoint>& gone)
+ServerTable::Server& ServerTable::take(ListedServer listed, std::set<Endpoint>& gone)
 {
     Server& server = m_servers[listed.id];
     bool isKnown = !server.listed.id.isEmpty();
@@ -69,6 +96,7 @@
     if (server.listed.models != listed.models)
         server.missingUntil.clear();
     server.listed = std::move(listed);
+    return server;
 }
 
 //==============================================================================
@@ -170,9 +198,9 @@
 {
     std::vector<ServerOutstanding> all;
     for (auto& [id, server] : m_servers) {
-        server.reportedOwn = server.own;
-        if (server.own.requests > 0)
-            all.push_back({ id, server.own });
+        server.reportedOwn = server.handle.isNone() ? ServerLoad() : server.own;
+        if (server.reportedOwn.requests > 0)
+            all.push_back({ server.handle, server.reportedOwn });
     }
     return all;
 }
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -34,7 +34,7 @@
     //==============================================================================
     /** Takes every server there is; returns the addresses that no server has any more. */
     std::vector<Endpoint> takeAll(std::vector<ListedServer>);
-    /** Takes the servers that changed, those that are gone, and the counts of all gateways; returns as takeAll(). */
+    /** Takes the servers that changed, those that are gone, and the counts of all gateways; returns as takeAll(). A list that comes in parts replaces what was known with its last one. */
     std::vector<Endpoint> takeReply(const FollowReply&);
 
     //==============================================================================
@@ -68,6 +68,9 @@
         ServerLoad own;
         ServerLoad reportedOwn;
         ServerLoad others;
+        ServerHandle handle;
+        /** True while a new list is coming and the server has not been in it. */
+        bool isUnconfirmed = false;
     };
 
     /** The servers of a data centre that were found out of reach, since one of them was last heard. */
@@ -76,7 +79,9 @@
         Instant lastSilence {};
     };
 
-    void take(ListedServer, std::set<Endpoint>& gone);
+    Server& take(ListedServer, std::set<Endpoint>& gone);
+    void remove(const BackendServerName&, std::set<Endpoint>& gone);
+    void takeLoads(const FollowReply&);
     bool isOutOfReach(const DataCentreName&, Instant now) const;
     bool holds(const Server&, const ModelKey&, Instant now) const;
 
@@ -86,6 +91,8 @@
     EjectionTable m_ejections;
     std::map<DataCentreName, Reach> m_reach;
     bool m_hasListing = false;
+    /** True while parts of a new list are to come. */
+    bool m_isRenewing = false;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/tests/ServerTableTests.cpp
+++ b/modules/hc_gateway/tests/ServerTableTests.cpp
@@ -21,6 +21,11 @@
     return server;
 }
 
+FleetEntry entry(ListedServer server, std::uint64_t handle = 0)
+{
+    return { std::move(server), ServerHandle(handle), 1 };
+}
+
 struct TableFixture {
     TableFixture()
         : table(DataCentreName("z1"), ServerTable::Options())
@@ -49,13 +54,13 @@
     FollowReply reply;
     ListedServer leaving = listed("far-1", "z2", 2);
     leaving.isLeaving = true;
-    reply.servers = { leaving, listed("far-2", "z2", 9, 2) };
-    reply.gone = { BackendServerName("far-3") };
+    reply.servers = { entry(leaving), entry(listed("far-2", "z2", 9, 2)) };
+    reply.gone = { { BackendServerName("far-3"), 2 } };
     std::vector<Endpoint> gone = table.takeReply(reply);
     BOOST_TEST((candidates() == std::set<std::string> { "near", "far-2" }));
     BOOST_TEST(gone.size() == 2U);
     reply.isWhole = true;
-    reply.servers = { listed("far-2", "z2", 9, 2) };
+    reply.servers = { entry(listed("far-2", "z2", 9, 2)) };
     table.takeReply(reply);
     BOOST_TEST((candidates() == std::set<std::string> { "far-2" }));
 }
@@ -97,10 +102,14 @@
 BOOST_AUTO_TEST_CASE(loadsOfOthersAddToOnesOwn)
 {
     BackendServerName near("near");
-    table.noteSent(near, 100);
-    table.outstanding();
     FollowReply reply;
-    reply.outstanding = { { near, { 5, 700 } } };
+    reply.servers = { entry(listed("near", "z1", 1), 7) };
+    table.takeReply(reply);
+    table.noteSent(near, 100);
+    auto reported = table.outstanding();
+    BOOST_TEST((reported.size() == 1 && reported.front().server == ServerHandle(7) && reported.front().load.requests == 1));
+    reply.servers.clear();
+    reply.outstanding = { { ServerHandle(7), { 5, 700 } } };
     table.takeReply(reply);
     table.noteSent(near, 50);
     table.noteRead(near, 100);
@@ -108,6 +117,42 @@
     BOOST_TEST((candidate.load.requests == 6 && candidate.load.unreadTokens == 650));
 }
 
+/** The load of a restart: a list too long for one answer must not take servers away before it is whole. */
+BOOST_AUTO_TEST_CASE(aNewListInPartsReplacesTheOldOneWithItsLastPart)
+{
+    FollowReply part;
+    part.isWhole = true;
+    part.hasMore = true;
+    part.servers = { entry(listed("near", "z1", 1), 1) };
+    table.takeReply(part);
+    BOOST_TEST(candidates().size() == 4U);
+    part.isWhole = false;
+    part.servers = { entry(listed("new", "z2", 8), 2) };
+    table.takeReply(part);
+    BOOST_TEST(candidates().size() == 5U);
+    part.hasMore = false;
+    part.servers.clear();
+    part.gone = { { BackendServerName("new"), 3 } };
+    std::vector<Endpoint> gone = table.takeReply(part);
+    BOOST_TEST((candidates() == std::set<std::string> { "near" }));
+    BOOST_TEST(gone.size() == 4U);
+}
+
+/** A handle of an earlier epoch may name another server by now. */
+BOOST_AUTO_TEST_CASE(loadsAreNotReportedUnderHandlesOfAnEarlierEpoch)
+{
+    BackendServerName near("near");
+    FollowReply reply;
+    reply.servers = { entry(listed("near", "z1", 1), 7) };
+    table.takeReply(reply);
+    table.noteSent(near, 100);
+    reply.isWhole = true;
+    reply.hasMore = true;
+    reply.servers = { entry(listed("far-1", "z2", 2), 7) };
+    table.takeReply(reply);
+    BOOST_TEST(table.outstanding().empty());
+}
+
 BOOST_AUTO_TEST_CASE(demandIsReportedOnceAndForgottenWhenItIsOver)
 {
     DemandLedger ledger;
