Send no order once the authority for it has ended while its connection was made

Cause: since orders have connections of their own, dialling lies between the question whether this host may give orders and the first byte. A host that lost its lead meanwhile sent the order all the same, up to a second later.

Change: the call asks again once the connection stands (HttpCallHandle condition).

Ruled out: going back to pooled connections, whose late answers cannot be told apart.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -282,6 +282,14 @@
     return order;
 }
 
+/** A call that is given up when this host loses its authority before the first byte: dialling takes time. */
+std::shared_ptr<HttpCallHandle> PlacementDirector::whileAuthorized(FencingNumber fence) const
+{
+    auto handle = std::make_shared<HttpCallHandle>();
+    handle->setCondition([this, fence] { return m_authority() == fence; });
+    return handle;
+}
+
 asio::awaitable<std::optional<OrderOutcome>> PlacementDirector::give(const BackendServerName& id, const PlacementStep& step)
 {
     auto found = m_servers.find(id);
@@ -293,7 +301,7 @@
     Endpoint address = found->second.listed.address;
     Instant sent = currentTime();
     // Nothing in an answer to an order says which order it answers: a late copy of an earlier one must not pass for it.
-    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::Single);
+    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::Single, whileAuthorized(*fence));
     std::optional<OrderOutcome> outcome;
     if (answer)
         outcome = m_platform.decodeOrderAnswer(answer->status);
@@ -309,7 +317,8 @@
         server.withdrawn = step.model;
         server.withdrawnAdapter = step.adapter;
         noteChanged(server);
-        co_await pause(withdrawal(currentTime()));
+        if (step.isAskedFor)
+            co_await pause(withdrawal(currentTime()));
     }
     auto outcome = co_await give(id, step);
     Server* server = find(id, life);
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -22,7 +22,8 @@
     Each order names the number of orders that its server has accepted before it, so that one whose
     answer was lost can be carried out at most while nothing newer was accepted. Orders go out only
     while `authority` gives a fencing number, which is asked for just before each of them. A model
-    is withdrawn from the gateways before its unload is ordered.
+    is withdrawn from the gateways before its unload is ordered; all of them have heard of it by
+    then if it is asked for.
     Thread safety: only on the io_context, which runs one thread.
 
     @see ModelPlacer
@@ -99,6 +100,7 @@
     boost::asio::awaitable<void> follow(BackendServerName, std::int64_t life, PlacementStep);
     boost::asio::awaitable<void> refresh(BackendServerName);
     boost::asio::awaitable<std::optional<OrderOutcome>> give(const BackendServerName&, const PlacementStep&);
+    std::shared_ptr<HttpCallHandle> whileAuthorized(FencingNumber) const;
     boost::asio::awaitable<void> pause(Duration) const;
     PlacementOrder orderFor(const Server&, const PlacementStep&, FencingNumber) const;
     void noteOrder(const PlacementOrder&, const PlacementStep&, std::optional<OrderOutcome>, Duration took) const;
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -351,6 +351,8 @@
     auto connection = co_await impl->connect(endpoint, deadline, use, handle);
     if (!connection)
         co_return tl::unexpected(connection.error());
+    if (handle && !handle->mayBegin())
+        co_return failure(HttpClientErrorCode::NotConnected, "given up before it was sent");
     ScopedHttpCall call(handle, **connection);
     auto write = std::make_shared<RequestWrite>();
     write->message = toBeast(std::move(request), endpoint);
@@ -369,9 +371,9 @@
     co_return stream;
 }
 
-asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> HttpClient::send(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use)
+asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> HttpClient::send(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
 {
-    auto stream = co_await open(endpoint, std::move(request), deadline, use);
+    auto stream = co_await open(endpoint, std::move(request), deadline, use, std::move(handle));
     if (!stream)
         co_return tl::unexpected(stream.error());
     HttpResponse response { (*stream)->status(), (*stream)->headers(), {} };
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -64,10 +64,16 @@
     /** Closes the connection; the call fails, as does one that has not begun. */
     void cancel();
     bool isCancelled() const { return m_isCancelled; }
+    /** Sets what is asked once the connection stands, just before the first byte: the call is given up unless it is true. */
+    void setCondition(std::function<bool()> condition) { m_condition = std::move(condition); }
 
 private:
+    friend class HttpClient;
     friend class ScopedHttpCall;
+    bool mayBegin() const { return !m_condition || m_condition(); }
+
     bool m_isCancelled = false;
+    std::function<bool()> m_condition;
     std::function<void()> m_close;
 };
 
@@ -120,7 +126,7 @@
     ~HttpClient();
 
     /** Sends a request and reads the whole answer. */
-    boost::asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> send(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled);
+    boost::asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> send(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
     /** Sends a request and reads the answer up to the end of its header; the rest of a long request goes on meanwhile. A Host header of the request's own is kept. */
     boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
     /** Closes idle connections that the other side has closed, or sent something on that nobody asked for. Call now and then. */
