Let rare models go without an announcement, and tell who waits sooner

Change: a model goes at once when fewer than 0.3 requests a second ask for it; what still arrives is told by the server that it has not run. Gateways at which requests wait ask every 100 ms (2 ms a follower).

--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -353,6 +353,7 @@
         step.operation = PlacementStep::Operation::Unload;
         step.model = victims.front();
         step.makesRoomFor = intent.model;
+        step.isAskedFor = isAskedFor(round, step.model);
     } else {
         const EngineModel& spec = round.engine.models.at(intent.model);
         step.model = intent.model;
@@ -436,12 +437,19 @@
             }
             if (step.adapter.isEmpty())
                 continue;
+            step.isAskedFor = least > m_options.askedForRate;
         }
         round.taken.insert(best->id);
         round.steps.push_back(std::move(step));
     }
 }
 
+bool ModelPlacer::isAskedFor(const Round& round, const ModelName& model) const
+{
+    auto found = round.models.find(model);
+    return found != round.models.end() && (found->second.waiting > 0 || found->second.arrivalsPerSecond > m_options.askedForRate);
+}
+
 ByteCount ModelPlacer::usedAt(const EngineSpec& engine, const PlacedServer& server)
 {
     ByteCount used;
--- a/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
@@ -14,6 +14,9 @@
 inline constexpr Duration followIntervalPerFollower = 5ms;
 /** How often a relay asks the leader. */
 inline constexpr Duration relayInterval = 100ms;
+/** As the first two, for gateways at which requests wait: the news that they wait for is a model that is there. */
+inline constexpr Duration shortestWaitingInterval = 100ms;
+inline constexpr Duration waitingIntervalPerFollower = 2ms;
 /** Between two calls when something urgent came up. */
 inline constexpr Duration urgentFollowInterval = 20ms;
 /** The way of a call and its answer. */
@@ -27,6 +30,12 @@
     return std::max<Duration>(shortestFollowInterval, followers * followIntervalPerFollower);
 }
 
+/** The interval of gateways at which requests wait. */
+inline Duration waitingInterval(unsigned followers)
+{
+    return std::max<Duration>(shortestWaitingInterval, followers * waitingIntervalPerFollower);
+}
+
 /** The time in which every gateway has heard the leader's news, with so many that follow it and so many behind the busiest relay; 0 when there are no relays. */
 inline Duration newsTime(unsigned followers, unsigned behindRelay)
 {
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -66,6 +66,8 @@
     Duration time {};
     /** The model for which room is made by an unload. */
     ModelName makesRoomFor;
+    /** True when what goes is asked for so often that gateways must hear of it before the server does. */
+    bool isAskedFor = false;
 };
 
 //==============================================================================
@@ -76,7 +78,8 @@
     often keep their places, and the others take turns in the rest. A model that nobody holds and
     that requests wait for goes where its weights are at hand and where the least wanted model
     makes way; loads from the weight store, which are slow and few at once, go to the models that
-    the most, and the most urgent, requests want. Models whose servers are full, or cannot be reached
+    the most, and the most urgent, requests want. Who waits for a rare model does not wait for every gateway to hear
+    that another rare one goes. Models whose servers are full, or cannot be reached
     by those who ask, get another copy. While no request waits for a model that is held, the store gives models of which no
     server has a copy, since from then on they are quick to load there.
     Thread safety: one thread at a time.
@@ -99,6 +102,8 @@
         double idleFill = 0.5;
         /** Requests that wait for a model for so long although a server holds it cannot reach that server. */
         Duration unreachableAfter = 500ms;
+        /** Requests a second from which on a model that goes is withdrawn from gateways first; below it, fewer than one unload in eight meets a request, which is told that it has not run. */
+        double askedForRate = 0.3;
         /** Delay of a load that weighs as much as losing a model that gets one request a second. */
         Duration evictionCost = 400ms;
 
@@ -150,6 +155,7 @@
     double keepingValue(const Round&, const PlacedServer&, const ModelName&) const;
     void take(Round&, const PlacedServer&, const Intent&, const std::vector<ModelName>& victims);
     void expectMissing(Round&, const std::vector<ModelName>& unplaced);
+    bool isAskedFor(const Round&, const ModelName&) const;
     static ByteCount usedAt(const EngineSpec&, const PlacedServer&);
 
     Options m_options;
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -126,6 +126,26 @@
     BOOST_TEST(!servers.holds("m1"));
 }
 
+/** The load of hundreds of rare models that take turns: whoever waits for one must not wait for every gateway to hear of another that nobody asks for. */
+BOOST_AUTO_TEST_CASE(onlyWhatIsAskedForIsAnnouncedBeforeItGoes)
+{
+    ModelPlacer placer { ModelPlacer::Options() };
+    ModelPlacer::Servers servers { server("a", { "m0", "m1", "m2" }) };
+    ModelPlacer::Demands demands { { key("m0"), rate(5) }, { key("m1"), rate(5) }, { key("m2"), rate(0.1) } };
+    Instant now(1h);
+    placer.decide(engineOf(4), servers, demands, now);
+    now += 1s;
+    demands[key("m3")] = waiting(1);
+    auto steps = placer.decide(engineOf(4), servers, demands, now);
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().model == ModelName("m2") && !steps.front().isAskedFor));
+    demands[key("m2")] = rate(1);
+    demands[key("m3")] = waiting(9);
+    steps = placer.decide(engineOf(4), servers, demands, now);
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().model == ModelName("m2") && steps.front().isAskedFor));
+}
+
 BOOST_AUTO_TEST_CASE(aModelThatIsWantedLessThanAllOthersStaysOutAndIsExpectedLate)
 {
     InstantServers servers(engineOf(5), { server("a", { "m0", "m1", "m2" }) });
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -87,7 +87,8 @@
 {
     if (m_hasMore)
         return Duration::zero();
-    return asked + (m_isHurried ? urgentFollowInterval : followInterval(m_followers)) - std::chrono::steady_clock::now();
+    Duration interval = m_demand.isWaiting() ? waitingInterval(m_followers) : followInterval(m_followers);
+    return asked + (m_isHurried ? urgentFollowInterval : interval) - std::chrono::steady_clock::now();
 }
 
 asio::awaitable<void> CoordinatorLink::askOnce()
--- a/modules/hc_gateway/gateway/DemandLedger.h
+++ b/modules/hc_gateway/gateway/DemandLedger.h
@@ -17,9 +17,15 @@
 public:
     void noteArrival(const ModelKey&, unsigned rank);
     void noteRefused(const ModelKey&);
-    void addWaiting(const ModelKey& key, int change) { add(m_entries[key].waiting, change); }
+    void addWaiting(const ModelKey& key, int change)
+    {
+        add(m_entries[key].waiting, change);
+        add(m_waiting, change);
+    }
     void addActive(const ModelKey& key, int change) { add(m_entries[key].active, change); }
 
+    /** True while requests wait for a model. */
+    bool isWaiting() const { return m_waiting > 0; }
     /** The counts since the last call; models that nobody wants any more are left out and forgotten. */
     std::vector<ModelDemandReport> takeReports();
 
@@ -35,6 +41,8 @@
     static void add(unsigned& count, int change) { count = static_cast<unsigned>(static_cast<int>(count) + change); }
 
     std::map<ModelKey, Entry> m_entries;
+    /** Requests that wait, for any model. */
+    unsigned m_waiting = 0;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/tests/ServerTableTests.cpp
+++ b/modules/hc_gateway/tests/ServerTableTests.cpp
@@ -158,11 +158,14 @@
     DemandLedger ledger;
     ledger.noteArrival(key, 2);
     ledger.noteArrival(key, 1);
+    BOOST_TEST(!ledger.isWaiting());
     ledger.addWaiting(key, 1);
+    BOOST_TEST(ledger.isWaiting());
     auto reports = ledger.takeReports();
     BOOST_REQUIRE(reports.size() == 1U);
     BOOST_TEST((reports.front().arrivals == 2 && reports.front().rank == 1 && reports.front().waiting == 1));
     ledger.addWaiting(key, -1);
+    BOOST_TEST(!ledger.isWaiting());
     ledger.noteRefused(key);
     reports = ledger.takeReports();
     BOOST_TEST((reports.size() == 1 && reports.front().arrivals == 0 && reports.front().refused == 1 && reports.front().waiting == 0));
