Leave the platform's list to the leader for a moment after a start

Change: the first own question waits 1.5 s, by when a new leader has read the list; the interval is a third of the notice that leaving servers get (1.3 s there).

Ruled out: an interval of half the notice; with its spread and the reading time it comes too near the notice.

--- a/modules/hc_fleet/fleet/ListingPoller.cpp
+++ b/modules/hc_fleet/fleet/ListingPoller.cpp
@@ -64,15 +64,16 @@
 
 asio::awaitable<void> ListingPoller::run()
 {
+    Duration pause = m_options.firstDelay;
     while (!m_isStopping) {
-        Duration pause = idlePause;
-        if (m_isActive) {
-            bool succeeded = co_await readOnce();
-            pause = pauseAfter(succeeded);
-        }
         m_timer.expires_after(pause);
         boost::system::error_code ignored;
         co_await m_timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        pause = idlePause;
+        if (m_isActive && !m_isStopping) {
+            bool succeeded = co_await readOnce();
+            pause = pauseAfter(succeeded);
+        }
     }
 }
 
--- a/modules/hc_fleet/include/hemlockchute/fleet/ListingPoller.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ListingPoller.h
@@ -21,6 +21,8 @@
     /** When to ask. */
     struct Options {
         Duration interval = 1s;
+        /** Before the first question, while somebody else may tell the list. */
+        Duration firstDelay {};
         /** Longest pause after failures. */
         Duration longestPause = 4s;
         Duration timeout = 1s;
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -58,10 +58,14 @@
     return options;
 }
 
-ListingPoller::Options listingOptions()
+/** As often as it takes to hear of a server that leaves in time. After a restart of everything a leader is there within the first delay, and hundreds of gateways need not ask the platform. */
+ListingPoller::Options listingOptions(const GatewaySettings& settings)
 {
+    constexpr int listPart = 3;
     ListingPoller::Options options;
+    options.interval = settings.leavingNotice / listPart;
     options.longestPause = options.interval;
+    options.firstDelay = 1500ms;
     return options;
 }
 
@@ -81,7 +85,7 @@
                   m_core.waiting.notifyAll();
               } })
     , m_core(platform, settings, m_client, m_link, m_servers, m_demand)
-    , m_listing(context, platform, m_client, settings.listing, listingOptions(), [this](std::vector<ListedServer> servers, Instant) { takeListing(std::move(servers)); })
+    , m_listing(context, platform, m_client, settings.listing, listingOptions(settings), [this](std::vector<ListedServer> servers, Instant) { takeListing(std::move(servers)); })
     , m_callers(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); })
     , m_readiness(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); })
     , m_metrics(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
