--- a/scripts/check-proofs.sh
+++ b/scripts/check-proofs.sh
@@ -12,7 +12,7 @@
         suite=${name%%/*}
         case=${name##*/}
         grep -rqE "BOOST_(AUTO|FIXTURE)_TEST_SUITE\($suite\b" modules platform tests --include='*.cpp' || { echo "no test suite $suite"; status=1; }
-        grep -rqE "BOOST_(AUTO|FIXTURE)_TEST_CASE\($case\b" modules platform tests --include='*.cpp' || { echo "no test case $case"; status=1; }
+        grep -rqE "BOOST_(AUTO|FIXTURE|DATA)_TEST_CASE\($case\b" modules platform tests --include='*.cpp' || { echo "no test case $case"; status=1; }
         ;;
     esac
 done < <(grep -oE '`[A-Za-z]+Tests/[A-Za-z0-9]+`|`[a-z0-9-]+\.scenario`' docs/PROOFS.md | tr -d '`' | sort -u)
