Take odd reports and unreadable answers without harm

Change: servers without requests are not counted; an unreadable answer is a fault of that coordinator like a missing one.

Test: oddReportsLeaveTheSumsWhole. It was not run against the code before; the fault there is undefined behaviour, read in the code.

--- a/modules/hc_coordinator/coordinator/GatewayBook.cpp
+++ b/modules/hc_coordinator/coordinator/GatewayBook.cpp
@@ -58,8 +58,10 @@
         wanted.active += demand.active;
         ++wanted.ranks[demand.rank];
     }
-    for (const ServerOutstanding& each : report.outstanding)
-        m_outstanding[each.server] = m_outstanding[each.server] + each.load;
+    for (const ServerOutstanding& each : report.outstanding) {
+        if (each.load.requests > 0)
+            m_outstanding[each.server] = m_outstanding[each.server] + each.load;
+    }
 }
 
 void GatewayBook::subtract(const Report& report)
@@ -78,8 +80,10 @@
     }
     for (const ServerOutstanding& each : report.outstanding) {
         auto found = m_outstanding.find(each.server);
+        if (each.load.requests == 0 || found == m_outstanding.end())
+            continue;
         found->second = found->second - each.load;
-        if (found->second.requests == 0 && found->second.unreadTokens == 0)
+        if (found->second.requests == 0)
             m_outstanding.erase(found);
     }
 }
--- a/modules/hc_coordinator/tests/DemandBookTests.cpp
+++ b/modules/hc_coordinator/tests/DemandBookTests.cpp
@@ -89,6 +89,24 @@
     BOOST_TEST(gateways.outstanding().at(ServerHandle(1)).requests == 2U);
 }
 
+/** What no gateway sends: servers without requests, the same server twice. */
+BOOST_AUTO_TEST_CASE(oddReportsLeaveTheSumsWhole)
+{
+    DemandBook book { DemandBook::Options() };
+    Instant now(1h);
+    book.take(report("b", "m", 1, 1), now);
+    FollowRequest odd = report("a", "m", 1, 1);
+    odd.demands.push_back(odd.demands.front());
+    odd.outstanding = { { ServerHandle(1), { 0, 0 } }, { ServerHandle(1), { 0, 7 } }, { ServerHandle(2), { 1, 0 } }, { ServerHandle(2), { 1, 0 } } };
+    for (int i = 0; i < 3; ++i)
+        book.take(odd, now);
+    BOOST_TEST(book.gateways(now).outstanding().at(ServerHandle(2)).requests == 2U);
+    odd.isLast = true;
+    book.take(odd, now);
+    BOOST_TEST(book.gateways(now).outstanding().size() == 1U);
+    BOOST_TEST((of(book, "m", now).waiting == 1 && book.gateways(now).outstanding().at(ServerHandle(1)).requests == 2));
+}
+
 /** Handles begin anew with each leader. */
 BOOST_AUTO_TEST_CASE(requestsAtServersOfAnotherEpochAreNotCounted)
 {
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -100,14 +100,13 @@
     Instant now = std::chrono::steady_clock::now();
     std::string fault;
     m_hasMore = false;
-    if (!bytes)
-        fault = bytes.error().detail;
-    else if (auto reply = decodeFollowReply(*bytes); reply)
+    auto reply = bytes ? decodeFollowReply(*bytes) : FleetMessageResult<FollowReply>(failure(FleetMessageErrorCode::Malformed, bytes.error().detail));
+    if (reply) {
         fault = take(target, *reply, now);
-    else
+    } else {
         fault = reply.error().detail;
-    if (!fault.empty() && !bytes)
         m_choice.noteFault(target, std::nullopt, now);
+    }
     noteIfLost(target, fault, now);
 }
 
