Leave a slow stream without ids alone

One whose events have no ids at all was cut 1.2 s after its first piece, and could not go on elsewhere.

Change: until a stream has shown an id, every event counts.

Test: aSlowStreamWithoutIdsIsNotCut, failed before.

--- a/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
@@ -10,11 +10,11 @@
 
 /** The most often that a gateway asks while nothing is urgent. */
 inline constexpr Duration shortestFollowInterval = 150ms;
-/** A coordinator's share of a core that goes to its followers stays the same, however many there are. */
+/** Added for each gateway that asks the same coordinator, so that its load does not follow their number. */
 inline constexpr Duration followIntervalPerFollower = 5ms;
 /** How often a relay asks the leader. */
 inline constexpr Duration relayInterval = 100ms;
-/** As the first two, for gateways at which requests wait: the news that they wait for is a model that is there. */
+/** The same bounds on a gateway's interval while requests wait there for a model. */
 inline constexpr Duration shortestWaitingInterval = 100ms;
 inline constexpr Duration waitingIntervalPerFollower = 2ms;
 /** Between two calls when something urgent came up. */
@@ -36,7 +36,7 @@
     return std::max<Duration>(shortestWaitingInterval, followers * waitingIntervalPerFollower);
 }
 
-/** The time in which every gateway has heard the leader's news, with so many that follow it and so many behind the busiest relay; 0 when there are no relays. */
+/** The time in which every gateway has heard the leader's news, with so many that follow it and so many behind the busiest relay; the latter is 0 when there are no relays. */
 inline Duration newsTime(unsigned followers, unsigned behindRelay)
 {
     Duration direct = followInterval(followers);
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -362,7 +362,7 @@
 {
     EventStreamSplitter splitter;
     HeldAnswer held(m_core.answerMemory);
-    // Only events count as progress: a server may send bytes, and comments, and never go on.
+    // Only events count as progress, where they have ids: a server may send bytes, and comments, and never go on.
     Instant due = attemptDeadline();
     while (true) {
         auto piece = co_await answer.read(due);
@@ -387,7 +387,7 @@
             isSent = co_await m_exchange.startStream(answer.status(), m_core.platform.forwardedAnswerHeaders(answer.headers()), std::move(events.bytes));
         } else if (*piece)
             isSent = co_await m_exchange.write(std::move(events.bytes));
-        if (events.lastId)
+        if (events.lastId || !m_lastEvent)
             due = attemptDeadline();
         if (!*piece) {
             m_core.servers.noteSuccess(name);
