--- /dev/null
+++ b/modules/hc_http/tests/Eventually.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "hemlockchute/core/Clock.h"
+
+#include <thread>
+
+namespace hemlockchute {
+
+/** Waits for a condition, at most ten seconds. Thread safety: that of the condition. */
+template <typename Condition>
+bool eventually(Condition condition)
+{
+    for (int i = 0; i < 1000 && !condition(); ++i)
+        std::this_thread::sleep_for(10ms);
+    return condition();
+}
+
+} // namespace hemlockchute
--- /dev/null
+++ b/modules/hc_http/tests/HttpStopTests.cpp
@@ -0,0 +1,148 @@
+#include "Eventually.h"
+#include "hemlockchute/http/http.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <future>
+
+using namespace hemlockchute;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+const tcp::endpoint anyPort(asio::ip::make_address("127.0.0.1"), 0);
+
+/** Requests that are on their way when a server is told to stop. */
+struct StoppingServer {
+    StoppingServer()
+        : server(world, HttpServer::Options().withSingleThread(), [](HttpExchange& exchange) -> asio::awaitable<void> {
+            HttpResponse response = HttpResponse::text(200, exchange.request().body + "ok");
+            co_await exchange.respond(std::move(response));
+        })
+        , address(server.listen(anyPort).value())
+        , work(asio::make_work_guard(world))
+    {
+    }
+
+    ~StoppingServer()
+    {
+        world.stop();
+        if (thread.joinable())
+            thread.join();
+    }
+
+    void run()
+    {
+        thread = std::thread([this] { world.run(); });
+    }
+
+    tcp::socket connect()
+    {
+        tcp::socket socket(here);
+        socket.connect(address);
+        return socket;
+    }
+
+    static std::string rest(tcp::socket& socket)
+    {
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(socket, asio::dynamic_buffer(answer), error);
+        return answer;
+    }
+
+    asio::io_context world;
+    asio::io_context here;
+    HttpServer server;
+    tcp::endpoint address;
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::thread thread;
+};
+
+const std::string posted = "POST /x HTTP/1.1\r\nContent-Length: 5\r\n\r\nbody ";
+
+/** Stops a server after so many bytes of a request, and sends the rest. */
+void checkStop(bool isUsed, bool isDrained, std::size_t before)
+{
+    StoppingServer stopping;
+    stopping.run();
+    tcp::socket socket = stopping.connect();
+    BOOST_REQUIRE(eventually([&] { return stopping.server.connectionCount() == 1; }));
+    if (isUsed) {
+        socket.send(asio::buffer(posted));
+        std::string answer;
+        asio::read_until(socket, asio::dynamic_buffer(answer), "body ok");
+    }
+    socket.send(asio::buffer(posted.substr(0, before)));
+    std::this_thread::sleep_for(20ms);
+    stopping.server.announceClose();
+    std::promise<void> drained;
+    if (isDrained)
+        stopping.server.drain([&] { drained.set_value(); });
+    std::this_thread::sleep_for(50ms);
+    boost::system::error_code error;
+    asio::write(socket, asio::buffer(posted.substr(before)), error);
+    BOOST_TEST(StoppingServer::rest(socket).ends_with("body ok"), "stopped after " << before << " bytes" << (isDrained ? ", draining" : "") << (isUsed ? ", second request" : ""));
+    if (isDrained)
+        BOOST_TEST((drained.get_future().wait_for(2s) == std::future_status::ready));
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpStopTests)
+
+/** The load of a stop under traffic: connections that the system took and this process has not seen yet. */
+BOOST_AUTO_TEST_CASE(connectionsThatWaitToBeTakenAtAStopAreAnswered)
+{
+    constexpr int callers = 40;
+    StoppingServer stopping;
+    std::vector<tcp::socket> sockets;
+    for (int i = 0; i < callers; ++i) {
+        sockets.push_back(stopping.connect());
+        sockets.back().send(asio::buffer(posted));
+    }
+    std::promise<void> drained;
+    stopping.server.announceClose();
+    stopping.server.drain([&] { drained.set_value(); });
+    stopping.run();
+    int answered = 0;
+    for (tcp::socket& socket : sockets)
+        answered += StoppingServer::rest(socket).ends_with("body ok") ? 1 : 0;
+    BOOST_TEST(answered == callers);
+    BOOST_TEST((drained.get_future().wait_for(2s) == std::future_status::ready));
+}
+
+/** A request whose first bytes are there, and a connection whose first request is on its way. */
+BOOST_AUTO_TEST_CASE(requestsOnTheirWayAtAStopAreAnswered)
+{
+    for (bool isUsed : { false, true }) {
+        for (bool isDrained : { false, true }) {
+            // A connection that is idle after a request may be closed.
+            for (std::size_t before : { std::size_t(isUsed ? 1 : 0), std::size_t(3), posted.size() - 5, posted.size() - 2 })
+                checkStop(isUsed, isDrained, before);
+        }
+    }
+}
+
+/** Connections that served a request and are idle end at once, and one that never sends anything does not hold a stop up. */
+BOOST_AUTO_TEST_CASE(idleConnectionsDoNotHoldAStopUp)
+{
+    StoppingServer stopping;
+    stopping.run();
+    tcp::socket used = stopping.connect();
+    used.send(asio::buffer(posted));
+    BOOST_TEST(eventually([&] { return used.available() > 0; }));
+    tcp::socket unused = stopping.connect();
+    BOOST_REQUIRE(eventually([&] { return stopping.server.connectionCount() == 2; }));
+    std::promise<void> drained;
+    Instant begun = std::chrono::steady_clock::now();
+    stopping.server.drain([&] { drained.set_value(); });
+    BOOST_TEST((drained.get_future().wait_for(2s) == std::future_status::ready));
+    BOOST_TEST((std::chrono::steady_clock::now() - begun < 1s));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
