--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -116,6 +116,9 @@
     }
 
     void endFaults() { m_faults = {}; }
+    /** Whoever leads loses its lead when it has made up its next order, before the order leaves. */
+    void loseLeadWithNextOrder() { m_losesLead = true; }
+    bool hasLead() const { return m_hasLead; }
 
     bool holdsAllWanted() const
     {
@@ -172,7 +175,7 @@
     struct Leader {
         Leader(World& world, unsigned number)
             : client(HttpClient::Options())
-            , director(world.m_context, platform, client, metrics, options(number), [&world, number] { return world.m_leading == number ? std::optional(FencingNumber(world.m_fence)) : std::nullopt; })
+            , director(world.m_context, platform, client, metrics, options(number), [&world, number] { return world.m_hasLead && world.m_leading == number ? std::optional(FencingNumber(world.m_fence)) : std::nullopt; })
         {
             platform.onOrder = [&world, number](const PlacementOrder& order) { world.noteOrder(number, order); };
             director.takeConfiguration(configuration(world.m_loadTime));
@@ -239,6 +242,7 @@
     {
         if (giver != m_leading || order.fence != FencingNumber(m_fence))
             m_breaches += "an order without authority; ";
+        m_hasLead = !m_losesLead;
         if (order.operation != PlacementOrder::Operation::Unload)
             return;
         Instant now = currentTime();
@@ -263,6 +267,8 @@
     unsigned m_lastId = 0;
     std::vector<std::unique_ptr<FaultyEngine>> m_engines;
     unsigned m_leading = 0;
+    bool m_hasLead = true;
+    bool m_losesLead = false;
     std::uint64_t m_fence = 0;
     unsigned m_ticks = 0;
     std::vector<std::string> m_wanted { "a", "b" };
@@ -304,6 +310,17 @@
     BOOST_TEST(world.breaches() == "");
 }
 
+/** Dialling takes time: a lead that ends meanwhile must end the order too. */
+BOOST_AUTO_TEST_CASE(anOrderDoesNotLeaveOnceTheLeadIsLost)
+{
+    World world(1);
+    world.want({ "a", "b" });
+    world.loseLeadWithNextOrder();
+    world.run(200ms);
+    BOOST_TEST(!world.hasLead());
+    BOOST_TEST(world.ordersAccepted() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(lateAndLostOrdersNeverOverloadAnEngine)
 {
     checkProperty("late and lost orders", 25, [](unsigned seed) {
