Let gateways stay with their data centre's relay while it looks for a leader

After the core's restart their own relay did not speak for a leader yet and rested for 0.7 s; some 15 MB of whole lists went the same way.

Change: a relay of the own data centre that answers without a leader is asked again for 1.5 s before it rests; one that does not answer rests as before.

Tests: gatewaysStayWithTheirRelayWhileItLooksForALeader, anotherDataCentresRelayThatKnowsNoLeaderIsLeft; the interface that they use is new, so they were not run before it. Two older cases call noteUncertain() where a coordinator answered; their checks are the same.

--- a/modules/hc_gateway/gateway/CoordinatorChoice.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorChoice.cpp
@@ -21,6 +21,7 @@
 
 void CoordinatorChoice::takePlaces(const std::vector<CoordinatorPlace>& relays, const std::optional<Endpoint>& leader)
 {
+    m_uncertainSince.reset();
     m_relays.clear();
     for (const CoordinatorPlace& relay : relays) {
         Endpoint endpoint = endpointOf(relay.coordinator);
@@ -30,15 +31,29 @@
     m_leader = leader;
 }
 
-/** A leader that was named just now is worth a try, even if it rested. */
-void CoordinatorChoice::noteFault(const Endpoint& coordinator, const std::optional<Endpoint>& leader, Instant now)
+void CoordinatorChoice::noteFault(const Endpoint& coordinator, Instant now)
 {
     std::erase_if(m_restsUntil, [&](const auto& item) { return item.second <= now; });
-    m_restsUntil[coordinator] = now + (leader == coordinator ? m_options.leaderRest : m_options.rest);
+    m_restsUntil[coordinator] = now + m_options.rest;
+}
+
+/** A leader that was named just now is worth a try, even if it rested. */
+bool CoordinatorChoice::noteUncertain(const Endpoint& coordinator, const std::optional<Endpoint>& leader, Instant now)
+{
+    auto relay = m_relays.find(coordinator);
+    if (relay != m_relays.end() && relay->second == m_own) {
+        m_uncertainSince = m_uncertainSince.value_or(now);
+        if (now - *m_uncertainSince < m_options.relayPatience)
+            return true;
+    }
+    noteFault(coordinator, now);
+    if (leader == coordinator)
+        m_restsUntil[coordinator] = now + m_options.leaderRest;
     if (leader && *leader != coordinator && leader != m_leader)
         m_restsUntil.erase(*leader);
     if (leader)
         m_leader = leader;
+    return false;
 }
 
 Endpoint CoordinatorChoice::next(Instant now)
--- a/modules/hc_gateway/gateway/CoordinatorChoice.h
+++ b/modules/hc_gateway/gateway/CoordinatorChoice.h
@@ -15,8 +15,10 @@
 
     Answers the load in which hundreds of gateways follow one leader: where coordinators relay its
     word, those of one's own data centre go first, and gateways spread over several of them by a
-    hash, as they do over the others when theirs fail. Without relays the leader is asked. Who
-    failed rests for a while, and who is all that is known is asked in turn. Thread safety: one
+    hash, as they do over the others when theirs fail. A relay that is up and looks for the next
+    leader keeps its gateways for a while, so that they do not all take everything from another
+    data centre. Without relays the leader is asked. Who failed rests for a while, and who is all
+    that is known is asked in turn. Thread safety: one
     thread at a time.
 
     @see CoordinatorLink
@@ -29,6 +31,8 @@
         Duration rest = 700ms;
         /** One that leads and cannot say so for certain yet is asked again after this. */
         Duration leaderRest = 50ms;
+        /** A relay of the own data centre may look for a leader for so long; an election takes less. */
+        Duration relayPatience = 1500ms;
     };
 
     CoordinatorChoice(HostName self, DataCentreName own, Options);
@@ -37,8 +41,10 @@
     void add(const std::set<Endpoint>&);
     /** Takes what a coordinator said with authority. */
     void takePlaces(const std::vector<CoordinatorPlace>& relays, const std::optional<Endpoint>& leader);
-    /** Notes that a coordinator had nothing to say, or did not answer; it may have named a leader. */
-    void noteFault(const Endpoint&, const std::optional<Endpoint>& leader, Instant now);
+    /** Notes that a coordinator did not answer. */
+    void noteFault(const Endpoint&, Instant now);
+    /** Notes that a coordinator does not speak for a leader now, though it may name one; true when it is worth asking again. */
+    bool noteUncertain(const Endpoint&, const std::optional<Endpoint>& leader, Instant now);
 
     /** The coordinator to ask next. Precondition: one was added. */
     Endpoint next(Instant now);
@@ -56,6 +62,8 @@
     Places m_relays;
     std::optional<Endpoint> m_leader;
     std::map<Endpoint, Instant> m_restsUntil;
+    /** Since when the relay of the own data centre looks for a leader. */
+    std::optional<Instant> m_uncertainSince;
     /** The last one that was asked in turn. */
     std::optional<Endpoint> m_last;
 };
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -105,7 +105,7 @@
         fault = take(target, *reply, now);
     } else {
         fault = reply.error().detail;
-        m_choice.noteFault(target, std::nullopt, now);
+        m_choice.noteFault(target, now);
     }
     noteIfLost(target, fault, now);
 }
@@ -156,8 +156,8 @@
     // A relay may not have heard yet of the leader that this gateway has heard.
     bool isOutdated = reply.epoch < m_newestEpoch && silence(now) < m_options.patience;
     if (!reply.isCurrent || isOutdated) {
-        m_choice.noteFault(asked, leader, now);
-        m_isHurried = m_isHurried || (leader && *leader != asked);
+        bool staysHere = m_choice.noteUncertain(asked, leader, now);
+        m_isHurried = m_isHurried || (!staysHere && leader && *leader != asked);
         return isOutdated ? "it speaks for an earlier leader" : "it does not speak for a leader";
     }
     m_choice.takePlaces(reply.relays, leader);
--- a/modules/hc_gateway/tests/CoordinatorChoiceTests.cpp
+++ b/modules/hc_gateway/tests/CoordinatorChoiceTests.cpp
@@ -36,7 +36,7 @@
     Instant now(1h);
     Endpoint first = choice.next(now);
     Endpoint leader = coordinator(9);
-    choice.noteFault(first, leader, now);
+    choice.noteUncertain(first, leader, now);
     BOOST_TEST((choice.next(now) == leader));
     choice.takePlaces({}, leader);
     BOOST_TEST((choice.next(now) == leader));
@@ -47,7 +47,7 @@
 {
     CoordinatorChoice choice = choiceOf("edge-1");
     Instant now(1h);
-    choice.noteFault(coordinator(2), coordinator(2), now);
+    choice.noteUncertain(coordinator(2), coordinator(2), now);
     BOOST_TEST((choice.next(now) != coordinator(2)));
     BOOST_TEST((choice.next(now + 60ms) == coordinator(2)));
 }
@@ -60,7 +60,7 @@
     for (int i = 0; i < 3; ++i) {
         Endpoint next = choice.next(now);
         asked.insert(next);
-        choice.noteFault(next, std::nullopt, now);
+        choice.noteFault(next, now);
     }
     BOOST_TEST(asked.size() == 3U);
 }
@@ -83,6 +83,37 @@
     BOOST_TEST((relayed[coordinator(1)] > 100U && relayed[coordinator(2)] > 100U));
 }
 
+/** The load of an election: gateways that turned to other data centres would each take the whole list and every configuration from there. */
+BOOST_AUTO_TEST_CASE(gatewaysStayWithTheirRelayWhileItLooksForALeader)
+{
+    CoordinatorChoice choice = choiceOf("edge-1");
+    choice.takePlaces(relays, coordinator(3));
+    Instant now(1h);
+    Endpoint own = choice.next(now);
+    for (int i = 0; i < 14; ++i, now += 100ms) {
+        BOOST_TEST(choice.noteUncertain(own, coordinator(4), now));
+        BOOST_TEST((choice.next(now) == own));
+    }
+    now += 200ms;
+    BOOST_TEST(!choice.noteUncertain(own, coordinator(4), now));
+    BOOST_TEST((choice.next(now) != own));
+    choice.takePlaces(relays, coordinator(4));
+    now += 1s;
+    BOOST_TEST((choice.next(now) == own));
+    BOOST_TEST(choice.noteUncertain(own, std::nullopt, now));
+}
+
+/** A relay of another data centre is not worth waiting for. */
+BOOST_AUTO_TEST_CASE(anotherDataCentresRelayThatKnowsNoLeaderIsLeft)
+{
+    CoordinatorChoice choice = choiceOf("edge-1");
+    choice.takePlaces({ place(3, "z2"), place(4, "z3") }, coordinator(3));
+    Instant now(1h);
+    Endpoint first = choice.next(now);
+    BOOST_TEST(!choice.noteUncertain(first, std::nullopt, now));
+    BOOST_TEST((choice.next(now) != first));
+}
+
 /** The load of a relay that dies: its gateways go to the others, and come back. */
 BOOST_AUTO_TEST_CASE(gatewaysOfARelayThatFailsGoToOthersAndComeBack)
 {
@@ -92,10 +123,10 @@
         choice.takePlaces(relays, coordinator(3));
         Instant now(1h);
         Endpoint own = choice.next(now);
-        choice.noteFault(own, std::nullopt, now);
+        choice.noteFault(own, now);
         Endpoint other = choice.next(now);
         BOOST_TEST((other == coordinator(own == coordinator(1) ? 2 : 1)));
-        choice.noteFault(other, std::nullopt, now);
+        choice.noteFault(other, now);
         ++elsewhere[choice.next(now)];
         BOOST_TEST((choice.next(now + 1s) == own));
     }
