Name things in field terms, and keep one currentTime()

Renames only: newsTime is propagationTime, takeLeave is unfollowPrevious, hasBegun is isReadyToRoute; the dozen copies of currentTime() in anonymous namespaces are one function beside Clock.

--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -17,11 +17,6 @@
 /** How often is looked for a leader while none is known. */
 constexpr Duration leaderlessPause = 50ms;
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 } // namespace
 
 FleetRelay::FleetRelay(asio::io_context& context, PeerClient& client, Identity identity, Options options, Hooks hooks)
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -18,15 +18,15 @@
     they want.
 
     Answers the load in which hundreds of gateways follow one leader: it hears of a few relays, and
-    most bytes stay within a data centre. What the leader said some time ago is passed on no more,
-    so that nobody takes an old word for a new one. Thread safety: only on the io_context, which
+    most bytes stay within a data centre. An old answer of the leader is not passed on, so that
+    nobody takes it for its present state. Thread safety: only on the io_context, which
     runs one thread.
 
     @see FleetTable, CoordinatorChoice
 */
 class FleetRelay {
 public:
-    /** When to ask the leader, and how long its word is passed on. */
+    /** When to ask the leader, and how long its answer is passed on. */
     struct Options {
         Duration interval = relayInterval;
         /** While no gateway follows. */
@@ -55,11 +55,11 @@
     void start();
     void stop();
 
-    /** Counts what a gateway wants, or asks the leader soon when its word is too old for that gateway to stay. */
+    /** Counts what a gateway wants, or asks the leader soon when its last answer is too old to be passed on. */
     void takeDemand(const FollowRequest&, Instant now);
-    /** True while the leader's last word may be passed on. */
+    /** True while the leader's last answer may be passed on. */
     bool isCurrent(Instant now) const;
-    /** Fills in the leader's last word, but for the configuration. Precondition: isCurrent(). */
+    /** Fills in the leader's last answer, but for the configuration. Precondition: isCurrent(). */
     void fill(FollowReply&, const FollowRequest&, Instant now);
     /** A configuration of the leader's that this coordinator has not applied itself yet; empty when there is none. */
     const ConfigurationBody& configuration() const { return m_configuration; }
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -30,11 +30,6 @@
 constexpr MetricDefinition loadsMetric { "hemlock_coordinator_load_seconds", "Time from the order of a model until its server holds it, by where the weights came from." };
 constexpr MetricDefinition unreportedMetric { "hemlock_coordinator_reports_unavailable_total", "Questions to servers what they hold that were not answered." };
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 std::int64_t milliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -182,7 +177,7 @@
 Duration PlacementDirector::withdrawal(Instant now)
 {
     const GatewayBook& gateways = m_demand.gateways(now);
-    return m_options.withdrawal.value_or(newsTime(gateways.followers(), gateways.mostBehindRelay()));
+    return m_options.withdrawal.value_or(propagationTime(gateways.followers(), gateways.mostBehindRelay()));
 }
 
 //==============================================================================
--- a/modules/hc_coordinator/tests/DemandBookTests.cpp
+++ b/modules/hc_coordinator/tests/DemandBookTests.cpp
@@ -74,7 +74,7 @@
 }
 
 /** A gateway that turns to another coordinator counts there from then on. */
-BOOST_AUTO_TEST_CASE(aGatewayThatTakesItsLeaveCountsNoMore)
+BOOST_AUTO_TEST_CASE(aGatewayThatTurnsToAnotherCoordinatorCountsNoMore)
 {
     DemandBook book { DemandBook::Options() };
     Instant now(1h);
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -16,11 +16,6 @@
 constexpr unsigned storeLoadsAtOnce = 2;
 const std::vector<std::string> modelNames { "a", "b", "c", "d", "e", "f" };
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 RouteConfigurationPointer configuration(Duration loadTime)
 {
     RouteConfiguration::Parts parts;
--- a/modules/hc_core/core/LogWriter.cpp
+++ b/modules/hc_core/core/LogWriter.cpp
@@ -21,11 +21,6 @@
 constexpr Duration endPatience = 500ms;
 constexpr int filePermissions = 0644;
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 int milliseconds(Duration duration)
 {
     return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
--- a/modules/hc_core/include/hemlockchute/core/Clock.h
+++ b/modules/hc_core/include/hemlockchute/core/Clock.h
@@ -14,6 +14,12 @@
 
 using namespace std::chrono_literals;
 
+/** The process's monotonic time, for code that does I/O and keeps no Clock. Thread safety: any thread. */
+inline Instant currentTime()
+{
+    return std::chrono::steady_clock::now();
+}
+
 //==============================================================================
 /**
     Tells the time; tests put a ManualClock in its place.
--- a/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FollowPace.h
@@ -20,7 +20,7 @@
 /** Between two calls when something urgent came up. */
 inline constexpr Duration urgentFollowInterval = 20ms;
 /** The way of a call and its answer. */
-inline constexpr Duration newsMargin = 10ms;
+inline constexpr Duration propagationMargin = 10ms;
 /** With fewer gateways, each asks the leader itself: its news comes sooner then. */
 inline constexpr unsigned fewestGatewaysForRelays = 25;
 
@@ -37,10 +37,10 @@
 }
 
 /** The time in which every gateway has heard the leader's news, with so many that follow it and so many behind the busiest relay; the latter is 0 when there are no relays. */
-inline Duration newsTime(unsigned followers, unsigned behindRelay)
+inline Duration propagationTime(unsigned followers, unsigned behindRelay)
 {
     Duration direct = followInterval(followers);
-    return newsMargin + (behindRelay == 0 ? direct : std::max(direct, relayInterval + followInterval(behindRelay)));
+    return propagationMargin + (behindRelay == 0 ? direct : std::max(direct, relayInterval + followInterval(behindRelay)));
 }
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/CoordinatorChoice.h
+++ b/modules/hc_gateway/gateway/CoordinatorChoice.h
@@ -14,7 +14,7 @@
     Chooses the coordinator that this gateway asks.
 
     Answers the load in which hundreds of gateways follow one leader: where coordinators relay its
-    word, those of one's own data centre go first, and gateways spread over several of them by a
+    answers, those of one's own data centre go first, and gateways spread over several of them by a
     hash, as they do over the others when theirs fail. A relay that is up and looks for the next
     leader keeps its gateways for a while, so that they do not all take everything from another
     data centre. Without relays the leader is asked. Who failed rests for a while, and who is all
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -94,7 +94,7 @@
 asio::awaitable<void> CoordinatorLink::askOnce()
 {
     Endpoint target = m_choice.next(std::chrono::steady_clock::now());
-    takeLeave(target);
+    unfollowPrevious(target);
     ByteString request = nextRequest();
     auto bytes = co_await m_client.call(target, PeerMethod::FollowFleet, std::move(request), m_options.timeout);
     Instant now = std::chrono::steady_clock::now();
@@ -111,7 +111,7 @@
 }
 
 /** The coordinator that was asked before must not count this gateway's requests any more. */
-void CoordinatorLink::takeLeave(const Endpoint& target)
+void CoordinatorLink::unfollowPrevious(const Endpoint& target)
 {
     std::optional<Endpoint> before = std::exchange(m_followed, std::nullopt);
     if (!before || *before == target)
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -60,7 +60,7 @@
 private:
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> askOnce();
-    void takeLeave(const Endpoint& target);
+    void unfollowPrevious(const Endpoint& target);
     ByteString nextRequest();
     void noteIfLost(const Endpoint& asked, const std::string& fault, Instant now);
     std::string take(const Endpoint& asked, const FollowReply&, Instant now);
--- a/modules/hc_gateway/gateway/ForwardingTimes.h
+++ b/modules/hc_gateway/gateway/ForwardingTimes.h
@@ -9,11 +9,6 @@
 
 /** Small things that the sources of RequestForwarder share. Thread safety: any thread. */
 
-inline Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 inline std::int64_t milliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -23,7 +23,7 @@
 constexpr Duration shortestAttempt = 1200ms;
 constexpr Duration configurationReturn = 1s;
 /** An election, and the way of what the leader says after it. */
-constexpr Duration longestBeginning = 1500ms;
+constexpr Duration longestReadinessWait = 1500ms;
 /** What may queue at a server, in parts of its slots: for rank 0, and less for each rank behind it. */
 constexpr double urgentQueue = 0.5;
 constexpr double queueStep = 0.25;
@@ -86,8 +86,8 @@
         co_return;
     }
     m_metadata = std::move(*metadata);
-    if (!hasBegun())
-        co_await awaitBeginning();
+    if (!isReadyToRoute())
+        co_await awaitReadiness();
     if (m_call->isGone) {
         noteCallerGone();
         co_return;
@@ -108,17 +108,17 @@
     co_await forward();
 }
 
-bool RequestForwarder::hasBegun() const
+bool RequestForwarder::isReadyToRoute() const
 {
     return m_core.configuration && m_core.servers.hasListing();
 }
 
 /** After a start the configuration and the servers are a moment away; a caller that waits for them is served sooner than one that comes back. */
-asio::awaitable<void> RequestForwarder::awaitBeginning()
+asio::awaitable<void> RequestForwarder::awaitReadiness()
 {
-    Duration patience = std::min<Duration>(longestBeginning, m_metadata.deadline.value_or(longestBeginning) / fullPatience);
+    Duration patience = std::min<Duration>(longestReadinessWait, m_metadata.deadline.value_or(longestReadinessWait) / fullPatience);
     Instant end = m_received + patience;
-    while (!hasBegun() && !m_call->isGone && !m_isEnded && currentTime() < end)
+    while (!isReadyToRoute() && !m_call->isGone && !m_isEnded && currentTime() < end)
         co_await m_core.waiting.wait(end);
     m_configuration = m_core.configuration;
 }
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -65,8 +65,8 @@
         }
     };
 
-    bool hasBegun() const;
-    boost::asio::awaitable<void> awaitBeginning();
+    bool isReadyToRoute() const;
+    boost::asio::awaitable<void> awaitReadiness();
     bool prepare();
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
--- a/modules/hc_router/router/Dispatcher.cpp
+++ b/modules/hc_router/router/Dispatcher.cpp
@@ -8,15 +8,6 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
-} // namespace
-
 /** A coroutine that waits for a place. Its result is guarded by the dispatcher's lock. */
 struct Dispatcher::Waiter : std::enable_shared_from_this<Dispatcher::Waiter> {
     explicit Waiter(const asio::any_io_executor& executor)
--- a/modules/hc_router/router/ModelHandler.cpp
+++ b/modules/hc_router/router/ModelHandler.cpp
@@ -25,11 +25,6 @@
 constexpr MetricDefinition firstToken { "hemlock_router_first_token_seconds", "Time from a request's receipt to its first token." };
 constexpr MetricDefinition outcomes { "hemlock_router_model_requests_total", "Requests for models by rank and outcome." };
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 AttemptEnd endFor(BackendErrorCode code)
 {
     switch (code) {
--- a/modules/hc_router/router/OnceCall.cpp
+++ b/modules/hc_router/router/OnceCall.cpp
@@ -29,11 +29,6 @@
 /** Longest answer kept in a run record. */
 constexpr std::size_t longestRecordedBody = 64U << 10U;
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 Digest digestOf(const HttpRequest& request)
 {
     return Digest::of(request.method + '\n' + request.target + '\n' + request.body);
--- a/modules/hc_router/router/ServiceHandler.cpp
+++ b/modules/hc_router/router/ServiceHandler.cpp
@@ -13,11 +13,6 @@
 /** An attempt gets at least so long, and otherwise half the time left. */
 constexpr Duration shortestPatience = 250ms;
 
-Instant currentTime()
-{
-    return std::chrono::steady_clock::now();
-}
-
 //==============================================================================
 /** One call of a service that may be repeated. */
 class RepeatableCall {
