--- a/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
@@ -154,8 +154,20 @@
     logEvent(EventId::KeeperCompacted, { { "index", snapshot->lastIndex } });
 }
 
+void ReplicatedGroup::noteLeaderSeen()
+{
+    std::optional<ReplicaId> leader = m_replica->leader();
+    AgreementTerm term = m_replica->term();
+    if (leader == m_seenLeader && term == m_seenTerm)
+        return;
+    m_seenLeader = leader;
+    m_seenTerm = term;
+    logEvent(EventId::KeeperSeesLeader, { { "term", term }, { "leader", leader ? leader->keeper : KeeperId() }, { "committed", m_replica->committed() }, { "last", m_replica->lastIndex() } });
+}
+
 void ReplicatedGroup::noteLeadership()
 {
+    noteLeaderSeen();
     bool leads = m_replica->isLeader();
     if (leads == std::exchange(m_wasLeader, leads))
         return;
--- a/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
@@ -156,6 +156,7 @@
     void retire();
     void compactIfDue();
     void noteLeadership();
+    void noteLeaderSeen();
     GroupReply notLeader() const;
     ReplicaId self() const;
 
@@ -176,6 +177,9 @@
     LogIndex m_compacted;
     ByteCount m_appliedBytes;
     bool m_wasLeader = false;
+    /** What was last logged of the leader and its term. */
+    std::optional<ReplicaId> m_seenLeader;
+    AgreementTerm m_seenTerm;
     std::uint64_t m_nextToken = 1;
     std::map<LogIndex, PendingProposal> m_proposals;
     std::map<std::uint64_t, PendingRead> m_reads;
--- a/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
@@ -16,8 +16,6 @@
 constexpr unsigned statusNotAllowed = 405;
 constexpr unsigned statusUnavailable = 503;
 
-/** Operators turn to another host when they have waited for a second. */
-constexpr Duration operatorPatience = 900ms;
 constexpr Duration leaderPause = 50ms;
 
 HttpResponse problem(unsigned status, std::string_view title)
@@ -53,6 +51,25 @@
     logEvent(EventId::CoordinatorConfigurationRefused, { { "version", version }, { "status", status }, { "reason", reason } });
 }
 
+void noteReceived(ConfigurationVersion version, ConfigurationVersion inForce, const GroupStatus& status)
+{
+    logEvent(EventId::CoordinatorConfigurationReceived, { { "version", version }, { "in_force", inForce }, { "leader", status.leader ? status.leader->keeper : KeeperId() }, { "term", status.term } });
+}
+
+/** Says why one attempt to reach the leader's answer came to nothing. */
+void noteAttemptFailed(KeeperId leader, std::string_view reason, Instant began)
+{
+    auto took = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began);
+    logEvent(EventId::CoordinatorLeaderCallFailed, { { "leader", leader }, { "reason", reason }, { "took_ms", took.count() } });
+}
+
+std::string_view reasonOf(const std::optional<KeeperReply>& reply, std::string_view withoutReply)
+{
+    if (!reply)
+        return withoutReply;
+    return reply->kind == KeeperReply::Kind::NotLeader ? "the coordinator asked does not lead" : "leadership was lost before it was agreed on";
+}
+
 template <typename Version>
 void noteAgreed(ConfigurationVersion version, const Version& inForce, bool hasChanged)
 {
@@ -88,6 +105,7 @@
         co_return;
     }
     ConfigurationVersion version = (*configuration)->version();
+    noteReceived(version, m_register.current()->version, m_group.status());
     if (version <= m_register.current()->version) {
         noteAgreed(version, m_register.current()->version.value(), false);
         HttpResponse response = HttpResponse::json(statusOk, "{}");
@@ -131,20 +149,28 @@
 /** Asks the leader, wherever it is, until it answers or the operator's patience ends. */
 asio::awaitable<Coordinator::Reply> Coordinator::askLeader(PeerMethod method, ByteString payload)
 {
-    Instant deadline = std::chrono::steady_clock::now() + operatorPatience;
+    Instant deadline = std::chrono::steady_clock::now() + m_settings.operatorPatience;
     Reply reply;
     while (std::chrono::steady_clock::now() < deadline) {
         GroupStatus status = m_group.status();
-        if (status.isLeader)
+        Instant began = std::chrono::steady_clock::now();
+        KeeperId asked;
+        std::string fault = "no leader is known";
+        if (status.isLeader) {
+            asked = m_id;
+            fault = "not agreed on and applied in time";
             reply = co_await askHere(method, payload, deadline);
-        else if (status.leader) {
-            Endpoint leader = endpointOf(status.leader->keeper);
+        } else if (status.leader) {
+            asked = status.leader->keeper;
+            Endpoint leader = endpointOf(asked);
             Duration left = deadline - std::chrono::steady_clock::now();
             auto bytes = co_await m_client.call(leader, method, payload, left);
             reply = readReply(bytes);
+            fault = bytes ? "the answer cannot be read" : bytes.error().detail;
         }
         if (reply && reply->kind == KeeperReply::Kind::Answered)
             co_return reply;
+        noteAttemptFailed(asked, reasonOf(reply, fault), began);
         asio::steady_timer timer(m_context);
         timer.expires_after(leaderPause);
         boost::system::error_code ignored;
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -63,6 +63,7 @@
     { EventId::KeeperInstalled, Info, "keeper.installed", "A snapshot of the leader's took the place of the state." },
     { EventId::KeeperEntryUnreadable, Error, "keeper.entry_unreadable", "A committed command cannot be read by this version; the process stops." },
     { EventId::KeeperFolderOutdated, Error, "keeper.folder_outdated", "The data folder is older than what this keeper acknowledged: it became a new incarnation, the process stops, and an operator must replace the keeper." },
+    { EventId::KeeperSeesLeader, Info, "keeper.sees_leader", "The leader that this keeper knows, or its term, changed; no leader is given while none is known." },
 
     // 1850: operators
     { EventId::OperatorSubmitted, Info, "operator.submitted", "An operator submitted a document; the answer's status is given." },
@@ -93,6 +94,8 @@
     { EventId::CoordinatorReportUnavailable, Warning, "coordinator.report_unavailable", "A server did not say what it holds; it is given no orders until it does." },
     { EventId::CoordinatorModelTaken, Info, "coordinator.model_taken", "A server holds a model that was ordered; the time since the order is given." },
     { EventId::CoordinatorRelayUnreadable, Warning, "coordinator.relay_unreadable", "What the coordinator that leads said to this one cannot be read; the reason is given." },
+    { EventId::CoordinatorConfigurationReceived, Info, "coordinator.configuration_received", "An operator's configuration arrived here; its version, the version in force and the leader known are given." },
+    { EventId::CoordinatorLeaderCallFailed, Info, "coordinator.leader_call_failed", "One attempt to have an operator's call answered by the leader failed; whom it was put to, why it failed and how long it took are given.", Failure },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -67,6 +67,7 @@
     KeeperInstalled = 1807,
     KeeperEntryUnreadable = 1808,
     KeeperFolderOutdated = 1809,
+    KeeperSeesLeader = 1810,
 
     // 1850: operators
     OperatorSubmitted = 1850,
@@ -96,7 +97,9 @@
     CoordinatorOrder = 2106,
     CoordinatorReportUnavailable = 2107,
     CoordinatorModelTaken = 2108,
-    CoordinatorRelayUnreadable = 2109
+    CoordinatorRelayUnreadable = 2109,
+    CoordinatorConfigurationReceived = 2110,
+    CoordinatorLeaderCallFailed = 2111
 };
 
 /** What a record explains; a full log keeps the failures. */
