Let an operator's call follow the leader of the moment

Callers (operators) saw 503 after 0.9 s, and backed off, whenever the host that they asked took a leader for alive that stood still, was cut off or hung on its disk: one call to it used up all of the operator's patience, although another led before that. A host that replaces another could not help before it was a member: it asked who leads only after a second without one.

Cause: Coordinator::askLeader waited for the one it had asked first. Class: a wait that is bound to a peer instead of to what is waited for. Now LeaderPursuit decides whom to ask at each moment (tested without I/O), every answer counts, whoever gives it, and a blank newcomer asks at once who leads and puts calls there. What was waited for stands in the refusal's line.

Before: CoordinatorGroupTests/aChangeThatArrivesWhileTheLeaderStandsStillFollowsTheNextLeader and anEmptyNewcomerHasChangesAgreedOnBeforeItIsTakenIn failed (503 after the whole patience).

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -118,7 +118,9 @@
             return failureBecause(RoleErrorCode::ListenFailed, listening.error());
     }
     logEvent(EventId::CoordinatorStarted, { { "id", m_id }, { "incarnation", m_group.identity().incarnation }, { "founder", isFounder }, { "version", m_register.current()->version } });
-    m_leaderSeen = m_clock.now();
+    // Who knows of no group cannot be spoken to by its leader before it has asked.
+    bool knowsGroup = isFounder || !m_group.isBlank();
+    m_leaderSeen = knowsGroup ? m_clock.now() : m_clock.now() - leaderless;
     m_listing.setActive(false);
     m_listing.start();
     m_relay.start();
@@ -194,8 +196,10 @@
             if (!bytes)
                 return;
             auto reply = decodeKeeperReply(*bytes);
-            if (reply && !reply->leader.isNone())
-                m_seeds.insert(endpointOf(reply->leader));
+            if (!reply || reply->leader.isNone())
+                return;
+            m_seeds.insert(endpointOf(reply->leader));
+            m_namedLeader = NamedLeader { reply->leader, currentTime() };
         });
     }
 }
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -3,11 +3,13 @@
 #include "coordinator/ConfigurationRegister.h"
 #include "coordinator/CoordinatorSettings.h"
 #include "coordinator/FleetRelay.h"
+#include "coordinator/LeaderPursuit.h"
 #include "coordinator/PlacementDirector.h"
 #include "coordinator/VoterPolicy.h"
 #include "hemlockchute/core/RoleService.h"
 #include "hemlockchute/fleet/CoordinatorAddress.h"
 #include "hemlockchute/fleet/ListingPoller.h"
+#include "hemlockchute/fleet/ResultQueue.h"
 #include "hemlockchute/http/HttpServer.h"
 #include "hemlockchute/peer/KeeperClient.h"
 #include "hemlockchute/peer/PeerClient.h"
@@ -40,7 +42,21 @@
     static IncarnationId foundingIncarnation() { return IncarnationId(1); }
 
 private:
-    using Reply = std::optional<KeeperReply>;
+    /** What the leader said to an operator's call, or why nobody did. */
+    struct LeaderAnswer {
+        std::optional<ByteString> reply;
+        std::string reason;
+        Duration waited {};
+    };
+
+    /** The leader as another coordinator named it, while this one is no member. */
+    struct NamedLeader {
+        KeeperId leader;
+        Instant heard;
+    };
+
+    struct Attempt;
+    using Attempts = ResultQueue<Attempt>;
 
     // The group
     void tick();
@@ -68,8 +84,10 @@
     boost::asio::awaitable<void> takeSubmission(HttpExchange&);
     boost::asio::awaitable<void> showConfiguration(HttpExchange&);
     boost::asio::awaitable<void> answerMetrics(HttpExchange&);
-    boost::asio::awaitable<Reply> askLeader(PeerMethod, ByteString payload);
-    boost::asio::awaitable<Reply> askHere(PeerMethod, ByteString payload, Instant deadline);
+    boost::asio::awaitable<LeaderAnswer> askLeader(PeerMethod, ByteString payload);
+    void beginAttempt(LeaderPursuit::Target, PeerMethod, const ByteString& payload, Instant deadline, const std::shared_ptr<Attempts>&);
+    static void noteAttemptFailed(const Attempt&);
+    std::optional<KeeperId> knownLeader(const GroupStatus&, Instant now) const;
     void proposeHere(const ByteString& body, ReplicatedGroup::Reply);
     void readHere(ReplicatedGroup::Reply);
 
@@ -101,6 +119,7 @@
     /** True once this coordinator has led in this life. */
     bool m_hasLed = false;
     Instant m_leaderSeen {};
+    std::optional<NamedLeader> m_namedLeader;
     Instant m_nextSeek {};
     Instant m_nextTend {};
     bool m_isStopping = false;
--- a/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
@@ -1,8 +1,8 @@
 #include "coordinator/Coordinator.h"
 
 #include "hemlockchute/core/EventLog.h"
-#include "hemlockchute/fleet/PendingResult.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace hemlockchute {
@@ -16,7 +16,10 @@
 constexpr unsigned statusNotAllowed = 405;
 constexpr unsigned statusUnavailable = 503;
 
-constexpr Duration leaderPause = 50ms;
+/** How often is looked whether another leads, while a call waits. */
+constexpr Duration leaderPoll = 25ms;
+/** A coordinator that is no member yet asks every half second who leads; what it was told holds over one lost answer. */
+constexpr Duration namedLeaderLife = 1200ms;
 
 HttpResponse problem(unsigned status, std::string_view title)
 {
@@ -32,6 +35,11 @@
     return reply ? std::optional(std::move(*reply)) : std::nullopt;
 }
 
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 ByteString commandOf(ConfigurationVersion version, const ByteString& body)
 {
     return encodeConfigurationBody({ version, body });
@@ -56,28 +64,47 @@
     logEvent(EventId::CoordinatorConfigurationReceived, { { "version", version }, { "in_force", inForce }, { "leader", status.leader ? status.leader->keeper : KeeperId() }, { "term", status.term } });
 }
 
-/** Says why one attempt to reach the leader's answer came to nothing. */
-void noteAttemptFailed(KeeperId leader, std::string_view reason, Instant began)
+template <typename Version>
+void noteAgreed(ConfigurationVersion version, const Version& inForce, bool hasChanged, Duration waited)
 {
-    auto took = std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - began);
-    logEvent(EventId::CoordinatorLeaderCallFailed, { { "leader", leader }, { "reason", reason }, { "took_ms", took.count() } });
+    logEvent(EventId::CoordinatorConfigurationAgreed, { { "version", version }, { "in_force", inForce }, { "changed", hasChanged }, { "waited_ms", milliseconds(waited) } });
 }
 
-std::string_view reasonOf(const std::optional<KeeperReply>& reply, std::string_view withoutReply)
+/** Why a call came to nothing: what is still waited for tells more than what failed before. */
+std::string reasonOf(const LeaderPursuit& pursuit, const std::string& lastFault)
 {
-    if (!reply)
-        return withoutReply;
-    return reply->kind == KeeperReply::Kind::NotLeader ? "the coordinator asked does not lead" : "leadership was lost before it was agreed on";
+    if (pursuit.asked() == 0)
+        return "no leader is known";
+    return pursuit.unanswered() > 0 ? "the leader did not answer in time" : lastFault;
 }
 
-template <typename Version>
-void noteAgreed(ConfigurationVersion version, const Version& inForce, bool hasChanged)
+} // namespace
+
+//==============================================================================
+/** One question to a coordinator that was thought to lead, and what came of it. */
+struct Coordinator::Attempt {
+    LeaderPursuit::Target target;
+    Instant begun;
+    std::optional<KeeperReply> reply;
+    /** Why there is no reply. */
+    std::string fault;
+
+    bool isAnswered() const { return reply && reply->kind == KeeperReply::Kind::Answered; }
+    /** Precondition: not answered. */
+    std::string reason() const
+    {
+        if (!reply)
+            return fault;
+        return reply->kind == KeeperReply::Kind::NotLeader ? "the coordinator asked does not lead" : "leadership was lost before it was agreed on";
+    }
+};
+
+void Coordinator::noteAttemptFailed(const Attempt& attempt)
 {
-    logEvent(EventId::CoordinatorConfigurationAgreed, { { "version", version }, { "in_force", inForce }, { "changed", hasChanged } });
+    logEvent(EventId::CoordinatorLeaderCallFailed, { { "leader", attempt.target.leader }, { "term", attempt.target.term }, { "reason", attempt.reason() }, { "took_ms", milliseconds(currentTime() - attempt.begun) } });
 }
 
-} // namespace
-
+//==============================================================================
 asio::awaitable<void> Coordinator::answer(HttpExchange& exchange)
 {
     const HttpRequest& request = exchange.request();
@@ -107,21 +134,20 @@
     ConfigurationVersion version = (*configuration)->version();
     noteReceived(version, m_register.current()->version, m_group.status());
     if (version <= m_register.current()->version) {
-        noteAgreed(version, m_register.current()->version.value(), false);
+        noteAgreed(version, m_register.current()->version.value(), false, Duration());
         HttpResponse response = HttpResponse::json(statusOk, "{}");
         co_await exchange.respond(std::move(response));
         co_return;
     }
     ByteString command = commandOf(version, body);
-    auto reply = co_await askLeader(PeerMethod::SubmitConfiguration, std::move(command));
-    bool isAgreed = reply && reply->kind == KeeperReply::Kind::Answered;
-    if (!isAgreed) {
-        noteRefused(version, statusUnavailable, "not agreed on in time");
+    auto answer = co_await askLeader(PeerMethod::SubmitConfiguration, std::move(command));
+    if (!answer.reply) {
+        noteRefused(version, statusUnavailable, answer.reason);
         HttpResponse response = problem(statusUnavailable, "the configuration was not agreed on in time; it may yet come into force");
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    noteAgreed(version, reply->answer, true);
+    noteAgreed(version, *answer.reply, true, answer.waited);
     HttpResponse response = HttpResponse::json(statusOk, "{}");
     co_await exchange.respond(std::move(response));
 }
@@ -129,11 +155,10 @@
 asio::awaitable<void> Coordinator::showConfiguration(HttpExchange& exchange)
 {
     ByteString nothing;
-    auto reply = co_await askLeader(PeerMethod::ReadConfiguration, std::move(nothing));
-    bool isRead = reply && reply->kind == KeeperReply::Kind::Answered;
-    std::string reason = "no leader answered in time";
-    if (isRead) {
-        auto configuration = decodeConfigurationBody(reply->answer);
+    auto answer = co_await askLeader(PeerMethod::ReadConfiguration, std::move(nothing));
+    std::string reason = answer.reason;
+    if (answer.reply) {
+        auto configuration = decodeConfigurationBody(*answer.reply);
         if (configuration && !configuration->version.isNone()) {
             HttpResponse response = HttpResponse::json(statusOk, std::move(configuration->body));
             co_await exchange.respond(std::move(response));
@@ -146,51 +171,60 @@
 }
 
 //==============================================================================
-/** Asks the leader, wherever it is, until it answers or the operator's patience ends. */
-asio::awaitable<Coordinator::Reply> Coordinator::askLeader(PeerMethod method, ByteString payload)
+/** Puts the call to whoever leads, at each moment, until one answers or the operator's patience ends. */
+asio::awaitable<Coordinator::LeaderAnswer> Coordinator::askLeader(PeerMethod method, ByteString payload)
 {
-    Instant deadline = std::chrono::steady_clock::now() + m_settings.operatorPatience;
-    Reply reply;
-    while (std::chrono::steady_clock::now() < deadline) {
+    Instant begun = currentTime();
+    LeaderPursuit pursuit(LeaderPursuit::Options().withPatience(m_settings.operatorPatience), begun);
+    auto attempts = std::make_shared<Attempts>(m_context.get_executor());
+    LeaderAnswer answer;
+    while (!answer.reply && !pursuit.isOver(currentTime())) {
         GroupStatus status = m_group.status();
-        Instant began = std::chrono::steady_clock::now();
-        KeeperId asked;
-        std::string fault = "no leader is known";
-        if (status.isLeader) {
-            asked = m_id;
-            fault = "not agreed on and applied in time";
-            reply = co_await askHere(method, payload, deadline);
-        } else if (status.leader) {
-            asked = status.leader->keeper;
-            Endpoint leader = endpointOf(asked);
-            Duration left = deadline - std::chrono::steady_clock::now();
-            auto bytes = co_await m_client.call(leader, method, payload, left);
-            reply = readReply(bytes);
-            fault = bytes ? "the answer cannot be read" : bytes.error().detail;
+        std::optional<KeeperId> leader = knownLeader(status, currentTime());
+        auto target = pursuit.next(leader, status.term, currentTime());
+        if (target)
+            beginAttempt(*target, method, payload, pursuit.deadline(), attempts);
+        auto attempt = co_await attempts->take(std::min(pursuit.deadline(), currentTime() + leaderPoll));
+        if (!attempt)
+            continue;
+        if (attempt->isAnswered())
+            answer.reply = std::move(attempt->reply->answer);
+        else {
+            pursuit.noteFailed(attempt->target, currentTime());
+            answer.reason = attempt->reason();
+            noteAttemptFailed(*attempt);
         }
-        if (reply && reply->kind == KeeperReply::Kind::Answered)
-            co_return reply;
-        noteAttemptFailed(asked, reasonOf(reply, fault), began);
-        asio::steady_timer timer(m_context);
-        timer.expires_after(leaderPause);
-        boost::system::error_code ignored;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
-    co_return reply;
+    answer.waited = currentTime() - begun;
+    if (!answer.reply)
+        answer.reason = reasonOf(pursuit, answer.reason);
+    co_return answer;
 }
 
-asio::awaitable<Coordinator::Reply> Coordinator::askHere(PeerMethod method, ByteString payload, Instant deadline)
+/** Outlives the operator's call: an answer that nobody waits for any more is dropped. */
+void Coordinator::beginAttempt(LeaderPursuit::Target target, PeerMethod method, const ByteString& payload, Instant deadline, const std::shared_ptr<Attempts>& attempts)
 {
-    auto pending = std::make_shared<PendingResult<GroupReply>>(m_context.get_executor());
-    ReplicatedGroup::Reply take = [pending](GroupReply reply) { pending->set(std::move(reply)); };
+    Instant begun = currentTime();
+    if (target.leader != m_id) {
+        m_client.call(endpointOf(target.leader), method, payload, deadline - begun, [attempts, target, begun](const Result<ByteString, PeerErrorCode>& bytes) {
+            attempts->put({ target, begun, readReply(bytes), bytes ? "the answer cannot be read" : bytes.error().detail });
+        });
+        return;
+    }
+    ReplicatedGroup::Reply take = [attempts, target, begun](GroupReply reply) { attempts->put({ target, begun, keeperReply(std::move(reply)), {} }); };
     if (method == PeerMethod::SubmitConfiguration)
         proposeHere(payload, take);
     else
         readHere(take);
-    auto reply = co_await pending->wait(deadline);
-    if (!reply)
-        co_return std::nullopt;
-    co_return keeperReply(std::move(*reply));
+}
+
+/** The leader of the group, or, while this coordinator is no member yet, the one that others named. */
+std::optional<KeeperId> Coordinator::knownLeader(const GroupStatus& status, Instant now) const
+{
+    if (status.leader)
+        return status.leader->keeper;
+    bool isFresh = m_namedLeader && now - m_namedLeader->heard < namedLeaderLife;
+    return isFresh ? std::optional(m_namedLeader->leader) : std::nullopt;
 }
 
 asio::awaitable<void> Coordinator::answerMetrics(HttpExchange& exchange)
--- a/modules/hc_fleet/include/hemlockchute/fleet/PendingResult.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ResultQueue.h
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <deque>
 #include <memory>
 #include <optional>
 
@@ -14,43 +15,46 @@
 
 //==============================================================================
 /**
-    A value that a callback gives and one coroutine waits for.
+    Values that callbacks give and one coroutine takes, in their order.
 
-    Thread safety: set() from any thread; wait() once, on a coroutine of the executor.
+    Thread safety: put() from any thread; take() on one coroutine of the executor.
 */
 template <typename T>
-class PendingResult : public std::enable_shared_from_this<PendingResult<T>> {
+class ResultQueue : public std::enable_shared_from_this<ResultQueue<T>> {
 public:
-    explicit PendingResult(const boost::asio::any_io_executor& executor)
+    explicit ResultQueue(const boost::asio::any_io_executor& executor)
         : m_timer(executor)
     {
     }
 
-    /** Gives the value; only the first counts. */
-    void set(T value)
+    void put(T value)
     {
         boost::asio::post(m_timer.get_executor(), [self = this->shared_from_this(), value = std::move(value)]() mutable {
-            if (!self->m_value)
-                self->m_value = std::move(value);
+            self->m_values.push_back(std::move(value));
             self->m_timer.cancel();
         });
     }
 
-    /** The value, or nothing when it has not come by the deadline. */
-    boost::asio::awaitable<std::optional<T>> wait(Instant deadline)
+    /** The next value, or nothing when none has come by the deadline. */
+    boost::asio::awaitable<std::optional<T>> take(Instant deadline)
     {
         auto self = this->shared_from_this();
-        if (!m_value) {
+        if (m_values.empty()) {
             m_timer.expires_at(deadline);
             boost::system::error_code ignored;
             co_await m_timer.async_wait(boost::asio::redirect_error(boost::asio::use_awaitable, ignored));
         }
-        co_return std::move(m_value);
+        std::optional<T> value;
+        if (!m_values.empty()) {
+            value = std::move(m_values.front());
+            m_values.pop_front();
+        }
+        co_return value;
     }
 
 private:
     boost::asio::steady_timer m_timer;
-    std::optional<T> m_value;
+    std::deque<T> m_values;
 };
 
 } // namespace hemlockchute
