Obey what backend servers say of themselves in their answers

ServerNotices remembers both for a server's life, not for its address; a whole list, another leader or an address in use again changes nothing, and a bounded time makes sure that no odd word loses a server for good. It is noted when the head of an answer is read, also when its caller has left. A pausing server is no candidate; while one pauses, the others take no more than their slots and their share of a queue, and the rest waits. When all pause, a request waits for the first that ends in time, or is refused at once with that time. Each host's pause ends up to a fifth later, at random.

--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -14,7 +14,7 @@
     bool isReadinessPath(std::string_view) const override { return false; }
     Result<RequestMetadata, PlatformErrorCode> decodeRequest(const HttpRequest&) const override { return RequestMetadata(); }
     HttpRequest forwardedRequest(const HttpRequest& request, const ForwardingTerms&) const override { return request; }
-    AnswerMetadata decodeAnswer(const HttpHeaders&) const override { return {}; }
+    AnswerMetadata decodeAnswer(unsigned, const HttpHeaders&) const override { return {}; }
     HttpHeaders forwardedAnswerHeaders(const HttpHeaders& headers) const override { return headers; }
     bool isConfigurationPath(std::string_view) const override { return false; }
     Result<RouteConfigurationPointer, ConfigurationErrorCode> decodeConfiguration(std::string_view) const override { return RouteConfigurationPointer(); }
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -82,6 +82,9 @@
     { EventId::GatewayConfigurationUnreadable, Error, "gateway.configuration_unreadable", "An agreed configuration cannot be read here; the last one stays in force." },
     { EventId::GatewayCoordinatorLost, Warning, "gateway.coordinator_lost", "No coordinator that leads answers; configuration and placement stay as last heard." },
     { EventId::GatewayCoordinatorRegained, Info, "gateway.coordinator_regained", "A coordinator that leads answers; its address is given." },
+    { EventId::GatewayServerLeaving, Info, "gateway.server_leaving", "A backend server said in an answer that it leaves; this life of it gets nothing new from here." },
+    { EventId::GatewayServerPaused, Info, "gateway.server_paused", "A backend server turned a request away and asked for a pause; what it asked for and what is kept here are given." },
+    { EventId::GatewayNoticeUnreadable, Warning, "gateway.notice_unreadable", "What a backend server said of itself in an answer's header cannot be read and has no effect." },
 
     // 2100: coordinator
     { EventId::CoordinatorStarted, Info, "coordinator.started", "The coordinator has read its data folder; identity, incarnation and version are given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -86,6 +86,9 @@
     GatewayConfigurationUnreadable = 2006,
     GatewayCoordinatorLost = 2007,
     GatewayCoordinatorRegained = 2008,
+    GatewayServerLeaving = 2009,
+    GatewayServerPaused = 2010,
+    GatewayNoticeUnreadable = 2011,
 
     // 2100: coordinator
     CoordinatorStarted = 2100,
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetPlatform.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetPlatform.h
@@ -73,7 +73,7 @@
     virtual Result<RequestMetadata, PlatformErrorCode> decodeRequest(const HttpRequest&) const = 0;
     /** The request as it goes to a backend server. */
     virtual HttpRequest forwardedRequest(const HttpRequest&, const ForwardingTerms&) const = 0;
-    virtual AnswerMetadata decodeAnswer(const HttpHeaders&) const = 0;
+    virtual AnswerMetadata decodeAnswer(unsigned status, const HttpHeaders&) const = 0;
     /** An answer's headers as they go to the caller. */
     virtual HttpHeaders forwardedAnswerHeaders(const HttpHeaders&) const = 0;
 
--- a/modules/hc_fleet/include/hemlockchute/fleet/RequestMetadata.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RequestMetadata.h
@@ -45,12 +45,23 @@
     std::optional<std::uint64_t> lastEvent;
 };
 
+/** What a backend server says of itself in the header of any answer. */
+struct ServerNotice {
+    /** True when it is about to leave. */
+    bool isLeaving = false;
+    /** How long it wants nothing more from this host; only where it turned a request away. */
+    std::optional<Duration> pause;
+    /** What of this cannot be read, and is left out; empty when all can be. */
+    std::string unreadable;
+};
+
 /** What the header of a backend server's answer says besides its status. */
 struct AnswerMetadata {
     /** The attempt that the answer belongs to, when it is named. */
     std::optional<AttemptId> attempt;
     /** True when the server states that it did not run the request. */
     bool isNotRun = false;
+    ServerNotice notice;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -41,9 +41,10 @@
     return HttpClient::Options().withConnectTimeout(connectTimeout).withMaximumIdle(idleConnections).withAcknowledgeTimeout(acknowledgeTimeout);
 }
 
-ServerTable::Options tableOptions()
+ServerTable::Options tableOptions(const GatewaySettings& settings)
 {
     ServerTable::Options options;
+    options.notices = settings.notices;
     options.ejection = ejection;
     return options;
 }
@@ -76,7 +77,7 @@
     , m_platform(platform)
     , m_client(clientOptions())
     , m_peers(context, { settings.clusterName, settings.clusterKey, settings.host, "gateway" }, PeerClient::Options())
-    , m_servers(settings.dataCentre, tableOptions())
+    , m_servers(settings.dataCentre, tableOptions(settings))
     , m_link(context, m_peers, settings.host, settings.dataCentre, settings.seeds, linkOptions(settings), m_servers, m_demand,
           { [this](ConfigurationVersion version, const ByteString& body) { takeConfiguration(version, body); },
               [this](const std::vector<Endpoint>& gone) {
--- a/modules/hc_gateway/gateway/GatewaySettings.cpp
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -36,6 +36,9 @@
     settings.platform = platform.text("plugin");
     settings.listing = platform.endpoint("list");
     settings.leavingNotice = platform.duration("leaving_notice", settings.leavingNotice);
+    SettingsTable servers = file.root().table("servers");
+    settings.notices = settings.notices.withLongestPause(servers.duration("longest_pause", settings.notices.longestPause));
+    settings.notices = settings.notices.withLeavingMemory(servers.duration("leaving_memory", settings.notices.leavingMemory));
     SettingsTable retries = file.root().table("retries");
     settings.retries = settings.retries.withRatio(retries.number("ratio", settings.retries.ratio, 0, 1));
     settings.retries = settings.retries.withAllowance(static_cast<unsigned>(retries.integer("allowance", settings.retries.allowance, 0, largestAllowance)));
--- a/modules/hc_gateway/gateway/GatewaySettings.h
+++ b/modules/hc_gateway/gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/fleet/RetryBudget.h"
+#include "hemlockchute/policy/ServerNotices.h"
 #include "hemlockchute/settings/settings.h"
 
 #include <string>
@@ -30,6 +31,8 @@
     Endpoint listing;
     /** A server takes requests for so long after the list says that it leaves. */
     Duration leavingNotice = 3s;
+    /** What servers may ask for in their answers. */
+    ServerNotices::Options notices;
     RetryBudget::Options retries;
     /** Time from the signal to stop to the end of the process. */
     Duration grace = 8s;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -13,6 +13,7 @@
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned firstFailure = 500;
+constexpr unsigned statusWrongServer = 421;
 
 /** A server answers at its deadline by itself; its answer may take this much longer to arrive. */
 constexpr Duration answerSlack = 100ms;
@@ -34,6 +35,7 @@
 /** Requests that have not run when the process has only this long left are refused. */
 constexpr Duration stopMargin = 2s;
 
+constexpr MetricDefinition heldBackMetric { "hemlock_gateway_held_back_total", "Requests that found no server free of a pause that it had asked for." };
 constexpr MetricDefinition waitMetric { "hemlock_gateway_wait_seconds", "Time from a request to its first attempt at a server." };
 
 std::string_view pathOf(const HttpRequest& request)
@@ -199,29 +201,40 @@
 {
     if (auto server = pickServer())
         co_return server;
-    if (!hasModel()) {
-        m_lastFault = "no server of the service is usable";
-        co_return std::nullopt;
+    if (m_pauses.servers > 0)
+        m_core.metrics.add(heldBackMetric);
+    if (hasModel()) {
+        m_core.demand.addWaiting(m_key, 1);
+        m_core.link.hurry();
     }
-    m_core.demand.addWaiting(m_key, 1);
-    m_core.link.hurry();
     std::optional<BackendServerName> server;
     while (!server && !m_call->isGone && !isUnservable(currentTime())) {
-        co_await m_core.waiting.wait(std::min(m_deadline, currentTime() + waitStep));
+        co_await m_core.waiting.wait(nextLook(currentTime()));
         server = pickServer();
     }
-    m_core.demand.addWaiting(m_key, -1);
-    if (!server && !m_call->isGone)
-        m_core.demand.noteRefused(m_key);
+    if (hasModel()) {
+        m_core.demand.addWaiting(m_key, -1);
+        if (!server && !m_call->isGone)
+            m_core.demand.noteRefused(m_key);
+    }
     co_return server;
 }
 
+Instant RequestForwarder::nextLook(Instant now) const
+{
+    Instant next = std::min(m_deadline, now + waitStep);
+    bool endsBefore = m_pauses.servers > 0 && m_pauses.firstEnd > now;
+    return endsBefore ? std::min(next, m_pauses.firstEnd) : next;
+}
+
 /** The best server that was not tried yet; none while all that hold the model are full for the request's rank. */
 std::optional<BackendServerName> RequestForwarder::pickServer()
 {
     auto candidates = m_core.servers.candidates(m_key, m_tried, currentTime());
+    m_pauses = m_core.servers.pauses(m_key, currentTime());
     bool isHeld = !candidates.empty();
-    if (hasModel())
+    // Without the bound, what a pausing server does not take would crowd the next one.
+    if (hasModel() || m_pauses.servers > 0)
         std::erase_if(candidates, [&](const ServerCandidate& each) { return each.load.requests >= mostRequestsAt(each); });
     m_isFull = isHeld && candidates.empty();
     auto best = m_core.chooser.choose(candidates, m_metadata);
@@ -250,6 +263,12 @@
         m_lastFault = "every server that holds the model is full";
         return now - m_received > (m_deadline - m_received) / fullPatience;
     }
+    if (m_pauses.servers > 0)
+        return isOverBeforePausesEnd(now);
+    if (!hasModel()) {
+        m_lastFault = "no server of the service is usable";
+        return true;
+    }
     if (m_core.link.silence(now) > longestSilence) {
         m_lastFault = "no server here holds the model, and no coordinator can have it loaded";
         return true;
@@ -262,6 +281,15 @@
     return false;
 }
 
+/** True when neither the first pause ends in time nor the model is expected at another server. */
+bool RequestForwarder::isOverBeforePausesEnd(Instant now)
+{
+    m_lastFault = "every server that could take the request asked for a pause, " + m_pauses.first.text() + " for another " + secondsText(m_pauses.firstEnd - now) + " s";
+    auto expected = hasModel() ? m_core.link.expected(m_key.service, m_key.model) : std::nullopt;
+    Instant next = expected ? std::min(*expected, m_pauses.firstEnd) : m_pauses.firstEnd;
+    return next + leastService >= m_deadline;
+}
+
 //==============================================================================
 // One attempt
 
@@ -281,9 +309,17 @@
     const ListedServer* server = m_core.servers.find(name);
     HttpRequest request = m_core.platform.forwardedRequest(m_exchange.request(), termsFor(name));
     HttpClient::ConnectionUse use = m_route->isRepeatable() ? HttpClient::ConnectionUse::Pooled : HttpClient::ConnectionUse::Recent;
+    ServerLife life { name, server->startedAt };
     ++m_sends;
     m_isReading = true;
     auto answer = co_await m_core.client.open(server->address, std::move(request), attemptDeadline(), use, m_call->handle);
+    AnswerMetadata said;
+    if (answer) {
+        said = m_core.platform.decodeAnswer((*answer)->status(), (*answer)->headers());
+        // Another server may have the address now, and speaks for itself.
+        if ((*answer)->status() != statusWrongServer)
+            takeNotice(life, said.notice);
+    }
     if (m_call->isGone)
         co_return Outcome::CallerGone;
     if (!answer) {
@@ -295,16 +331,14 @@
         co_return noteFault(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
     }
     m_call->answer = answer->get();
-    Outcome outcome = co_await receive(name, std::move(*answer));
+    Outcome outcome = co_await receive(name, said, std::move(*answer));
     m_call->answer = nullptr;
     co_return outcome;
 }
 
-asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receive(const BackendServerName& name, std::unique_ptr<HttpResponseStream> answer)
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receive(const BackendServerName& name, const AnswerMetadata& said, std::unique_ptr<HttpResponseStream> answer)
 {
     static constexpr unsigned promises[] = { 408, 421, 429, 503 };
-    constexpr unsigned wrongServer = 421;
-    AnswerMetadata said = m_core.platform.decodeAnswer(answer->headers());
     unsigned status = answer->status();
     bool isOther = said.attempt && *said.attempt != m_metadata.attempt;
     bool isSuccess = status < firstFailure && !said.isNotRun && std::find(std::begin(promises), std::end(promises), status) == std::end(promises);
@@ -312,8 +346,8 @@
     bool mayBeOther = !said.attempt && (isSuccess || answer->isOnUsedConnection());
     if (isOther || mayBeOther)
         co_return noteFault(name, Outcome::Unknown, "the answer belongs to another request");
-    if (said.isNotRun || status == wrongServer) {
-        if (hasModel())
+    if (said.isNotRun || status == statusWrongServer) {
+        if (hasModel() && !said.notice.pause)
             m_core.servers.noteMissing(name, m_key, currentTime());
         co_return noteFault(name, Outcome::NotRun, "status " + std::to_string(status));
     }
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -73,7 +73,8 @@
     std::optional<BackendServerName> pickServer();
     unsigned mostRequestsAt(const ServerCandidate&) const;
     boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
-    boost::asio::awaitable<Outcome> receive(const BackendServerName&, std::unique_ptr<HttpResponseStream>);
+    boost::asio::awaitable<Outcome> receive(const BackendServerName&, const AnswerMetadata&, std::unique_ptr<HttpResponseStream>);
+    void takeNotice(const ServerLife&, const ServerNotice&);
     boost::asio::awaitable<Outcome> receiveWhole(const BackendServerName&, HttpResponseStream&);
     boost::asio::awaitable<Outcome> passEvents(const BackendServerName&, HttpResponseStream&);
     boost::asio::awaitable<void> conclude();
@@ -86,6 +87,9 @@
     Outcome noteFault(const BackendServerName&, Outcome, std::string_view reason);
     bool mayResend(Outcome);
     bool isUnservable(Instant now);
+    bool isOverBeforePausesEnd(Instant now);
+    Instant nextLook(Instant now) const;
+    Duration returnTime();
     Instant attemptDeadline() const;
     bool hasModel() const { return !m_key.model.isEmpty(); }
     Duration left() const;
@@ -111,6 +115,8 @@
     bool m_mayHaveRun = false;
     /** True when servers hold the model and none has room. */
     bool m_isFull = false;
+    /** The pauses that servers asked for, as of the last look for one. */
+    ServerTable::Pauses m_pauses;
     /** True while a server may be reading the prompt. */
     bool m_isReading = false;
     /** A server's failure that is passed on when nobody else answers. */
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -4,6 +4,7 @@
 #include "hemlockchute/core/EventLog.h"
 
 #include <algorithm>
+#include <random>
 #include <boost/json.hpp>
 #include <cstdio>
 
@@ -17,6 +18,10 @@
 /** Servers that a request is offered to, those that could not be reached included. */
 constexpr unsigned mostTries = 5;
 
+/** Those who are refused because of a pause return within so long after its end, and not all at once. */
+constexpr Duration longestReturnSpread = 300ms;
+
+constexpr MetricDefinition pausesMetric { "hemlock_gateway_server_pauses_total", "Pauses that backend servers asked for." };
 constexpr MetricDefinition requestsMetric { "hemlock_gateway_requests_total", "Requests by rank and outcome." };
 constexpr MetricDefinition firstByteMetric { "hemlock_gateway_first_byte_seconds", "Time from a request to the first byte of its answer." };
 constexpr MetricDefinition wholeMetric { "hemlock_gateway_answer_seconds", "Time from a request to the end of its answer." };
@@ -58,6 +63,24 @@
     return outcome;
 }
 
+/** What a server says of itself counts at once, whatever becomes of the answer that it came with. */
+void RequestForwarder::takeNotice(const ServerLife& life, const ServerNotice& notice)
+{
+    Instant now = currentTime();
+    if (notice.isLeaving && m_core.servers.noteLeaving(life, now))
+        logEvent(EventId::GatewayServerLeaving, { { "server", life.server }, { "started_at", life.startedAt }, { "request", m_metadata.attempt } });
+    if (notice.pause) {
+        double place = std::uniform_real_distribution<double>(0, 1)(m_core.random);
+        Instant end = m_core.servers.notePause(life, *notice.pause, place, now);
+        // The pause leaves it out; after that it may be asked again.
+        m_tried.erase(life.server);
+        m_core.metrics.add(pausesMetric);
+        logEvent(EventId::GatewayServerPaused, { { "server", life.server }, { "started_at", life.startedAt }, { "request", m_metadata.attempt }, { "asked_ms", milliseconds(*notice.pause) }, { "pause_ms", milliseconds(end - now) } });
+    }
+    if (!notice.unreadable.empty())
+        logEvent(EventId::GatewayNoticeUnreadable, { { "server", life.server }, { "request", m_metadata.attempt }, { "header", notice.unreadable } });
+}
+
 /** A request that ran, or may have, is sent again only where its route allows it; each arrival after the first takes from the budget. */
 bool RequestForwarder::mayResend(Outcome outcome)
 {
@@ -87,15 +110,26 @@
         co_return;
     }
     if (!m_mayHaveRun) {
-        Duration back = shortReturn;
-        if (auto expected = m_core.link.expected(m_key.service, m_key.model))
-            back = std::max<Duration>(*expected - currentTime(), shortReturn);
-        co_await refuse(statusUnavailable, m_lastFault, back);
+        co_await refuse(statusUnavailable, m_lastFault, returnTime());
         co_return;
     }
     co_await refuse(left() <= Duration::zero() ? statusTimedOut : statusBadGateway, m_lastFault);
 }
 
+/** When it is worth the caller's while to return. */
+Duration RequestForwarder::returnTime()
+{
+    Instant now = currentTime();
+    if (auto expected = m_core.link.expected(m_key.service, m_key.model))
+        return std::max<Duration>(*expected - now, shortReturn);
+    m_pauses = m_core.servers.pauses(m_key, now);
+    bool isPausedOnly = m_pauses.servers > 0 && m_core.servers.candidates(m_key, {}, now).empty();
+    if (!isPausedOnly)
+        return shortReturn;
+    Duration spread(std::uniform_int_distribution<Duration::rep>(0, longestReturnSpread.count())(m_core.random));
+    return std::max<Duration>(m_pauses.firstEnd - now, shortReturn) + spread;
+}
+
 asio::awaitable<void> RequestForwarder::refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter)
 {
     noteRefused(status, reason, retryAfter.value_or(Duration::zero()));
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -5,10 +5,20 @@
 
 namespace hemlockchute {
 
+namespace {
+
+ServerLife lifeOf(const ListedServer& server)
+{
+    return { server.id, server.startedAt };
+}
+
+} // namespace
+
 ServerTable::ServerTable(DataCentreName own, Options options)
     : m_own(std::move(own))
     , m_options(options)
     , m_ejections(options.ejection)
+    , m_notices(options.notices)
 {
 }
 
@@ -105,8 +115,7 @@
     std::vector<BackendServerName> able;
     std::vector<BackendServerName> outOfReach;
     for (const auto& [id, server] : m_servers) {
-        bool isAble = server.listed.service == key.service && !server.listed.isLeaving && !excluded.contains(id);
-        if (isAble && (key.model.isEmpty() || holds(server, key, now)))
+        if (!excluded.contains(id) && isAble(server, key, now) && !m_notices.pausedUntil(lifeOf(server.listed), now))
             (isOutOfReach(server.listed.dataCentre, now) ? outOfReach : able).push_back(id);
     }
     if (able.empty())
@@ -119,6 +128,30 @@
     return candidates;
 }
 
+bool ServerTable::isAble(const Server& server, const ModelKey& key, Instant now) const
+{
+    bool isServing = server.listed.service == key.service && !server.listed.isLeaving && !m_notices.isLeaving(lifeOf(server.listed), now);
+    return isServing && (key.model.isEmpty() || holds(server, key, now));
+}
+
+ServerTable::Pauses ServerTable::pauses(const ModelKey& key, Instant now) const
+{
+    Pauses pauses;
+    if (m_notices.size() == 0)
+        return pauses;
+    for (const auto& [id, server] : m_servers) {
+        auto end = m_notices.pausedUntil(lifeOf(server.listed), now);
+        if (!end || !isAble(server, key, now))
+            continue;
+        if (pauses.servers == 0 || *end < pauses.firstEnd) {
+            pauses.firstEnd = *end;
+            pauses.first = id;
+        }
+        ++pauses.servers;
+    }
+    return pauses;
+}
+
 bool ServerTable::holds(const Server& server, const ModelKey& key, Instant now) const
 {
     const HeldModels& models = server.listed.models;
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -2,6 +2,7 @@
 
 #include "hemlockchute/fleet/fleet.h"
 #include "hemlockchute/policy/EjectionTable.h"
+#include "hemlockchute/policy/ServerNotices.h"
 
 #include <map>
 #include <set>
@@ -27,6 +28,15 @@
         unsigned unreachableServers = 2;
         /** A data centre out of reach is tried again after this. */
         Duration unreachablePause = 700ms;
+        ServerNotices::Options notices;
+    };
+
+    /** The servers of a service that pause and could take a request otherwise. */
+    struct Pauses {
+        unsigned servers = 0;
+        /** When the first of them ends its pause, and which it is; unset while none pauses. */
+        Instant firstEnd {};
+        BackendServerName first;
     };
 
     explicit ServerTable(DataCentreName own, Options);
@@ -40,6 +50,8 @@
     //==============================================================================
     /** Servers of the service that may take a request now, those in `excluded` left out; empty names need no model. */
     std::vector<ServerCandidate> candidates(const ModelKey&, const std::set<BackendServerName>& excluded, Instant now) const;
+    /** Those that a pause alone keeps from being candidates. */
+    Pauses pauses(const ModelKey&, Instant now) const;
     /** The server's entry, or null when it is not listed. */
     const ListedServer* find(const BackendServerName&) const;
     /** True once servers were taken in. */
@@ -57,6 +69,10 @@
     void noteUnreachable(const BackendServerName&, Instant now);
     /** Notes that the server said it does not hold what a request needs. */
     void noteMissing(const BackendServerName&, const ModelKey&, Instant now);
+    /** Notes that this life of a server said that it leaves; true when that is news. */
+    bool noteLeaving(const ServerLife& life, Instant now) { return m_notices.noteLeaving(life, now); }
+    /** Notes that this life of a server wants nothing for a while, and gives the end of it here; as ServerNotices::notePause(). */
+    Instant notePause(const ServerLife& life, Duration asked, double place, Instant now) { return m_notices.notePause(life, asked, place, now); }
     /** The requests of this gateway at each server. */
     std::vector<ServerOutstanding> outstanding();
 
@@ -84,11 +100,14 @@
     void takeLoads(const FollowReply&);
     bool isOutOfReach(const DataCentreName&, Instant now) const;
     bool holds(const Server&, const ModelKey&, Instant now) const;
+    /** True but for a pause. */
+    bool isAble(const Server&, const ModelKey&, Instant now) const;
 
     DataCentreName m_own;
     Options m_options;
     std::map<BackendServerName, Server> m_servers;
     EjectionTable m_ejections;
+    ServerNotices m_notices;
     std::map<DataCentreName, Reach> m_reach;
     bool m_hasListing = false;
     /** True while parts of a new list are to come. */
--- a/modules/hc_policy/include/hemlockchute/policy/policy.h
+++ b/modules/hc_policy/include/hemlockchute/policy/policy.h
@@ -11,5 +11,6 @@
 #include "hemlockchute/policy/RateShare.h"
 #include "hemlockchute/policy/RequestQueue.h"
 #include "hemlockchute/policy/RetryBudget.h"
+#include "hemlockchute/policy/ServerNotices.h"
 #include "hemlockchute/policy/ServerPicker.h"
 #include "hemlockchute/policy/SlotReserve.h"
