Tell the leader, and so every gateway, of servers that say that they leave

A server says that it leaves in its answers before the platform's list does, or while the list cannot be read. Each gateway stopped sending there by itself; the others went on, and models that only it held were wanted elsewhere only once the list said so. Gateways now report such servers with each question, relays pass them on, and the leader tells all gateways and leaves the server out of placement. Answers to the leader's own orders and reports count too.

--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -63,6 +63,8 @@
         news.refused += demand.refused;
         news.rank = isNew ? demand.rank : std::min(news.rank, demand.rank);
     }
+    for (const ServerLife& life : request.leaving)
+        isUrgent = m_leaving.insert(life).second || isUrgent;
     m_book.take(request, now);
     if (isUrgent)
         hurry();
@@ -164,6 +166,9 @@
         request.demands.push_back({ key, isWanted ? wanted->second.waiting : 0, isWanted ? wanted->second.active : 0, news.arrivals, news.refused, news.rank });
     }
     m_news.clear();
+    request.leaving.assign(m_leaving.begin(), m_leaving.end());
+    // Gateways say it again until the list does.
+    m_leaving.clear();
     m_hasToldDemand = !request.demands.empty();
     // Handles of the list before mean nothing to the leader.
     m_reported.clear();
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -9,6 +9,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <optional>
+#include <set>
 
 namespace hemlockchute {
 
@@ -89,6 +90,8 @@
     GatewayBook m_book { GatewayBook::Options() };
     /** Arrivals since the leader was told last. */
     std::map<ModelKey, News> m_news;
+    /** Servers that said to gateways here that they leave, until the leader was told. */
+    std::set<ServerLife> m_leaving;
     FleetTable m_table;
     /** The list of another epoch, until its last part has come. */
     std::optional<FleetTable> m_incoming;
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -17,6 +17,7 @@
 namespace asio = boost::asio;
 
 constexpr unsigned statusOk = 200;
+constexpr unsigned statusWrongServer = 421;
 /** A load that was to come from memory or disk and takes so many times as long comes from the store. */
 constexpr int latePart = 2;
 /** A load from the store that takes longer than declared by this part shares the store with too many. */
@@ -120,6 +121,8 @@
 void PlacementDirector::takeDemand(const FollowRequest& request, Instant now)
 {
     m_demand.take(request, now);
+    for (const ServerLife& life : request.leaving)
+        noteLeaving(life, request.host.text());
 }
 
 void PlacementDirector::begin(std::uint64_t epoch)
@@ -163,6 +166,7 @@
 ListedServer PlacementDirector::shown(const Server& server)
 {
     ListedServer shown = server.listed;
+    shown.isLeaving = isLeaving(server);
     shown.inMemory.clear();
     shown.onDisk.clear();
     if (server.isKnown)
@@ -190,7 +194,7 @@
         if (!spec || !spec->engine)
             continue;
         for (auto& [id, server] : m_servers) {
-            bool isDue = server.listed.service == name && !server.listed.isLeaving && !server.isKnown && !server.isOccupied && now >= server.nextReport;
+            bool isDue = server.listed.service == name && !isLeaving(server) && !server.isKnown && !server.isOccupied && now >= server.nextReport;
             if (!isDue)
                 continue;
             server.isOccupied = true;
@@ -211,7 +215,7 @@
         each.id = id;
         each.dataCentre = server.listed.dataCentre;
         each.isLoadingFromStore = server.isLoadingFromStore || (!server.isKnown && server.mayBeLoading);
-        if (server.listed.isLeaving || !server.isKnown) {
+        if (isLeaving(server) || !server.isKnown) {
             // Only its part of the store's capacity matters.
             if (each.isLoadingFromStore)
                 placed.push_back(std::move(each));
@@ -247,6 +251,24 @@
     m_table.put(shown(server));
 }
 
+/** Its models are wanted elsewhere from now on, sooner than by the list. */
+void PlacementDirector::noteLeaving(const ServerLife& life, std::string_view toldBy)
+{
+    Server* server = find(life.server, life.startedAt);
+    if (!server || isLeaving(*server))
+        return;
+    server->saidThatItLeaves = true;
+    noteChanged(*server);
+    logEvent(EventId::CoordinatorServerLeaving, { { "server", life.server }, { "started_at", life.startedAt }, { "told_by", toldBy } });
+}
+
+/** Another server may have the address by now, and says so by its status. */
+void PlacementDirector::noteIfLeaving(const ServerLife& life, const HttpResponse& answer)
+{
+    if (answer.status != statusWrongServer && m_platform.decodeAnswer(answer.status, answer.headers).notice.isLeaving)
+        noteLeaving(life, m_options.giver.text());
+}
+
 /** What the server holds is asked for before it gets another order. */
 void PlacementDirector::noteUnknown(Server& server)
 {
@@ -294,12 +316,15 @@
     PlacementOrder order = orderFor(found->second, step, *fence);
     HttpRequest request = m_platform.orderRequest(order);
     Endpoint address = found->second.listed.address;
+    ServerLife life = lifeOf(found->second.listed);
     Instant sent = currentTime();
     // Nothing in an answer to an order says which order it answers: a late copy of an earlier one must not pass for it.
     auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::Single, whileAuthorized(*fence));
     std::optional<OrderOutcome> outcome;
-    if (answer)
+    if (answer) {
         outcome = m_platform.decodeOrderAnswer(answer->status);
+        noteIfLeaving(life, *answer);
+    }
     noteOrder(order, step, outcome, currentTime() - sent);
     co_return outcome;
 }
@@ -458,6 +483,8 @@
     server->isOccupied = false;
     server->nextReport = currentTime() + m_options.reportPause;
     server->mayBeLoading = false;
+    if (answer)
+        noteIfLeaving(lifeOf(server->listed), *answer);
     std::string reason;
     if (!answer)
         reason = answer.error().detail;
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -67,6 +67,8 @@
 private:
     struct Server {
         ListedServer listed;
+        /** True once it said so, to this host or to a gateway, whatever the list says. */
+        bool saidThatItLeaves = false;
         /** False until the server said what it holds. */
         bool isKnown = false;
         /** True until the server says otherwise, or nothing: an earlier order, of another giver too, may be in progress there. */
@@ -108,6 +110,9 @@
     void noteUnreported(const BackendServerName&, std::string_view reason) const;
     Server* find(const BackendServerName&, std::int64_t life);
     void noteChanged(const Server&);
+    void noteLeaving(const ServerLife&, std::string_view toldBy);
+    void noteIfLeaving(const ServerLife&, const HttpResponse&);
+    static bool isLeaving(const Server& server) { return server.listed.isLeaving || server.saidThatItLeaves; }
     void noteUnknown(Server&);
     void noteLoaded(Server&, const ModelName&);
     void noteStoreLoad(const Server&, const ModelName&, Duration took);
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -99,6 +99,7 @@
     { EventId::CoordinatorRelayUnreadable, Warning, "coordinator.relay_unreadable", "What the coordinator that leads said to this one cannot be read; the reason is given." },
     { EventId::CoordinatorConfigurationReceived, Info, "coordinator.configuration_received", "An operator's configuration arrived here; its version, the version in force and the leader known are given." },
     { EventId::CoordinatorLeaderCallFailed, Info, "coordinator.leader_call_failed", "One attempt to have an operator's call answered by the leader failed; whom it was put to, why it failed and how long it took are given.", Failure },
+    { EventId::CoordinatorServerLeaving, Info, "coordinator.server_leaving", "A server said in an answer, to this host or to a gateway, that it leaves, before the platform's list did." },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -102,7 +102,8 @@
     CoordinatorModelTaken = 2108,
     CoordinatorRelayUnreadable = 2109,
     CoordinatorConfigurationReceived = 2110,
-    CoordinatorLeaderCallFailed = 2111
+    CoordinatorLeaderCallFailed = 2111,
+    CoordinatorServerLeaving = 2112
 };
 
 /** What a record explains; a full log keeps the failures. */
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -21,6 +21,11 @@
   unreadTokens @2 :List(UInt32);
 }
 
+struct ServerLife {
+  server @0 :Text;
+  startedAt @1 :Int64;
+}
+
 struct FollowRequest {
   host @0 :Text;
   configuration @1 :UInt64;
@@ -32,6 +37,7 @@
   relay @7 :UInt64;
   dataCentre @8 :Text;
   isLast @9 :Bool;
+  leaving @10 :List(ServerLife);
 }
 
 struct HeldModel {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -18,6 +18,7 @@
 
 CAPNP_DECLARE_SCHEMA(8a0ce8fbfa75e417);
 CAPNP_DECLARE_SCHEMA(c5e990f4f6e5d2b1);
+CAPNP_DECLARE_SCHEMA(eb52d18ef7fd9473);
 CAPNP_DECLARE_SCHEMA(cca27ee069c78981);
 CAPNP_DECLARE_SCHEMA(e9823317390a82bc);
 CAPNP_DECLARE_SCHEMA(f80cdec24f7e05b5);
@@ -63,6 +64,21 @@
   };
 };
 
+struct ServerLife {
+  ServerLife() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(eb52d18ef7fd9473, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FollowRequest {
   FollowRequest() = delete;
 
@@ -71,7 +87,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 5, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 5, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -415,6 +431,92 @@
 };
 #endif  // !CAPNP_LITE
 
+class ServerLife::Reader {
+public:
+  typedef ServerLife Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::int64_t getStartedAt() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ServerLife::Builder {
+public:
+  typedef ServerLife Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ServerLife::Pipeline {
+public:
+  typedef ServerLife Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FollowRequest::Reader {
 public:
   typedef FollowRequest Reads;
@@ -456,6 +558,9 @@
 
   inline bool getIsLast() const;
 
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -530,6 +635,13 @@
   inline bool getIsLast();
   inline void setIsLast(bool value);
 
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>> disownLeaving();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1635,6 +1747,54 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool ServerLife::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerLife::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerLife::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerLife::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerLife::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerLife::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerLife::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerLife::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServerLife::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerLife::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerLife::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1860,6 +2020,40 @@
       ::capnp::bounded<224>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowRequest::Reader::hasLeaving() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasLeaving() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getLeaving() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setLeaving( ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initLeaving(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptLeaving(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownLeaving() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline bool HeldModel::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -142,6 +142,11 @@
     write(root.initLoads(), request.outstanding);
     root.setGateways(request.gateways);
     root.setIsLast(request.isLast);
+    auto leaving = root.initLeaving(sizeOf(request.leaving));
+    for (unsigned i = 0; i < request.leaving.size(); ++i) {
+        leaving[i].setServer(request.leaving[i].server.text());
+        leaving[i].setStartedAt(request.leaving[i].startedAt);
+    }
     root.setRelay(request.relay.value());
     root.setDataCentre(request.dataCentre.text());
     return messageBytes(message);
@@ -163,6 +168,8 @@
         request.outstanding = std::move(*loads);
         request.gateways = root.getGateways();
         request.isLast = root.getIsLast();
+        for (auto life : root.getLeaving())
+            request.leaving.push_back({ BackendServerName(textOf(life.getServer())), life.getStartedAt() });
         request.relay = KeeperId(root.getRelay());
         request.dataCentre = DataCentreName(textOf(root.getDataCentre()));
         return request;
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/core/Errors.h"
+#include "hemlockchute/core/ServerLife.h"
 #include "hemlockchute/core/Units.h"
 #include "hemlockchute/fleet/ListedServer.h"
 #include "hemlockchute/fleet/RouteConfiguration.h"
@@ -85,6 +86,8 @@
     std::uint64_t revision = 0;
     std::vector<ModelDemandReport> demands;
     std::vector<ServerOutstanding> outstanding;
+    /** Servers that said that they leave, and do not leave by the list that is known. */
+    std::vector<ServerLife> leaving;
 };
 
 /** When a model that is wanted and not held is expected. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/ListedServer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ListedServer.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "hemlockchute/core/Clock.h"
-#include "hemlockchute/core/Identifiers.h"
+#include "hemlockchute/core/ServerLife.h"
 #include "hemlockchute/settings/SettingsFile.h"
 
 #include <cstdint>
@@ -35,6 +35,11 @@
     friend bool operator==(const ListedServer&, const ListedServer&) = default;
 };
 
+inline ServerLife lifeOf(const ListedServer& server)
+{
+    return { server.id, server.startedAt };
+}
+
 /** One page of the list. */
 struct ListingPage {
     std::vector<ListedServer> servers;
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -18,6 +18,7 @@
     sent.outstanding = { { ServerHandle(3), { 7, 800 } } };
     sent.gateways = 9;
     sent.isLast = true;
+    sent.leaving = { { BackendServerName("s"), 77 } };
     sent.relay = KeeperId(10);
     sent.dataCentre = DataCentreName("z1");
     auto read = decodeFollowRequest(encodeFollowRequest(sent));
@@ -28,6 +29,7 @@
     BOOST_TEST((demand.key == sent.demands.front().key));
     BOOST_TEST((demand.waiting == 1 && demand.active == 2 && demand.arrivals == 3 && demand.refused == 4 && demand.rank == 5));
     BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(3) && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
+    BOOST_TEST((read->leaving == sent.leaving));
     BOOST_TEST((read->gateways == 9 && read->isLast && read->relay == sent.relay && read->dataCentre == sent.dataCentre));
 }
 
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -132,6 +132,7 @@
     request.revision = m_revision;
     request.demands = m_demand.takeReports();
     request.outstanding = m_servers.outstanding();
+    request.leaving = m_servers.leavingUnlisted(currentTime());
     return encodeFollowRequest(request);
 }
 
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -5,15 +5,6 @@
 
 namespace hemlockchute {
 
-namespace {
-
-ServerLife lifeOf(const ListedServer& server)
-{
-    return { server.id, server.startedAt };
-}
-
-} // namespace
-
 ServerTable::ServerTable(DataCentreName own, Options options)
     : m_own(std::move(own))
     , m_options(options)
@@ -134,6 +125,18 @@
     return isServing && (key.model.isEmpty() || holds(server, key, now));
 }
 
+std::vector<ServerLife> ServerTable::leavingUnlisted(Instant now) const
+{
+    std::vector<ServerLife> all;
+    if (m_notices.size() == 0)
+        return all;
+    for (const auto& [id, server] : m_servers) {
+        if (!server.listed.isLeaving && m_notices.isLeaving(lifeOf(server.listed), now))
+            all.push_back(lifeOf(server.listed));
+    }
+    return all;
+}
+
 ServerTable::Pauses ServerTable::pauses(const ModelKey& key, Instant now) const
 {
     Pauses pauses;
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -71,6 +71,8 @@
     void noteMissing(const BackendServerName&, const ModelKey&, Instant now);
     /** Notes that this life of a server said that it leaves; true when that is news. */
     bool noteLeaving(const ServerLife& life, Instant now) { return m_notices.noteLeaving(life, now); }
+    /** Servers that said that they leave, and do not by the list. */
+    std::vector<ServerLife> leavingUnlisted(Instant now) const;
     /** Notes that this life of a server wants nothing for a while, and gives the end of it here; as ServerNotices::notePause(). */
     Instant notePause(const ServerLife& life, Duration asked, double place, Instant now) { return m_notices.notePause(life, asked, place, now); }
     /** The requests of this gateway at each server. */
--- a/modules/hc_policy/include/hemlockchute/policy/ServerNotices.h
+++ b/modules/hc_policy/include/hemlockchute/policy/ServerNotices.h
@@ -1,23 +1,13 @@
 #pragma once
 
 #include "hemlockchute/core/Clock.h"
-#include "hemlockchute/core/Identifiers.h"
+#include "hemlockchute/core/ServerLife.h"
 
-#include <cstdint>
 #include <map>
 #include <optional>
 
 namespace hemlockchute {
 
-/** One life of a backend server; ids and addresses are used again. */
-struct ServerLife {
-    BackendServerName server;
-    /** When it began, in milliseconds since 1970. */
-    std::int64_t startedAt = 0;
-
-    friend auto operator<=>(const ServerLife&, const ServerLife&) = default;
-};
-
 //==============================================================================
 /**
     What backend servers have said of themselves in their answers: that they leave, or that they
