Keep a coordinator up whose disk refuses writes

A refused write, sync or compaction suspends the replica instead of ending the process: nothing of that round was sent or applied, it neither votes, acknowledges nor leads, and it hears the leader's messages only to know whom to send operators and gateways to. It opens the folder anew with a doubling pause of 100 to 500 ms, shows that it takes a write and a sync, and goes on from what is there, as after a restart; the state that was applied stays. Damage before the end of the log, and a folder of another life, still end the process.

--- a/modules/hc_agreement/agreement/KeeperDisk.cpp
+++ b/modules/hc_agreement/agreement/KeeperDisk.cpp
@@ -6,6 +6,7 @@
 constexpr std::string_view identityName = "identity";
 constexpr std::string_view hardStateName = "hard-state";
 constexpr std::string_view snapshotName = "state";
+constexpr std::string_view probeName = "probe";
 constexpr ByteCount segmentSize = ByteCount::mebibytes(1);
 
 tl::unexpected<Error<StorageErrorCode>> unreadable(std::string_view name, const Error<AgreementErrorCode>& error)
@@ -165,6 +166,11 @@
     return effects.install ? m_log->dropThrough(effects.install->lastIndex) : StorageResult<void>();
 }
 
+StorageResult<void> KeeperDisk::probe()
+{
+    return m_values.write(probeName, "writes are taken");
+}
+
 StorageResult<void> KeeperDisk::compact(const ReplicaSnapshot& snapshot)
 {
     if (auto written = m_values.write(snapshotName, encodeSnapshot(snapshot)); !written)
--- a/modules/hc_agreement/agreement/ReplicatedGroup.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroup.cpp
@@ -3,6 +3,14 @@
 #include <algorithm>
 
 namespace hemlockchute {
+namespace {
+
+bool isFromLeader(const AgreementBody& body)
+{
+    return std::holds_alternative<AppendRequest>(body) || std::holds_alternative<SnapshotChunk>(body);
+}
+
+} // namespace
 
 ReplicatedGroup::ReplicatedGroup(KeeperId id, std::unique_ptr<KeeperDisk> disk, Options options, const Clock& clock, AgreedState& state, GroupHooks hooks)
     : m_id(id)
@@ -47,9 +55,7 @@
     {
         std::lock_guard guard(m_lock);
         abandonProposals(answers);
-        for (auto& [token, read] : m_reads)
-            answers.emplace_back(std::move(read.reply), notLeader());
-        m_reads.clear();
+        abandonReads(answers);
     }
     for (auto& [reply, answer] : answers)
         reply(std::move(answer));
@@ -59,6 +65,8 @@
 void ReplicatedGroup::tick()
 {
     std::lock_guard guard(m_lock);
+    if (m_isSuspended)
+        return;
     m_replica->tick(m_clock.now());
     m_hasWork = true;
     m_wake.notify_one();
@@ -67,6 +75,12 @@
 void ReplicatedGroup::receive(const AgreementMessage& message)
 {
     std::lock_guard guard(m_lock);
+    if (m_isSuspended) {
+        bool isNewer = !m_heardLeader || message.term >= m_heardLeader->term;
+        if (isFromLeader(message.body) && isNewer)
+            m_heardLeader = HeardLeader { message.from, message.term, m_clock.now() };
+        return;
+    }
     m_replica->receive(message, m_clock.now());
     m_hasWork = true;
     m_wake.notify_one();
@@ -78,7 +92,9 @@
     Reply overwritten;
     {
         std::lock_guard guard(m_lock);
-        auto index = m_replica->propose(std::move(command), m_clock.now());
+        Result<LogIndex, AgreementErrorCode> index = failure(AgreementErrorCode::NotLeader, "the disk refuses writes");
+        if (!m_isSuspended)
+            index = m_replica->propose(std::move(command), m_clock.now());
         refusal = notLeader();
         if (index) {
             refusal.kind = GroupReply::Kind::Unknown;
@@ -94,16 +110,26 @@
 
 void ReplicatedGroup::read(Read read, Reply reply)
 {
-    std::lock_guard guard(m_lock);
-    m_reads[m_nextToken] = { std::move(read), std::move(reply) };
-    m_replica->read(m_nextToken++, m_clock.now());
-    m_hasWork = true;
-    m_wake.notify_one();
+    GroupReply refusal;
+    {
+        std::lock_guard guard(m_lock);
+        if (!m_isSuspended) {
+            m_reads[m_nextToken] = { std::move(read), std::move(reply) };
+            m_replica->read(m_nextToken++, m_clock.now());
+            m_hasWork = true;
+            m_wake.notify_one();
+            return;
+        }
+        refusal = notLeader();
+    }
+    reply(std::move(refusal));
 }
 
 Result<LogIndex, AgreementErrorCode> ReplicatedGroup::changeMembership(const Membership& membership)
 {
     std::lock_guard guard(m_lock);
+    if (m_isSuspended)
+        return failure(AgreementErrorCode::NotLeader, "the disk refuses writes");
     auto index = m_replica->changeMembership(membership, m_clock.now());
     m_hasWork = true;
     m_wake.notify_one();
@@ -132,9 +158,10 @@
     std::lock_guard guard(m_lock);
     GroupStatus status;
     status.self = self();
-    status.leader = m_replica->leader();
-    status.isLeader = m_replica->isLeader();
-    status.term = m_replica->term();
+    status.leader = knownLeader();
+    status.isLeader = !m_isSuspended && m_replica->isLeader();
+    status.isSuspended = m_isSuspended;
+    status.term = m_isSuspended && m_heardLeader ? m_heardLeader->term : m_replica->term();
     status.committed = m_replica->committed();
     status.membership = m_replica->membership();
     status.isMembershipSettled = !m_replica->isChangingMembership();
@@ -147,13 +174,13 @@
 bool ReplicatedGroup::isLeader() const
 {
     std::lock_guard guard(m_lock);
-    return m_replica->isLeader();
+    return !m_isSuspended && m_replica->isLeader();
 }
 
 bool ReplicatedGroup::holdsLease() const
 {
     std::lock_guard guard(m_lock);
-    return m_replica->holdsLease(m_clock.now());
+    return !m_isSuspended && m_replica->holdsLease(m_clock.now());
 }
 
 bool ReplicatedGroup::isCaughtUp(const ReplicaId& id) const
@@ -177,9 +204,17 @@
 GroupReply ReplicatedGroup::notLeader() const
 {
     GroupReply reply;
-    if (auto leader = m_replica->leader(); leader && leader->keeper != m_id)
+    if (auto leader = knownLeader(); leader && leader->keeper != m_id)
         reply.leader = leader->keeper;
     return reply;
 }
 
+std::optional<ReplicaId> ReplicatedGroup::knownLeader() const
+{
+    if (!m_isSuspended)
+        return m_replica->leader();
+    bool isFresh = m_heardLeader && m_clock.now() - m_heardLeader->heard < m_options.replica.electionTimeout;
+    return isFresh ? std::optional(m_heardLeader->leader) : std::nullopt;
+}
+
 } // namespace hemlockchute
--- a/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
@@ -1,6 +1,8 @@
 #include "hemlockchute/agreement/ReplicatedGroup.h"
 #include "hemlockchute/core/EventLog.h"
 
+#include <algorithm>
+
 namespace hemlockchute {
 
 /** The group's thread: one round of effects after the other. */
@@ -8,7 +10,11 @@
 {
     std::unique_lock guard(m_lock);
     while (!m_isStopping) {
-        m_wake.wait(guard, [this] { return m_hasWork || m_isStopping; });
+        m_wake.wait(guard, [this] { return m_hasWork || m_isSuspended || m_isStopping; });
+        if (m_isSuspended) {
+            tryToResume(guard);
+            continue;
+        }
         m_hasWork = false;
         Effects effects = m_replica->takeEffects();
         std::optional<Membership> toBegin = std::exchange(m_toBegin, std::nullopt);
@@ -35,8 +41,10 @@
     if (effects.isOutdated)
         retire();
     if (effects.needsSync()) {
-        if (auto stored = m_disk->store(effects); !stored)
-            m_hooks.fail(EventId::KeeperStorageFailed, stored.error().detail);
+        if (auto stored = m_disk->store(effects); !stored) {
+            suspend(stored.error());
+            return;
+        }
     }
     for (const AgreementMessage& message : effects.messages)
         m_hooks.send(message);
@@ -127,6 +135,75 @@
     m_proposals.clear();
 }
 
+void ReplicatedGroup::abandonReads(Answers& answers)
+{
+    for (auto& [token, read] : m_reads)
+        answers.emplace_back(std::move(read.reply), notLeader());
+    m_reads.clear();
+}
+
+//==============================================================================
+// A disk that refuses writes
+
+/** Nothing of the round that was refused was sent or applied, and nothing is until the folder was read anew. */
+void ReplicatedGroup::suspend(const Error<StorageErrorCode>& error)
+{
+    bool mayResume = m_hooks.reopen && error.code != StorageErrorCode::Damaged;
+    if (!mayResume)
+        m_hooks.fail(EventId::KeeperStorageFailed, error.detail);
+    m_disk.reset();
+    Answers answers;
+    {
+        std::lock_guard guard(m_lock);
+        m_isSuspended = true;
+        m_heardLeader.reset();
+        m_reopenPause = m_options.firstReopenPause;
+        abandonProposals(answers);
+        abandonReads(answers);
+    }
+    logEvent(EventId::KeeperSuspended, { { "reason", error.detail } });
+    for (auto& [reply, answer] : answers)
+        reply(std::move(answer));
+}
+
+/** Precondition: the lock is held; it is given up meanwhile. */
+void ReplicatedGroup::tryToResume(std::unique_lock<std::mutex>& guard)
+{
+    if (m_wake.wait_for(guard, m_reopenPause, [this] { return m_isStopping; }))
+        return;
+    m_reopenPause = std::min(2 * m_reopenPause, m_options.longestReopenPause);
+    guard.unlock();
+    auto disk = m_hooks.reopen();
+    StorageResult<void> usable = disk ? (*disk)->probe() : StorageResult<void>(tl::unexpected(disk.error()));
+    if (!usable && usable.error().code == StorageErrorCode::Damaged)
+        m_hooks.fail(EventId::KeeperStorageFailed, usable.error().detail);
+    if (usable && (*disk)->identity().incarnation != m_identity.incarnation)
+        m_hooks.fail(EventId::KeeperFolderOutdated, "the data folder belongs to another life of this host");
+    guard.lock();
+    if (usable)
+        resume(std::move(*disk));
+}
+
+/** As after a restart, with the state that was applied before. Precondition: the lock is held. */
+void ReplicatedGroup::resume(std::unique_ptr<KeeperDisk> disk)
+{
+    RecoveredState recovered = disk->takeRecovered();
+    bool isStateOlder = recovered.snapshot && recovered.snapshot->lastIndex > m_applied;
+    if (isStateOlder) {
+        if (auto restored = m_state.restore(recovered.snapshot->state); !restored)
+            m_hooks.fail(EventId::KeeperEntryUnreadable, "snapshot " + std::to_string(recovered.snapshot->lastIndex.value()) + ": " + restored.error().detail);
+        m_applied = recovered.snapshot->lastIndex;
+    }
+    if (recovered.snapshot)
+        m_compacted = std::max(m_compacted, recovered.snapshot->lastIndex);
+    m_disk = std::move(disk);
+    m_replica = std::make_unique<Replica>(self(), m_options.replica, std::move(recovered), m_clock.now());
+    m_isSuspended = false;
+    m_hasWork = true;
+    logEvent(EventId::KeeperResumed, { { "applied", m_applied }, { "last", m_replica->lastIndex() }, { "term", m_replica->term() } });
+}
+
+//==============================================================================
 /** A data folder that lacks what was acknowledged must not vote as its former self. */
 void ReplicatedGroup::retire()
 {
@@ -149,8 +226,10 @@
         m_compacted = m_applied;
         m_appliedBytes = {};
     }
-    if (auto stored = m_disk->compact(*snapshot); !stored)
-        m_hooks.fail(EventId::KeeperStorageFailed, stored.error().detail);
+    if (auto stored = m_disk->compact(*snapshot); !stored) {
+        suspend(stored.error());
+        return;
+    }
     logEvent(EventId::KeeperCompacted, { { "index", snapshot->lastIndex } });
 }
 
--- a/modules/hc_agreement/include/hemlockchute/agreement/KeeperDisk.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/KeeperDisk.h
@@ -30,6 +30,8 @@
 
     /** Makes the effects durable, with one sync for all log entries. */
     StorageResult<void> store(const Effects&);
+    /** Shows that the folder takes writes and syncs. */
+    StorageResult<void> probe();
     /** Writes a snapshot and drops the log that it covers. */
     StorageResult<void> compact(const ReplicaSnapshot&);
 
--- a/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
@@ -55,6 +55,8 @@
     ReplicaId self;
     std::optional<ReplicaId> leader;
     bool isLeader = false;
+    /** True while the disk refuses writes, so that this replica takes no part. */
+    bool isSuspended = false;
     AgreementTerm term;
     LogIndex committed;
     Membership membership;
@@ -72,6 +74,8 @@
     std::function<void()> advanced;
     /** The group cannot go on; must not return. */
     std::function<void(EventId, const std::string& reason)> fail;
+    /** Opens the data folder anew after it refused a write; where it is empty, such a refusal ends the process. */
+    std::function<StorageResult<std::unique_ptr<KeeperDisk>>()> reopen {};
 };
 
 //==============================================================================
@@ -79,7 +83,10 @@
     A replica, its disk and the agreed state under one lock.
 
     A thread of the group's own carries out the replica's effects, so that nobody else waits for
-    the disk: it writes all that has come together with one sync, sends, applies and answers.
+    the disk: it writes all that has come together with one sync, sends, applies and answers. When
+    the disk refuses that, the replica takes no part until the folder was opened anew and takes
+    writes again; it goes on from what is really there, as after a restart, and meanwhile knows the
+    leader for those who ask.
     Thread safety: every method may be called from any thread. Answers come on the group's thread.
 
     @see Replica, AgreedState
@@ -94,6 +101,9 @@
         /** A snapshot is taken once so many entries, or bytes, were applied since the last. */
         std::uint64_t entriesBetweenSnapshots = 1000;
         ByteCount bytesBetweenSnapshots = ByteCount::mebibytes(4);
+        /** Between two tries to use a disk that refused writes: at first, doubling up to the longest. */
+        Duration firstReopenPause = 100ms;
+        Duration longestReopenPause = 500ms;
     };
 
     using Reply = std::function<void(GroupReply)>;
@@ -143,6 +153,13 @@
         Reply reply;
     };
 
+    /** The leader as its messages tell while this replica takes no part. */
+    struct HeardLeader {
+        ReplicaId leader;
+        AgreementTerm term;
+        Instant heard;
+    };
+
     /** Answers that are given once the lock is free. */
     using Answers = std::vector<std::pair<Reply, GroupReply>>;
 
@@ -154,6 +171,11 @@
     void answerReads(const Effects&, Answers&);
     void abandonProposals(Answers&);
     void retire();
+    void suspend(const Error<StorageErrorCode>&);
+    void tryToResume(std::unique_lock<std::mutex>&);
+    void resume(std::unique_ptr<KeeperDisk>);
+    void abandonReads(Answers&);
+    std::optional<ReplicaId> knownLeader() const;
     void compactIfDue();
     void noteLeadership();
     void noteLeaderSeen();
@@ -183,6 +205,9 @@
     std::uint64_t m_nextToken = 1;
     std::map<LogIndex, PendingProposal> m_proposals;
     std::map<std::uint64_t, PendingRead> m_reads;
+    bool m_isSuspended = false;
+    Duration m_reopenPause {};
+    std::optional<HeardLeader> m_heardLeader;
     bool m_hasWork = true;
     bool m_isStopping = false;
     std::thread m_thread;
--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 //==============================================================================
-Coordinator::Coordinator(asio::io_context& context, const CoordinatorSettings& settings, const FleetPlatform& platform, std::unique_ptr<KeeperDisk> disk, IncarnationId next)
+Coordinator::Coordinator(asio::io_context& context, const CoordinatorSettings& settings, const FleetPlatform& platform, std::unique_ptr<KeeperDisk> disk, IncarnationId next, OpenDisk reopen)
     : m_context(context)
     , m_settings(settings)
     , m_platform(platform)
@@ -79,7 +79,7 @@
     , m_server(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" })
     , m_http(HttpClient::Options())
     , m_group(m_id, std::move(disk), groupOptions(settings, next), m_clock, m_register,
-          { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { takeAgreed(); }); }, endProcess })
+          { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { takeAgreed(); }); }, endProcess, std::move(reopen) })
     , m_voters(voterOptions(settings))
     , m_director(context, platform, m_http, m_metrics, directorOptions(settings), [this] { return authority(); })
     , m_relay(context, m_client, { settings.host, m_id, settings.dataCentre }, FleetRelay::Options(), { [this] { return otherLeader(); }, [this] { return m_register.current()->version; } })
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -29,8 +29,11 @@
 */
 class Coordinator {
 public:
-    /** The second incarnation is what the data folder becomes when it turns out to be older than it was. */
-    Coordinator(boost::asio::io_context&, const CoordinatorSettings&, const FleetPlatform&, std::unique_ptr<KeeperDisk>, IncarnationId next);
+    /** Opens the data folder of this coordinator's incarnation. */
+    using OpenDisk = std::function<StorageResult<std::unique_ptr<KeeperDisk>>()>;
+
+    /** The incarnation is what the data folder becomes when it turns out to be older than it was; the folder is opened anew when it refused a write. */
+    Coordinator(boost::asio::io_context&, const CoordinatorSettings&, const FleetPlatform&, std::unique_ptr<KeeperDisk>, IncarnationId next, OpenDisk reopen);
     ~Coordinator();
 
     Result<void, RoleErrorCode> start();
--- a/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
@@ -50,6 +50,7 @@
 constexpr MetricDefinition termMetric { "hemlock_coordinator_term", "The latest term of the group that is known here." };
 constexpr MetricDefinition versionMetric { "hemlock_coordinator_configuration_version", "The configuration that is known to be agreed on here." };
 constexpr MetricDefinition votersMetric { "hemlock_coordinator_voters", "Members of the group that vote." };
+constexpr MetricDefinition suspendedMetric { "hemlock_coordinator_storage_refused", "Whether this host takes no part in the group because its disk refuses writes, 1 or 0." };
 constexpr MetricDefinition learnersMetric { "hemlock_coordinator_learners", "Members of the group that do not vote." };
 
 // Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
@@ -235,6 +236,7 @@
     m_metrics.set(termMetric, static_cast<double>(status.term.value()));
     m_metrics.set(versionMetric, static_cast<double>(m_register.current()->version.value()));
     m_metrics.set(votersMetric, static_cast<double>(status.membership.voters.size()));
+    m_metrics.set(suspendedMetric, status.isSuspended ? 1 : 0);
     m_metrics.set(learnersMetric, static_cast<double>(status.membership.learners.size()));
     HttpResponse response = HttpResponse::text(statusOk, m_metrics.snapshot().prometheusText());
     co_await exchange.respond(std::move(response));
--- a/modules/hc_coordinator/coordinator/CoordinatorService.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorService.cpp
@@ -37,10 +37,11 @@
     {
         bool isSeed = std::find(m_settings.seeds.begin(), m_settings.seeds.end(), m_settings.peers) != m_settings.seeds.end();
         IncarnationId incarnation = m_settings.isFirstStart && isSeed ? Coordinator::foundingIncarnation() : drawIncarnation();
-        auto disk = KeeperDisk::open(FileSystem::system(), m_settings.dataFolder, incarnation);
+        auto openDisk = [folder = m_settings.dataFolder, incarnation] { return KeeperDisk::open(FileSystem::system(), folder, incarnation); };
+        auto disk = openDisk();
         if (!disk)
             return failureBecause(RoleErrorCode::StateUnusable, disk.error());
-        m_coordinator = std::make_unique<Coordinator>(context, m_settings, *m_platform, std::move(*disk), drawIncarnation());
+        m_coordinator = std::make_unique<Coordinator>(context, m_settings, *m_platform, std::move(*disk), drawIncarnation(), openDisk);
         return m_coordinator->start();
     }
 
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -64,6 +64,8 @@
     { EventId::KeeperEntryUnreadable, Error, "keeper.entry_unreadable", "A committed command cannot be read by this version; the process stops." },
     { EventId::KeeperFolderOutdated, Error, "keeper.folder_outdated", "The data folder is older than what this keeper acknowledged: it became a new incarnation, the process stops, and an operator must replace the keeper." },
     { EventId::KeeperSeesLeader, Info, "keeper.sees_leader", "The leader that this keeper knows, or its term, changed; no leader is given while none is known." },
+    { EventId::KeeperSuspended, Error, "keeper.suspended", "The data folder refused a write, with the reason given: this keeper takes no part in the agreement, and tries the folder again until it takes writes." },
+    { EventId::KeeperResumed, Info, "keeper.resumed", "The data folder takes writes again; the keeper goes on from what it holds." },
 
     // 1850: operators
     { EventId::OperatorSubmitted, Info, "operator.submitted", "An operator submitted a document; the answer's status is given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -68,6 +68,8 @@
     KeeperEntryUnreadable = 1808,
     KeeperFolderOutdated = 1809,
     KeeperSeesLeader = 1810,
+    KeeperSuspended = 1811,
+    KeeperResumed = 1812,
 
     // 1850: operators
     OperatorSubmitted = 1850,
