Release the lead before a stop and when the disk refuses writes

A leader that stopped in good order, or whose disk refused a write, simply fell silent: the others waited for an election timeout of 0.6 to 1.2 s. It now steps down first and says so, naming the voter that has most of the log, which stands for election at once; the others may vote for it, since the one lease that their last contact guarded is over. A release counts only from the leader that is known, in its own term; who released never leads in that term again.

--- a/modules/hc_agreement/agreement/Agreement.capnp
+++ b/modules/hc_agreement/agreement/Agreement.capnp
@@ -31,6 +31,10 @@
   granted @1 :Bool;
 }
 
+struct LeadRelease {
+  successor @0 :ReplicaId;
+}
+
 struct AppendRequest {
   previousIndex @0 :UInt64;
   previousTerm @1 :UInt64;
@@ -73,6 +77,7 @@
     appendReply @6 :AppendReply;
     snapshotChunk @7 :SnapshotChunk;
     snapshotReply @8 :SnapshotReply;
+    leadRelease @9 :LeadRelease;
   }
 }
 
--- a/modules/hc_agreement/agreement/Agreement.capnp.h
+++ b/modules/hc_agreement/agreement/Agreement.capnp.h
@@ -21,6 +21,7 @@
 CAPNP_DECLARE_SCHEMA(fae3f56b1e2bc616);
 CAPNP_DECLARE_SCHEMA(df83d1044627a932);
 CAPNP_DECLARE_SCHEMA(c777645bee8db381);
+CAPNP_DECLARE_SCHEMA(fd468727c41c638d);
 CAPNP_DECLARE_SCHEMA(ce65d0bc7ca7e0fa);
 CAPNP_DECLARE_SCHEMA(9fd20f4a52a9a4d3);
 CAPNP_DECLARE_SCHEMA(f19b96497066f641);
@@ -111,6 +112,21 @@
   };
 };
 
+struct LeadRelease {
+  LeadRelease() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(fd468727c41c638d, 0, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct AppendRequest {
   AppendRequest() = delete;
 
@@ -184,6 +200,7 @@
     APPEND_REPLY,
     SNAPSHOT_CHUNK,
     SNAPSHOT_REPLY,
+    LEAD_RELEASE,
   };
 
   struct _capnpPrivate {
@@ -676,6 +693,88 @@
 };
 #endif  // !CAPNP_LITE
 
+class LeadRelease::Reader {
+public:
+  typedef LeadRelease Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSuccessor() const;
+  inline  ::hemlockchute::wire::ReplicaId::Reader getSuccessor() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeadRelease::Builder {
+public:
+  typedef LeadRelease Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSuccessor();
+  inline  ::hemlockchute::wire::ReplicaId::Builder getSuccessor();
+  inline void setSuccessor( ::hemlockchute::wire::ReplicaId::Reader value);
+  inline  ::hemlockchute::wire::ReplicaId::Builder initSuccessor();
+  inline void adoptSuccessor(::capnp::Orphan< ::hemlockchute::wire::ReplicaId>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::wire::ReplicaId> disownSuccessor();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class LeadRelease::Pipeline {
+public:
+  typedef LeadRelease Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockchute::wire::ReplicaId::Pipeline getSuccessor();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class AppendRequest::Reader {
 public:
   typedef AppendRequest Reads;
@@ -1121,6 +1220,10 @@
   inline bool hasSnapshotReply() const;
   inline  ::hemlockchute::wire::SnapshotReply::Reader getSnapshotReply() const;
 
+  inline bool isLeadRelease() const;
+  inline bool hasLeadRelease() const;
+  inline  ::hemlockchute::wire::LeadRelease::Reader getLeadRelease() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1215,6 +1318,14 @@
   inline void adoptSnapshotReply(::capnp::Orphan< ::hemlockchute::wire::SnapshotReply>&& value);
   inline ::capnp::Orphan< ::hemlockchute::wire::SnapshotReply> disownSnapshotReply();
 
+  inline bool isLeadRelease();
+  inline bool hasLeadRelease();
+  inline  ::hemlockchute::wire::LeadRelease::Builder getLeadRelease();
+  inline void setLeadRelease( ::hemlockchute::wire::LeadRelease::Reader value);
+  inline  ::hemlockchute::wire::LeadRelease::Builder initLeadRelease();
+  inline void adoptLeadRelease(::capnp::Orphan< ::hemlockchute::wire::LeadRelease>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::wire::LeadRelease> disownLeadRelease();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1773,6 +1884,45 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeadRelease::Reader::hasSuccessor() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeadRelease::Builder::hasSuccessor() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockchute::wire::ReplicaId::Reader LeadRelease::Reader::getSuccessor() const {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::ReplicaId>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hemlockchute::wire::ReplicaId::Builder LeadRelease::Builder::getSuccessor() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::ReplicaId>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockchute::wire::ReplicaId::Pipeline LeadRelease::Pipeline::getSuccessor() {
+  return  ::hemlockchute::wire::ReplicaId::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void LeadRelease::Builder::setSuccessor( ::hemlockchute::wire::ReplicaId::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::wire::ReplicaId>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockchute::wire::ReplicaId::Builder LeadRelease::Builder::initSuccessor() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::ReplicaId>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void LeadRelease::Builder::adoptSuccessor(
+    ::capnp::Orphan< ::hemlockchute::wire::ReplicaId>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::wire::ReplicaId>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockchute::wire::ReplicaId> LeadRelease::Builder::disownSuccessor() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::ReplicaId>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t AppendRequest::Reader::getPreviousIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2529,6 +2679,60 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool AgreementMessage::Reader::isLeadRelease() const {
+  return which() == AgreementMessage::LEAD_RELEASE;
+}
+inline bool AgreementMessage::Builder::isLeadRelease() {
+  return which() == AgreementMessage::LEAD_RELEASE;
+}
+inline bool AgreementMessage::Reader::hasLeadRelease() const {
+  if (which() != AgreementMessage::LEAD_RELEASE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool AgreementMessage::Builder::hasLeadRelease() {
+  if (which() != AgreementMessage::LEAD_RELEASE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockchute::wire::LeadRelease::Reader AgreementMessage::Reader::getLeadRelease() const {
+  KJ_IREQUIRE((which() == AgreementMessage::LEAD_RELEASE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::LeadRelease>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::hemlockchute::wire::LeadRelease::Builder AgreementMessage::Builder::getLeadRelease() {
+  KJ_IREQUIRE((which() == AgreementMessage::LEAD_RELEASE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::LeadRelease>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AgreementMessage::Builder::setLeadRelease( ::hemlockchute::wire::LeadRelease::Reader value) {
+  _builder.setDataField<AgreementMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, AgreementMessage::LEAD_RELEASE);
+  ::capnp::_::PointerHelpers< ::hemlockchute::wire::LeadRelease>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockchute::wire::LeadRelease::Builder AgreementMessage::Builder::initLeadRelease() {
+  _builder.setDataField<AgreementMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, AgreementMessage::LEAD_RELEASE);
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::LeadRelease>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void AgreementMessage::Builder::adoptLeadRelease(
+    ::capnp::Orphan< ::hemlockchute::wire::LeadRelease>&& value) {
+  _builder.setDataField<AgreementMessage::Which>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, AgreementMessage::LEAD_RELEASE);
+  ::capnp::_::PointerHelpers< ::hemlockchute::wire::LeadRelease>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockchute::wire::LeadRelease> AgreementMessage::Builder::disownLeadRelease() {
+  KJ_IREQUIRE((which() == AgreementMessage::LEAD_RELEASE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::hemlockchute::wire::LeadRelease>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ReplicaSnapshot::Reader::getLastIndex() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/hc_agreement/agreement/AgreementCodec.cpp
+++ b/modules/hc_agreement/agreement/AgreementCodec.cpp
@@ -128,6 +128,8 @@
         to.setReceived(body.received);
         to.setRound(body.round);
     }
+
+    void operator()(const LeadRelease& body) { write(message.initLeadRelease().initSuccessor(), body.successor); }
 };
 
 VoteRequest readBody(wire::VoteRequest::Reader from)
@@ -179,6 +181,8 @@
         return readBody(from.getSnapshotChunk());
     case wire::AgreementMessage::SNAPSHOT_REPLY:
         return readBody(from.getSnapshotReply());
+    case wire::AgreementMessage::LEAD_RELEASE:
+        return LeadRelease { read(from.getLeadRelease().getSuccessor()) };
     }
     KJ_FAIL_REQUIRE("unknown kind of message");
 }
--- a/modules/hc_agreement/agreement/Replica.cpp
+++ b/modules/hc_agreement/agreement/Replica.cpp
@@ -84,6 +84,12 @@
     return m_impl->propose(LogEntry::Kind::Command, std::move(command));
 }
 
+void Replica::release(Instant now)
+{
+    m_impl->now = std::max(m_impl->now, now);
+    m_impl->release();
+}
+
 void Replica::read(std::uint64_t token, Instant now)
 {
     m_impl->now = std::max(m_impl->now, now);
--- a/modules/hc_agreement/agreement/ReplicaCore.h
+++ b/modules/hc_agreement/agreement/ReplicaCore.h
@@ -28,7 +28,8 @@
 
     The lease rule: a replica grants no vote within an election timeout of a message from a leader,
     or of its own start. So a leader whose messages, sent at some moment, were answered by a quorum
-    is the only one until that moment plus the election timeout, less the drift of the clocks.
+    is the only one until that moment plus the election timeout, less the drift of the clocks. A
+    leader that releases its lead leads no more in that term, so that its last messages bind nobody.
     Thread safety: one thread at a time.
 
     @see Replica
@@ -79,6 +80,8 @@
     bool isUpToDate(const VoteRequest&) const;
     void handle(const AgreementMessage&, const VoteRequest&);
     void handle(const AgreementMessage&, const VoteReply&);
+    void handle(const AgreementMessage&, const LeadRelease&);
+    void release();
     void askForVotes(AgreementTerm, bool isPreVote);
     bool hasVoteQuorum() const;
     void noteLeader(const ReplicaId&);
--- a/modules/hc_agreement/agreement/ReplicaElection.cpp
+++ b/modules/hc_agreement/agreement/ReplicaElection.cpp
@@ -143,6 +143,43 @@
     needsBroadcast = true;
 }
 
+//==============================================================================
+void Replica::Impl::release()
+{
+    if (role != Role::Leader)
+        return;
+    std::optional<ReplicaId> successor;
+    LogIndex furthest;
+    for (const ReplicaId& voter : log.membership().voters) {
+        auto peer = progress.find(voter);
+        if (voter == self || peer == progress.end() || (successor && peer->second.matched <= furthest))
+            continue;
+        successor = voter;
+        furthest = peer->second.matched;
+    }
+    becomeFollower(hardState.term, std::nullopt);
+    if (!successor)
+        return;
+    for (const ReplicaId& voter : log.membership().voters) {
+        if (voter != self)
+            send(voter, hardState.term, LeadRelease { *successor });
+    }
+}
+
+/** Counts only from the leader that is known, in its own term: no other has a lease that this one's votes guard. */
+void Replica::Impl::handle(const AgreementMessage& message, const LeadRelease& released)
+{
+    if (role != Role::Follower || leader != message.from)
+        return;
+    leader.reset();
+    leaderContact = now - options.electionTimeout;
+    if (released.successor != self || !isVoter())
+        return;
+    startPreVote();
+    // The others may not have heard of the release yet.
+    electionDeadline = now + options.heartbeatInterval;
+}
+
 //==============================================================================
 bool Replica::Impl::mayVote() const
 {
--- a/modules/hc_agreement/agreement/ReplicatedGroup.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroup.cpp
@@ -136,6 +136,16 @@
     return index;
 }
 
+void ReplicatedGroup::release()
+{
+    std::lock_guard guard(m_lock);
+    if (m_isSuspended)
+        return;
+    m_replica->release(m_clock.now());
+    m_hasWork = true;
+    m_wake.notify_one();
+}
+
 void ReplicatedGroup::begin(const Membership& membership)
 {
     std::lock_guard guard(m_lock);
--- a/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroupRun.cpp
@@ -153,14 +153,20 @@
         m_hooks.fail(EventId::KeeperStorageFailed, error.detail);
     m_disk.reset();
     Answers answers;
+    std::vector<AgreementMessage> release;
     {
         std::lock_guard guard(m_lock);
+        m_replica->takeEffects();
+        m_replica->release(m_clock.now());
+        release = m_replica->takeEffects().messages;
         m_isSuspended = true;
         m_heardLeader.reset();
         m_reopenPause = m_options.firstReopenPause;
         abandonProposals(answers);
         abandonReads(answers);
     }
+    for (const AgreementMessage& message : release)
+        m_hooks.send(message);
     logEvent(EventId::KeeperSuspended, { { "reason", error.detail } });
     for (auto& [reply, answer] : answers)
         reply(std::move(answer));
--- a/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/AgreementMessage.h
@@ -90,7 +90,13 @@
     std::uint64_t round = 0;
 };
 
-using AgreementBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply>;
+/** The leader of this term leads no more, and its lease is over. */
+struct LeadRelease {
+    /** Who stands for election at once; the others may vote for it. */
+    ReplicaId successor;
+};
+
+using AgreementBody = std::variant<VoteRequest, VoteReply, AppendRequest, AppendReply, SnapshotChunk, SnapshotReply, LeadRelease>;
 
 /** One message between keepers. */
 struct AgreementMessage {
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -103,6 +103,8 @@
     void receive(const AgreementMessage&, Instant now);
     /** Adds a command to the log; gives its index, which commits or is overwritten. */
     Result<LogIndex, AgreementErrorCode> propose(ByteString command, Instant now);
+    /** Gives up the lead, if this replica has it, in favour of the voter that is known to have most of the log. */
+    void release(Instant now);
     /** Asks whether reads are current; the token comes back in readsReady or readsFailed. */
     void read(std::uint64_t token, Instant now);
     /** Changes the membership by one step: add a learner, promote one that has caught up, or remove a member. */
--- a/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
@@ -128,6 +128,8 @@
     void read(Read, Reply);
     /** Changes the membership by one step. */
     Result<LogIndex, AgreementErrorCode> changeMembership(const Membership&);
+    /** Gives up the lead, if this replica has it, as before it stops. */
+    void release();
     /** Begins the cluster with these members, when it has not begun here. */
     void begin(const Membership&);
 
--- a/modules/hc_agreement/tests/AgreementFuzz.cpp
+++ b/modules/hc_agreement/tests/AgreementFuzz.cpp
@@ -38,7 +38,7 @@
         using Event = void (AgreementRun::*)();
         static constexpr Event events[] = { &AgreementRun::crash, &AgreementRun::startAll, &AgreementRun::startAll, &AgreementRun::restart,
             &AgreementRun::restart, &AgreementRun::pause, &AgreementRun::isolate, &AgreementRun::shuffle, &AgreementRun::shuffle, &AgreementRun::heal,
-            &AgreementRun::beChaotic, &AgreementRun::beCalm, &AgreementRun::loseDisk, &AgreementRun::removeVoter, &AgreementRun::compact, &AgreementRun::slowDisk };
+            &AgreementRun::beChaotic, &AgreementRun::beCalm, &AgreementRun::loseDisk, &AgreementRun::removeVoter, &AgreementRun::compact, &AgreementRun::slowDisk, &AgreementRun::release, &AgreementRun::release };
         (this->*events[*rc::gen::inRange<std::size_t>(0, std::size(events))])();
     }
 
@@ -54,6 +54,7 @@
         m_cluster.crash(keeper);
         m_cluster.start(keeper);
     }
+    void release() { m_cluster.release(anyKeeper()); }
     void pause() { m_cluster.pause(anyKeeper(), milliseconds(10, 400)); }
     void isolate() { m_cluster.isolate(anyKeeper()); }
     void shuffle() { m_cluster.shuffleLinks(); }
--- a/modules/hc_agreement/tests/AgreementTests.cpp
+++ b/modules/hc_agreement/tests/AgreementTests.cpp
@@ -62,6 +62,26 @@
     BOOST_TEST(cluster.settle() == "");
 }
 
+/** Also the calm network loses a message now and then; the release may be one of them. */
+BOOST_AUTO_TEST_CASE(aReleasedLeadIsTakenOverLongBeforeAnElectionTimeout)
+{
+    constexpr unsigned clusters = 100;
+    constexpr unsigned mostLate = clusters / 20;
+    unsigned late = 0;
+    for (unsigned seed = 1; seed <= clusters; ++seed) {
+        SimulatedCluster cluster(3, seed);
+        cluster.advance(1s);
+        BOOST_REQUIRE(cluster.leaderCount() == 1U);
+        KeeperId former = cluster.latestLeader();
+        cluster.release(former);
+        cluster.advance(150ms);
+        bool isTakenOver = cluster.leaderCount() == 2 && cluster.latestLeader() != former;
+        late += isTakenOver ? 0 : 1;
+        BOOST_TEST(cluster.settle() == "");
+    }
+    BOOST_TEST(late <= mostLate);
+}
+
 BOOST_AUTO_TEST_CASE(singleVoterCommitsOnlyWhatIsPersisted)
 {
     Instant now { 1h };
--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -271,6 +271,13 @@
     change(*leader, wanted);
 }
 
+void SimulatedCluster::release(KeeperId id)
+{
+    Node& node = m_nodes.at(id);
+    if (node.replica && m_now >= node.pausedUntil)
+        node.replica->release(localTime(node));
+}
+
 void SimulatedCluster::propose(KeeperId id)
 {
     Node& node = m_nodes.at(id);
--- a/modules/hc_agreement/tests/SimulatedCluster.h
+++ b/modules/hc_agreement/tests/SimulatedCluster.h
@@ -56,6 +56,8 @@
     void repairStep();
     /** Asks a leader to remove a voter, chosen by number. */
     void removeVoter(unsigned);
+    /** Has a keeper give up the lead, if it has it. */
+    void release(KeeperId);
     void propose(KeeperId);
     void read(KeeperId);
     void compact(KeeperId);
@@ -68,6 +70,8 @@
     std::size_t readCount() const { return m_readsAnswered; }
     std::size_t installCount() const { return m_installs; }
     std::size_t leaderCount() const { return m_leaders.size(); }
+    /** Whoever became leader last. Precondition: somebody has. */
+    KeeperId latestLeader() const { return m_leaders.rbegin()->second.keeper; }
 
 private:
     struct Node {
--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -139,6 +139,14 @@
     m_timer.cancel();
     m_relay.stop();
     m_listing.stop();
+    m_group.release();
+    // The release is on its way before the connections are closed.
+    m_timer.expires_after(m_settings.heartbeatInterval);
+    m_timer.async_wait([this, done = std::move(done)](const boost::system::error_code&) mutable { drainOperators(std::move(done)); });
+}
+
+void Coordinator::drainOperators(std::function<void()> done)
+{
     m_operators.drain([this, done = std::move(done)] {
         m_group.stop();
         m_server.close();
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -61,6 +61,8 @@
     struct Attempt;
     using Attempts = ResultQueue<Attempt>;
 
+    void drainOperators(std::function<void()> done);
+
     // The group
     void tick();
     void send(const AgreementMessage&);
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -4,9 +4,9 @@
 #include "hemlockchute/core/EventLog.h"
 
 #include <algorithm>
-#include <random>
 #include <boost/json.hpp>
 #include <cstdio>
+#include <random>
 
 namespace hemlockchute {
 namespace {
