Let a pause push no crowd onto the other servers

While a server of a plain service pauses, and for two seconds after, the others take no more than their slots and their rank's share of a queue from one host; the rest waits, or is refused with the end of the pause.

--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -4,6 +4,7 @@
 #include "gateway/CoordinatorLink.h"
 #include "gateway/DemandLedger.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/ServerAdmission.h"
 #include "gateway/ServerTable.h"
 #include "gateway/WaitingRoom.h"
 #include "hemlockchute/http/HttpClient.h"
@@ -42,7 +43,7 @@
     ServerTable& servers;
     DemandLedger& demand;
     RetryBudget retries;
-    ServerChooser chooser { ServerChooser::Options() };
+    ServerAdmission admission { servers, ServerAdmission::Options() };
     WaitingRoom waiting;
     /** Shared, since a request may end after the gateway. */
     std::shared_ptr<AnswerMemory> answerMemory = std::make_shared<AnswerMemory>();
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -25,9 +25,6 @@
 constexpr Duration configurationReturn = 1s;
 /** An election, and the way of what the leader says after it. */
 constexpr Duration longestReadinessWait = 1500ms;
-/** What may queue at a server, in parts of its slots: for rank 0, and less for each rank behind it. */
-constexpr double urgentQueue = 0.5;
-constexpr double queueStep = 0.25;
 /** Where every server is full, a request waits for this part of its time, so that its caller can still come back. */
 constexpr int fullPatience = 3;
 /** A coordinator that leads is back within this time, unless this host is cut off from it. */
@@ -230,22 +227,10 @@
 /** The best server that was not tried yet; none while all that hold the model are full for the request's rank. */
 std::optional<BackendServerName> RequestForwarder::pickServer()
 {
-    auto candidates = m_core.servers.candidates(m_key, m_tried, currentTime());
-    m_pauses = m_core.servers.pauses(m_key, currentTime());
-    bool isHeld = !candidates.empty();
-    // Without the bound, what a pausing server does not take would crowd the next one.
-    if (hasModel() || m_pauses.servers > 0)
-        std::erase_if(candidates, [&](const ServerCandidate& each) { return each.load.requests >= mostRequestsAt(each); });
-    m_isFull = isHeld && candidates.empty();
-    auto best = m_core.chooser.choose(candidates, m_metadata);
-    return best ? std::optional(candidates[*best].id) : std::nullopt;
-}
-
-/** Beyond a server's slots requests queue there; the urgent ones may, so that they find the next free slot. */
-unsigned RequestForwarder::mostRequestsAt(const ServerCandidate& server) const
-{
-    double queue = std::max(0.0, urgentQueue - queueStep * m_route->rank);
-    return server.slots + static_cast<unsigned>(queue * server.slots);
+    ServerOffer offer = m_core.admission.offer(m_key, m_metadata, m_route->rank, m_tried, currentTime());
+    m_isFull = offer.isFull;
+    m_pauses = std::move(offer.pauses);
+    return std::move(offer.server);
 }
 
 /** True when it is known that the model will not be there in time. */
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -71,7 +71,6 @@
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
     std::optional<BackendServerName> pickServer();
-    unsigned mostRequestsAt(const ServerCandidate&) const;
     boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
     boost::asio::awaitable<Outcome> receive(const BackendServerName&, const AnswerMetadata&, std::unique_ptr<HttpResponseStream>);
     void takeNotice(const ServerLife&, const ServerNotice&);
--- /dev/null
+++ b/modules/hc_gateway/gateway/ServerAdmission.cpp
@@ -0,0 +1,28 @@
+#include "gateway/ServerAdmission.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+
+ServerOffer ServerAdmission::offer(const ModelKey& key, const RequestMetadata& request, unsigned rank, const std::set<BackendServerName>& tried, Instant now) const
+{
+    ServerOffer offer;
+    auto candidates = m_servers.candidates(key, tried, now);
+    offer.pauses = m_servers.pauses(key, now);
+    bool isHeld = !candidates.empty();
+    // Plain services queue by themselves, but must not be crowded by what a pausing server does not take, nor by all who waited for its end.
+    if (!key.model.isEmpty() || offer.pauses.isRecovering)
+        std::erase_if(candidates, [&](const ServerCandidate& each) { return each.load.requests >= mostRequestsAt(each, rank); });
+    offer.isFull = isHeld && candidates.empty();
+    if (auto best = m_chooser.choose(candidates, request))
+        offer.server = candidates[*best].id;
+    return offer;
+}
+
+unsigned ServerAdmission::mostRequestsAt(const ServerCandidate& server, unsigned rank) const
+{
+    double queue = std::max(0.0, m_options.urgentQueue - m_options.queueStep * rank);
+    return server.slots + static_cast<unsigned>(queue * server.slots);
+}
+
+} // namespace hemlockchute
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -143,8 +143,11 @@
     if (m_notices.size() == 0)
         return pauses;
     for (const auto& [id, server] : m_servers) {
+        if (!m_notices.isRecovering(lifeOf(server.listed), now) || !isAble(server, key, now))
+            continue;
+        pauses.isRecovering = true;
         auto end = m_notices.pausedUntil(lifeOf(server.listed), now);
-        if (!end || !isAble(server, key, now))
+        if (!end)
             continue;
         if (pauses.servers == 0 || *end < pauses.firstEnd) {
             pauses.firstEnd = *end;
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -37,6 +37,8 @@
         /** When the first of them ends its pause, and which it is; unset while none pauses. */
         Instant firstEnd {};
         BackendServerName first;
+        /** True while one pauses, or did a moment ago. */
+        bool isRecovering = false;
     };
 
     explicit ServerTable(DataCentreName own, Options);
--- a/modules/hc_policy/include/hemlockchute/policy/ServerNotices.h
+++ b/modules/hc_policy/include/hemlockchute/policy/ServerNotices.h
@@ -31,6 +31,8 @@
         /** A pause ends later by up to this part of it, in thousandths, so that not all hosts return at once. */
         unsigned returnSpreadPerMille = 200;
         Duration longestReturnSpread = 500ms;
+        /** A server counts as recovering for so long after its pause: as long as callers that were refused take to return. */
+        Duration recovery = 2s;
 
         Options withLongestPause(Duration) const;
         Options withLeavingMemory(Duration) const;
@@ -50,6 +52,8 @@
     bool isLeaving(const ServerLife&, Instant now) const;
     /** The end of the server's pause, while there is one. */
     std::optional<Instant> pausedUntil(const ServerLife&, Instant now) const;
+    /** True during the server's pause and for a while after it. */
+    bool isRecovering(const ServerLife&, Instant now) const;
     /** Servers of which something is remembered. */
     std::size_t size() const { return m_notices.size(); }
 
--- a/modules/hc_policy/policy/ServerNotices.cpp
+++ b/modules/hc_policy/policy/ServerNotices.cpp
@@ -41,10 +41,16 @@
     return isPaused ? std::optional(found->second.pausedUntil) : std::nullopt;
 }
 
+bool ServerNotices::isRecovering(const ServerLife& life, Instant now) const
+{
+    auto found = m_notices.find(life);
+    return found != m_notices.end() && found->second.pausedUntil != Instant() && now < found->second.pausedUntil + m_options.recovery;
+}
+
 /** Forgets what is over whenever something new is noted, so that memory follows the servers in trouble. */
 ServerNotices::Notice& ServerNotices::noticeOf(const ServerLife& life, Instant now)
 {
-    std::erase_if(m_notices, [&](const auto& item) { return item.second.leavingUntil <= now && item.second.pausedUntil <= now && item.first != life; });
+    std::erase_if(m_notices, [&](const auto& item) { return item.second.leavingUntil <= now && item.second.pausedUntil + m_options.recovery <= now && item.first != life; });
     return m_notices[life];
 }
 
