Tell the leader of leaving servers at the relay's pace, and leave out who asks for no time

Read again as a newcomer: a relay that was told of a life which the leader does not know would have asked it every 20 ms for as long as a gateway says so; the usual interval is soon enough. A pause of no time took the server off the list of those that were tried, so that the next send went to it again. Neither was seen; FleetRelayTests and ServerNoticePathTests pass.

--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -63,8 +63,7 @@
         news.refused += demand.refused;
         news.rank = isNew ? demand.rank : std::min(news.rank, demand.rank);
     }
-    for (const ServerLife& life : request.leaving)
-        isUrgent = m_leaving.insert(life).second || isUrgent;
+    m_leaving.insert(request.leaving.begin(), request.leaving.end());
     m_book.take(request, now);
     if (isUrgent)
         hurry();
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -73,7 +73,8 @@
         double place = std::uniform_real_distribution<double>(0, 1)(m_core.random);
         Instant end = m_core.servers.notePause(life, *notice.pause, place, now);
         // The pause leaves it out; after that it may be asked again.
-        m_tried.erase(life.server);
+        if (end > now)
+            m_tried.erase(life.server);
         m_core.metrics.add(pausesMetric);
         logEvent(EventId::GatewayServerPaused, { { "server", life.server }, { "started_at", life.startedAt }, { "request", m_metadata.attempt }, { "asked_ms", milliseconds(*notice.pause) }, { "pause_ms", milliseconds(end - now) } });
     }
