--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -10,6 +10,7 @@
 
 known_red=()
 if [ -f KNOWN-RED.txt ]; then
+    cat KNOWN-RED.txt
     mapfile -t known_red < <(sed -n 's/^test: \([^ ;]*\).*/\1/p' KNOWN-RED.txt)
 fi
 exclude=()
