--- a/modules/hc_agreement/tests/ReplicatedGroupTests.cpp
+++ b/modules/hc_agreement/tests/ReplicatedGroupTests.cpp
@@ -1,6 +1,6 @@
 #include "TemporaryFolder.h"
-#include "hemlockchute/agreement/agreement.h"
 #include "hemlockchute/agreement/ReplicatedGroup.h"
+#include "hemlockchute/agreement/agreement.h"
 
 #include <algorithm>
 #include <atomic>
