Log how long a server was silent, and why a request was not resent

A stream that was cut could not be told apart by its log lines: broken_off named the last fault only, and attempt_failed neither the silence nor the last event nor the configuration in force.

attempt_failed now carries silent_ms, last_event and version; broken_off carries the attempt's fault beside the reason why no other attempt followed, and version. A request that is not resent says why: no attempt left, the retry budget, events without ids, no time.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -297,6 +297,7 @@
     ServerIncarnation incarnation = lifeOf(*server);
     ++m_sends;
     m_isReading = true;
+    m_lastProgress = currentTime();
     auto answer = co_await m_core.client.open(server->address, std::move(request), attemptDeadline(), use, m_call->handle);
     AnswerMetadata metadata;
     if (answer) {
@@ -315,6 +316,7 @@
             m_core.servers.noteUnreachable(name, currentTime());
         co_return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
     }
+    m_lastProgress = currentTime();
     m_call->answer = answer->get();
     Outcome outcome = co_await receive(name, metadata, std::move(*answer));
     m_call->answer = nullptr;
@@ -406,8 +408,10 @@
             isSent = co_await m_exchange.startStream(answer.status(), m_core.platform.forwardedAnswerHeaders(answer.headers()), std::move(events.bytes));
         } else if (*piece)
             isSent = co_await m_exchange.write(std::move(events.bytes));
-        if (events.lastId || !m_lastEvent)
+        if (events.lastId || !m_lastEvent) {
             due = attemptDeadline();
+            m_lastProgress = currentTime();
+        }
         if (!*piece) {
             m_core.servers.noteSuccess(name);
             if (isSent)
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -85,6 +85,7 @@
     void logCallerDisconnect();
     Outcome noteFailedAttempt(const BackendServerName&, Outcome, std::string_view reason);
     bool mayResend(Outcome);
+    std::string_view resendObstacle(Outcome);
     bool isUnservable(Instant now);
     bool expiresBeforePauseEnds(Instant now);
     Instant nextCheck(Instant now) const;
@@ -126,7 +127,12 @@
     /** The id of the last event that was sent to the caller. */
     std::optional<std::uint64_t> m_lastEvent;
     Duration m_firstByte {};
+    /** Why the last attempt, or the wait for another server, failed. */
     std::string m_lastFault;
+    /** Why the last attempt failed. */
+    std::string m_attemptFault;
+    /** When the last attempt was sent, or its server last made progress. */
+    Instant m_lastProgress {};
     /** True once abort() was called. */
     bool m_isAborted = false;
 };
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -58,8 +58,9 @@
     else if (outcome != Outcome::NotRun && !m_call->isCallerDisconnected)
         m_core.servers.noteFailure(name, currentTime());
     m_lastFault = std::string(outcomeName) + " at " + name.text() + ": " + std::string(reason);
+    m_attemptFault = m_lastFault;
     m_core.metrics.add(attemptsMetric, { { "outcome", std::string(outcomeName) } });
-    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "outcome", outcomeName }, { "reason", reason }, { "send", m_sends }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) } });
+    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "outcome", outcomeName }, { "reason", reason }, { "send", m_sends }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "version", m_configuration->version() }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) } });
     return outcome;
 }
 
@@ -85,16 +86,30 @@
 /** A request that may have run is resent only if its route allows it; each send after the first is charged to the retry budget. */
 bool RequestForwarder::mayResend(Outcome outcome)
 {
-    if (m_isAborted || m_tries >= maximumTries || timeLeft() <= minimumServiceTime)
-        return false;
-    if (outcome == Outcome::NotSent)
-        return true;
+    std::string_view obstacle = resendObstacle(outcome);
+    if (!obstacle.empty())
+        m_lastFault = m_attemptFault + "; not resent: " + std::string(obstacle);
+    return obstacle.empty();
+}
+
+/** The reason why a request must not be resent; empty after charging the resend to the budget. */
+std::string_view RequestForwarder::resendObstacle(Outcome outcome)
+{
     bool mayHaveRun = outcome == Outcome::Unknown || outcome == Outcome::Failed;
+    bool isSent = outcome != Outcome::NotSent;
+    if (m_isAborted)
+        return "the gateway stops";
+    if (m_tries >= maximumTries || (isSent && m_sends >= m_route->maximumAttempts))
+        return "no attempt is left";
+    if (timeLeft() <= minimumServiceTime)
+        return "no time is left";
     if (mayHaveRun && !m_route->isRepeatable())
-        return false;
-    if (m_hasBegun && !m_lastEvent)
-        return false;
-    return m_sends < m_route->maximumAttempts && m_core.retries.tryResend(m_key.service, currentTime());
+        return "it may have run";
+    if (isSent && m_hasBegun && !m_lastEvent)
+        return "its events have no ids";
+    if (isSent && !m_core.retries.tryResend(m_key.service, currentTime()))
+        return "the retry budget is used up";
+    return {};
 }
 
 asio::awaitable<void> RequestForwarder::respondWithFailure()
@@ -141,7 +156,7 @@
 /** Leaves the response incomplete, so that the caller can tell that it was cut off. */
 void RequestForwarder::abortResponse(std::string_view reason)
 {
-    logEvent(EventId::GatewayBrokenOff, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "reason", reason }, { "last_event", m_lastEvent.value_or(0) }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) }, { "sends", m_sends } });
+    logEvent(EventId::GatewayBrokenOff, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "reason", reason }, { "attempt", m_attemptFault }, { "last_event", m_lastEvent.value_or(0) }, { "version", m_configuration->version() }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) }, { "sends", m_sends } });
     countOutcome("broken-off");
 }
 
