Leave a silent server only once another has been reserved

Cause: the time-out of an attempt that may be repeated (1.2 s, or four times the latency target) ended the attempt. The server's connection was closed first, and only then did the gateway look for another server, charge the resend and ask whether an attempt was left. Each of these can say no; then the stream was cut, or a request without a first event got 502. Class: an attempt is given up for its server's silence before anything better is certain.

Change: reads wait until the request's own deadline. A WatchdogTimer tells that the server has been silent; the gateway then asks, and asks again at each recheck, whether another server can take the request. Only when one was selected, the resend charged and its place reserved is the silent attempt closed. What the time-out did for other requests stays: the failure counts for the server, idle connections to it are closed, a waiting request is reported for its model. A stream that has begun waits for a place until its deadline, not for a third of it. The reservation keeps two silent requests from taking one place.

--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -91,6 +91,7 @@
     GatewayServerLeaving = 2009,
     GatewayServerPaused = 2010,
     GatewayNoticeUnreadable = 2011,
+    GatewayServerSilent = 2012,
 
     // 2100: coordinator
     CoordinatorStarted = 2100,
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -19,9 +19,6 @@
 constexpr Duration responseSlack = 100ms;
 /** The longest time between two checks of a waiting request. */
 constexpr Duration recheckInterval = 100ms;
-/** The time-out of an attempt that may be repeated, as a multiple of its latency target, and its lower bound. */
-constexpr unsigned targetsPerAttempt = 4;
-constexpr Duration minimumAttemptTimeout = 1200ms;
 constexpr Duration configurationRetryAfter = 1s;
 /** Allows for an election and the leader's first replies after it. */
 constexpr Duration maximumReadinessWait = 1500ms;
@@ -151,43 +148,56 @@
 
 asio::awaitable<void> RequestForwarder::forward()
 {
-    while (true) {
-        auto server = co_await awaitServer();
-        if (m_call->isCallerDisconnected) {
-            logCallerDisconnect();
-            co_return;
-        }
-        if (!server) {
-            co_await respondWithFailure();
-            co_return;
-        }
-        if (m_tries == 0)
-            m_core.metrics.observe(waitMetric, elapsed());
-        ++m_tries;
-        m_triedServers.insert(*server);
-        m_core.servers.noteSent(*server, m_metadata.promptTokens);
-        if (hasModel())
-            m_core.demand.addActive(m_key, 1);
-        Outcome outcome = co_await sendTo(*server);
-        notePromptRead(*server);
-        m_core.servers.noteEnded(*server);
-        if (hasModel())
-            m_core.demand.addActive(m_key, -1);
-        if (m_call->isCallerDisconnected && outcome != Outcome::Answered)
-            outcome = Outcome::CallerDisconnected;
-        if (outcome == Outcome::CallerDisconnected) {
-            logCallerDisconnect();
-            co_return;
-        }
-        if (outcome == Outcome::Answered)
-            co_return;
-        m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
-        bool again = mayResend(outcome);
-        if (!again) {
-            co_await respondWithFailure();
-            co_return;
-        }
+    m_silenceTimer.emplace(co_await asio::this_coro::executor, [this] { checkSilence(); });
+    bool again = true;
+    while (again)
+        again = co_await tryOnce();
+    releaseSuccessor();
+}
+
+/** Makes one attempt; true when another one is to follow. */
+asio::awaitable<bool> RequestForwarder::tryOnce()
+{
+    auto server = takeSuccessor();
+    if (!server) {
+        server = co_await awaitServer();
+        if (server)
+            reserve(*server);
+    }
+    if (m_call->isCallerDisconnected) {
+        if (server)
+            release(*server);
+        logCallerDisconnect();
+        co_return false;
     }
+    if (!server) {
+        co_await respondWithFailure();
+        co_return false;
+    }
+    if (m_tries == 0)
+        m_core.metrics.observe(waitMetric, elapsed());
+    ++m_tries;
+    m_currentServer = *server;
+    if (hasModel())
+        m_core.demand.addActive(m_key, 1);
+    Outcome outcome = co_await sendTo(*server);
+    m_silenceTimer->stop();
+    endSilence();
+    notePromptRead(*server);
+    m_core.servers.noteEnded(*server);
+    if (hasModel())
+        m_core.demand.addActive(m_key, -1);
+    if (m_call->isCallerDisconnected && outcome != Outcome::Answered)
+        outcome = Outcome::CallerDisconnected;
+    if (outcome == Outcome::CallerDisconnected)
+        logCallerDisconnect();
+    if (outcome == Outcome::CallerDisconnected || outcome == Outcome::Answered)
+        co_return false;
+    m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
+    bool again = m_successor.has_value() || mayResend(outcome);
+    if (!again)
+        co_await respondWithFailure();
+    co_return again;
 }
 
 //==============================================================================
@@ -246,7 +256,8 @@
     }
     if (m_isFull) {
         m_lastFault = "every server that holds the model is full";
-        return now - m_received > (m_deadline - m_received) / fullWaitDivisor;
+        // A caller that has part of its answer is served best by the rest of it.
+        return !m_hasBegun && now - m_received > (m_deadline - m_received) / fullWaitDivisor;
     }
     if (m_pauses.servers > 0)
         return expiresBeforePauseEnds(now);
@@ -278,15 +289,9 @@
 //==============================================================================
 // One attempt
 
-/** The time-out for the next byte of an attempt. Repeatable requests leave time for another server; others use all the time left. */
-Instant RequestForwarder::attemptDeadline() const
+Instant RequestForwarder::answerDeadline() const
 {
-    Instant last = m_deadline + responseSlack;
-    bool isLastSend = m_sends >= m_route->maximumAttempts || !m_route->isRepeatable();
-    if (isLastSend)
-        return last;
-    Duration target = m_hasBegun ? m_route->eventGap : m_route->target;
-    return std::min(last, currentTime() + std::max<Duration>(minimumAttemptTimeout, targetsPerAttempt * target));
+    return m_deadline + responseSlack;
 }
 
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::sendTo(const BackendServerName& name)
@@ -297,8 +302,8 @@
     ServerIncarnation incarnation = lifeOf(*server);
     ++m_sends;
     m_isReading = true;
-    m_lastProgress = currentTime();
-    auto answer = co_await m_core.client.open(server->address, std::move(request), attemptDeadline(), use, m_call->handle);
+    noteProgress();
+    auto answer = co_await m_core.client.open(server->address, std::move(request), answerDeadline(), use, m_call->handle);
     AnswerMetadata metadata;
     if (answer) {
         metadata = m_core.platform.decodeAnswer((*answer)->status(), (*answer)->headers());
@@ -316,7 +321,7 @@
             m_core.servers.noteUnreachable(name, currentTime());
         co_return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
     }
-    m_lastProgress = currentTime();
+    noteProgress();
     m_call->answer = answer->get();
     Outcome outcome = co_await receive(name, metadata, std::move(*answer));
     m_call->answer = nullptr;
@@ -349,12 +354,13 @@
 
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveBuffered(const BackendServerName& name, HttpResponseStream& answer)
 {
+    m_silenceTimer->stop();
     ResponseBufferReservation buffered(m_core.responseBuffers);
     HttpResponse response;
     response.status = answer.status();
     response.headers = m_core.platform.forwardedAnswerHeaders(answer.headers());
     while (true) {
-        auto piece = co_await answer.read(m_deadline + responseSlack);
+        auto piece = co_await answer.read(answerDeadline());
         if (!piece)
             co_return noteFailedAttempt(name, Outcome::Unknown, "the answer broke off: " + piece.error().detail);
         if (!*piece)
@@ -383,10 +389,8 @@
 {
     EventStreamSplitter splitter;
     ResponseBufferReservation buffered(m_core.responseBuffers);
-    // In streams whose events have ids, only events extend the time-out, since a server may send comments or partial events without making progress.
-    Instant due = attemptDeadline();
     while (true) {
-        auto piece = co_await answer.read(due);
+        auto piece = co_await answer.read(answerDeadline());
         if (m_call->isCallerDisconnected)
             co_return Outcome::CallerDisconnected;
         if (!piece || (!*piece && splitter.hasPartialEvent()))
@@ -398,6 +402,10 @@
             co_return noteFailedAttempt(name, Outcome::Unknown, "an event of the stream is too long");
         if (*piece && events.bytes.empty())
             continue;
+        // In streams whose events have ids only events count, since a server may send comments or partial events without making progress.
+        bool isProgress = events.lastId || !m_lastEvent;
+        if (isProgress)
+            m_silenceTimer->stop();
         if (events.lastId)
             m_lastEvent = events.lastId;
         bool isSent = true;
@@ -408,10 +416,8 @@
             isSent = co_await m_exchange.startStream(answer.status(), m_core.platform.forwardedAnswerHeaders(answer.headers()), std::move(events.bytes));
         } else if (*piece)
             isSent = co_await m_exchange.write(std::move(events.bytes));
-        if (events.lastId || !m_lastEvent) {
-            due = attemptDeadline();
-            m_lastProgress = currentTime();
-        }
+        if (isProgress)
+            noteProgress();
         if (!*piece) {
             m_core.servers.noteSuccess(name);
             if (isSent)
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -2,6 +2,7 @@
 
 #include "gateway/GatewayCore.h"
 #include "hemlockchute/http/HttpServer.h"
+#include "hemlockchute/http/WatchdogTimer.h"
 
 #include <memory>
 #include <optional>
@@ -63,12 +64,24 @@
             if (answer)
                 answer->close();
         }
+
+        /** Closes the current attempt only; the next one can be sent. */
+        void cancelAttempt()
+        {
+            cancel();
+            handle = std::make_shared<HttpCallHandle>();
+        }
     };
 
     bool isReadyToRoute() const;
     boost::asio::awaitable<void> awaitReadiness();
     bool prepare();
     boost::asio::awaitable<void> forward();
+    boost::asio::awaitable<bool> tryOnce();
+    void reserve(const BackendServerName&);
+    void release(const BackendServerName&);
+    std::optional<BackendServerName> takeSuccessor();
+    void releaseSuccessor();
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
     std::optional<BackendServerName> pickServer();
     boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
@@ -79,6 +92,10 @@
     boost::asio::awaitable<void> respondWithFailure();
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
     void abortResponse(std::string_view reason);
+    void noteProgress();
+    void checkSilence();
+    void noteSilence();
+    void endSilence();
     void notePromptRead(const BackendServerName&);
     ForwardingTerms termsFor(const BackendServerName&) const;
     void noteRefused(unsigned status, std::string_view reason, Duration retryAfter);
@@ -90,7 +107,8 @@
     bool expiresBeforePauseEnds(Instant now);
     Instant nextCheck(Instant now) const;
     Duration suggestedRetryAfter();
-    Instant attemptDeadline() const;
+    Instant answerDeadline() const;
+    Duration silenceLimit() const;
     bool hasModel() const { return !m_key.model.isEmpty(); }
     Duration timeLeft() const;
     Duration elapsed() const;
@@ -133,6 +151,14 @@
     std::string m_attemptFault;
     /** When the last attempt was sent, or its server last made progress. */
     Instant m_lastProgress {};
+    BackendServerName m_currentServer;
+    std::optional<WatchdogTimer> m_silenceTimer;
+    /** True while the current server has been silent for longer than the limit. */
+    bool m_isSilent = false;
+    /** True while the request counts as waiting for its model at another server, because the current one is silent. */
+    bool m_isWaitingElsewhere = false;
+    /** The server that replaces a silent one: it is reserved, the resend is charged, and the silent attempt is closed. */
+    std::optional<BackendServerName> m_successor;
     /** True once abort() was called. */
     bool m_isAborted = false;
 };
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -55,6 +55,8 @@
     std::string_view outcomeName = names[static_cast<std::size_t>(outcome)];
     if (m_isAborted)
         reason = "the gateway stops";
+    else if (m_successor)
+        reason = "the server is silent, and another one takes over";
     else if (outcome != Outcome::NotRun && !m_call->isCallerDisconnected)
         m_core.servers.noteFailure(name, currentTime());
     m_lastFault = std::string(outcomeName) + " at " + name.text() + ": " + std::string(reason);
--- /dev/null
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -0,0 +1,108 @@
+#include "gateway/RequestForwarder.h"
+
+#include "gateway/ForwardingTimes.h"
+#include "hemlockchute/core/EventLog.h"
+
+#include <algorithm>
+
+namespace hemlockchute {
+namespace {
+
+/** How long a server may be silent before another one is preferred, as a multiple of the latency target, and its lower bound. */
+constexpr unsigned targetsPerSilence = 4;
+constexpr Duration minimumSilenceLimit = 1200ms;
+
+} // namespace
+
+//==============================================================================
+// Silent servers
+
+Duration RequestForwarder::silenceLimit() const
+{
+    Duration target = m_hasBegun ? m_route->eventGap : m_route->target;
+    return std::max<Duration>(minimumSilenceLimit, targetsPerSilence * target);
+}
+
+/** Restarts the time after which the server counts as silent. */
+void RequestForwarder::noteProgress()
+{
+    m_lastProgress = currentTime();
+    endSilence();
+    bool canResume = !m_hasBegun || m_lastEvent;
+    if (canResume && m_route->isRepeatable() && m_sends < m_route->maximumAttempts)
+        m_silenceTimer->restart(m_lastProgress + silenceLimit());
+}
+
+/** Replaces a silent attempt as soon as another server can take the request. Until then the attempt continues, since its server may only be slow. */
+void RequestForwarder::checkSilence()
+{
+    if (m_call->isCallerDisconnected || m_isAborted)
+        return;
+    noteSilence();
+    auto other = pickServer();
+    if (other && mayResend(Outcome::Unknown)) {
+        m_successor = std::move(other);
+        reserve(*m_successor);
+        m_call->cancelAttempt();
+        return;
+    }
+    if (hasModel() && !std::exchange(m_isWaitingElsewhere, true)) {
+        m_core.demand.addWaiting(m_key, 1);
+        m_core.link.pollSoon();
+    }
+    if (timeLeft() > minimumServiceTime)
+        m_silenceTimer->restart(nextCheck(currentTime()));
+}
+
+/** Other requests prefer other servers and new connections while this one is silent. */
+void RequestForwarder::noteSilence()
+{
+    if (std::exchange(m_isSilent, true))
+        return;
+    Instant now = currentTime();
+    logEvent(EventId::GatewayServerSilent, { { "request", m_metadata.attempt }, { "server", m_currentServer }, { "silent_ms", milliseconds(now - m_lastProgress) }, { "last_event", m_lastEvent.value_or(0) }, { "send", m_sends }, { "left_ms", milliseconds(timeLeft()) } });
+    m_core.servers.noteFailure(m_currentServer, now);
+    if (!m_call->answer)
+        m_core.servers.noteUnreachable(m_currentServer, now);
+    if (const ListedServer* server = m_core.servers.find(m_currentServer))
+        m_core.client.closeIdleConnections(server->address);
+}
+
+void RequestForwarder::endSilence()
+{
+    m_isSilent = false;
+    if (std::exchange(m_isWaitingElsewhere, false))
+        m_core.demand.addWaiting(m_key, -1);
+}
+
+//==============================================================================
+// The server that takes over
+
+/** Counts the request at the server, so that no other request takes its place. */
+void RequestForwarder::reserve(const BackendServerName& server)
+{
+    m_triedServers.insert(server);
+    m_core.servers.noteSent(server, m_metadata.promptTokens);
+}
+
+void RequestForwarder::release(const BackendServerName& server)
+{
+    m_core.servers.notePromptRead(server, m_metadata.promptTokens);
+    m_core.servers.noteEnded(server);
+}
+
+/** The reserved server that takes over from a silent one, unless it has left the list. */
+std::optional<BackendServerName> RequestForwarder::takeSuccessor()
+{
+    auto successor = std::exchange(m_successor, std::nullopt);
+    bool isListed = successor && m_core.servers.find(*successor);
+    return isListed ? successor : std::nullopt;
+}
+
+void RequestForwarder::releaseSuccessor()
+{
+    if (auto unused = std::exchange(m_successor, std::nullopt))
+        release(*unused);
+}
+
+} // namespace hemlockchute
--- a/modules/hc_http/include/hemlockchute/http/http.h
+++ b/modules/hc_http/include/hemlockchute/http/http.h
@@ -9,3 +9,4 @@
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/http/HttpMessage.h"
 #include "hemlockchute/http/HttpServer.h"
+#include "hemlockchute/http/WatchdogTimer.h"
