Keep a silent stream open until another server has accepted it

Callers saw a stream cut although its silent server would have gone on: the gateway closed that server's connection, sent the rest of the stream to a reserved server, and that one refused (full through other gateways' requests, or the model just unloaded). No attempt was left, and the stream ended in the middle of the answer.

Cause: a reservation is the gateway's own view; only the server's answer makes it certain.

Change: reading the silent answer is interrupted, not closed (HttpResponseStream::interrupt), and the request is sent to the other server beside it. When that one's head arrives, or after 200 ms, the silent one is closed; when it refuses before, the gateway reads on where it was.

--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -88,6 +88,7 @@
     { EventId::GatewayServerPaused, Info, "gateway.server_paused", "A backend server refused a request and asked for a pause; the requested and the applied pause are given." },
     { EventId::GatewayNoticeUnreadable, Warning, "gateway.notice_unreadable", "A notice in a header of a backend server's answer cannot be parsed and has no effect." },
     { EventId::GatewayServerSilent, Info, "gateway.server_silent", "A backend server has sent nothing for a request for a while; the attempt continues until another server can take over.", Failure },
+    { EventId::GatewayTakeover, Info, "gateway.takeover", "A request at a silent backend server is sent to another one, after the last event given.", Failure },
 
     // 2100: coordinator
     { EventId::CoordinatorStarted, Info, "coordinator.started", "The coordinator has read its data folder; identity, incarnation and version are given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -92,6 +92,7 @@
     GatewayServerPaused = 2010,
     GatewayNoticeUnreadable = 2011,
     GatewayServerSilent = 2012,
+    GatewayTakeover = 2013,
 
     // 2100: coordinator
     CoordinatorStarted = 2100,
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -61,6 +61,7 @@
 RequestForwarder::~RequestForwarder()
 {
     m_call->answer = nullptr;
+    m_call->silentAnswer = nullptr;
     m_requests->erase(this);
 }
 
@@ -148,7 +149,9 @@
 
 asio::awaitable<void> RequestForwarder::forward()
 {
-    m_silenceTimer.emplace(co_await asio::this_coro::executor, [this] { checkSilence(); });
+    auto executor = co_await asio::this_coro::executor;
+    m_silenceTimer.emplace(executor, [this] { checkSilence(); });
+    m_overlapTimer.emplace(executor, [this] { m_call->closeSilentAnswer(); });
     bool again = true;
     while (again)
         again = co_await tryOnce();
@@ -174,32 +177,39 @@
         co_await respondWithFailure();
         co_return false;
     }
-    if (m_tries == 0)
-        m_core.metrics.observe(waitMetric, elapsed());
-    ++m_tries;
-    m_currentServer = *server;
-    if (hasModel())
-        m_core.demand.addActive(m_key, 1);
-    Outcome outcome = co_await sendTo(*server);
-    m_silenceTimer->stop();
-    endSilence();
-    notePromptRead(*server);
-    m_core.servers.noteEnded(*server);
-    if (hasModel())
-        m_core.demand.addActive(m_key, -1);
+    Outcome outcome = co_await attemptAt(*server);
     if (m_call->isCallerDisconnected && outcome != Outcome::Answered)
         outcome = Outcome::CallerDisconnected;
     if (outcome == Outcome::CallerDisconnected)
         logCallerDisconnect();
     if (outcome == Outcome::CallerDisconnected || outcome == Outcome::Answered)
         co_return false;
-    m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
     bool again = m_successor.has_value() || mayResend(outcome);
     if (!again)
         co_await respondWithFailure();
     co_return again;
 }
 
+/** Makes an attempt at a reserved server. */
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::attemptAt(const BackendServerName& server)
+{
+    if (m_tries == 0)
+        m_core.metrics.observe(waitMetric, elapsed());
+    ++m_tries;
+    m_currentServer = server;
+    if (hasModel())
+        m_core.demand.addActive(m_key, 1);
+    Outcome outcome = co_await sendTo(server);
+    m_silenceTimer->stop();
+    endSilence();
+    notePromptRead(server);
+    m_core.servers.noteEnded(server);
+    if (hasModel())
+        m_core.demand.addActive(m_key, -1);
+    m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
+    co_return outcome;
+}
+
 //==============================================================================
 // Waiting for a server
 
@@ -347,6 +357,7 @@
         co_return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
     if (status >= firstFailure)
         co_return co_await receiveBuffered(name, *answer);
+    m_call->closeSilentAnswer();
     if (m_route->kind == RequestKind::Stream)
         co_return co_await forwardEvents(name, *answer);
     co_return co_await receiveBuffered(name, *answer);
@@ -393,8 +404,22 @@
         auto piece = co_await answer.read(answerDeadline());
         if (m_call->isCallerDisconnected)
             co_return Outcome::CallerDisconnected;
+        if (!piece && piece.error().code == HttpClientErrorCode::Interrupted) {
+            std::optional<Outcome> outcome;
+            do
+                outcome = co_await tryTakeover(name, answer);
+            while (!outcome && m_successor);
+            if (outcome)
+                co_return *outcome;
+            continue;
+        }
         if (!piece || (!*piece && splitter.hasPartialEvent()))
             co_return noteFailedAttempt(name, Outcome::Unknown, piece ? "the stream ends within an event" : "the stream broke off: " + piece.error().detail);
+        if (m_successor) {
+            // The server has gone on before the other one was asked.
+            releaseSuccessor();
+            watchSilence();
+        }
         WholeEvents events;
         if (*piece)
             events = splitter.feed(**piece);
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -50,6 +50,8 @@
     struct CallState {
         std::shared_ptr<HttpCallHandle> handle = std::make_shared<HttpCallHandle>();
         HttpResponseStream* answer = nullptr;
+        /** The answer of a silent server, while another server is asked to take over. */
+        HttpResponseStream* silentAnswer = nullptr;
         bool isCallerDisconnected = false;
 
         void noteCallerDisconnect()
@@ -60,16 +62,26 @@
 
         void cancel()
         {
+            cancelAttempt();
             handle->cancel();
-            if (answer)
-                answer->close();
+            closeSilentAnswer();
         }
 
         /** Closes the current attempt only; the next one can be sent. */
         void cancelAttempt()
         {
-            cancel();
-            handle = std::make_shared<HttpCallHandle>();
+            std::exchange(handle, std::make_shared<HttpCallHandle>())->cancel();
+            if (answer)
+                answer->close();
+        }
+
+        /** False when it was closed before, or there is none. */
+        bool closeSilentAnswer()
+        {
+            HttpResponseStream* silent = std::exchange(silentAnswer, nullptr);
+            if (silent)
+                silent->close();
+            return silent;
         }
     };
 
@@ -78,6 +90,8 @@
     bool prepare();
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<bool> tryOnce();
+    boost::asio::awaitable<Outcome> attemptAt(const BackendServerName&);
+    boost::asio::awaitable<std::optional<Outcome>> tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     void reserve(const BackendServerName&);
     void release(const BackendServerName&);
     std::optional<BackendServerName> takeSuccessor();
@@ -92,7 +106,9 @@
     boost::asio::awaitable<void> respondWithFailure();
     boost::asio::awaitable<void> refuse(unsigned status, std::string_view reason, std::optional<Duration> retryAfter = std::nullopt);
     void abortResponse(std::string_view reason);
+    bool canMove() const;
     void noteProgress();
+    void watchSilence();
     void checkSilence();
     void noteSilence();
     void endSilence();
@@ -153,11 +169,13 @@
     Instant m_lastProgress {};
     BackendServerName m_currentServer;
     std::optional<WatchdogTimer> m_silenceTimer;
+    /** Ends the time for which a silent attempt stays open beside the one that replaces it. */
+    std::optional<WatchdogTimer> m_overlapTimer;
     /** True while the current server has been silent for longer than the limit. */
     bool m_isSilent = false;
     /** True while the request counts as waiting for its model at another server, because the current one is silent. */
     bool m_isWaitingElsewhere = false;
-    /** The server that replaces a silent one: it is reserved, the resend is charged, and the silent attempt is closed. */
+    /** The server that is to replace a silent one; it is reserved, and the resend is charged. */
     std::optional<BackendServerName> m_successor;
     /** True once abort() was called. */
     bool m_isAborted = false;
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -6,11 +6,16 @@
 #include <algorithm>
 
 namespace hemlockchute {
+
+namespace asio = boost::asio;
+
 namespace {
 
 /** How long a server may be silent before another one is preferred, as a multiple of the latency target, and its lower bound. */
 constexpr unsigned targetsPerSilence = 4;
 constexpr Duration minimumSilenceLimit = 1200ms;
+/** How long a silent attempt stays open beside the one that replaces it; a server refuses within this time. */
+constexpr Duration maximumOverlap = 200ms;
 
 } // namespace
 
@@ -23,35 +28,50 @@
     return std::max<Duration>(minimumSilenceLimit, targetsPerSilence * target);
 }
 
+/** True if another server could be sent the request, or the rest of its stream. */
+bool RequestForwarder::canMove() const
+{
+    bool canResume = !m_hasBegun || m_lastEvent;
+    return canResume && m_route->isRepeatable() && m_sends < m_route->maximumAttempts;
+}
+
 /** Restarts the time after which the server counts as silent. */
 void RequestForwarder::noteProgress()
 {
     m_lastProgress = currentTime();
     endSilence();
-    bool canResume = !m_hasBegun || m_lastEvent;
-    if (canResume && m_route->isRepeatable() && m_sends < m_route->maximumAttempts)
+    if (canMove())
         m_silenceTimer->restart(m_lastProgress + silenceLimit());
 }
 
+/** Checks again soon whether another server can take over. */
+void RequestForwarder::watchSilence()
+{
+    if (canMove() && timeLeft() > minimumServiceTime)
+        m_silenceTimer->restart(nextCheck(currentTime()));
+}
+
 /** Replaces a silent attempt as soon as another server can take the request. Until then the attempt continues, since its server may only be slow. */
 void RequestForwarder::checkSilence()
 {
-    if (m_call->isCallerDisconnected || m_isAborted)
+    if (m_call->isCallerDisconnected || m_isAborted || m_successor)
         return;
     noteSilence();
     auto other = pickServer();
     if (other && mayResend(Outcome::Unknown)) {
         m_successor = std::move(other);
         reserve(*m_successor);
-        m_call->cancelAttempt();
+        logEvent(EventId::GatewayTakeover, { { "request", m_metadata.attempt }, { "from", m_currentServer }, { "to", *m_successor }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "left_ms", milliseconds(timeLeft()) } });
+        bool isInterrupted = m_call->answer && m_call->answer->interrupt();
+        if (!isInterrupted)
+            m_call->cancelAttempt();
         return;
     }
     if (hasModel() && !std::exchange(m_isWaitingElsewhere, true)) {
         m_core.demand.addWaiting(m_key, 1);
         m_core.link.pollSoon();
     }
-    if (timeLeft() > minimumServiceTime)
-        m_silenceTimer->restart(nextCheck(currentTime()));
+    watchSilence();
 }
 
 /** Other requests prefer other servers and new connections while this one is silent. */
@@ -78,6 +98,30 @@
 //==============================================================================
 // The server that takes over
 
+/** Sends the request to the reserved server while the silent one's answer stays open, in case the other one refuses. Nothing if the silent answer is to be read on. */
+asio::awaitable<std::optional<RequestForwarder::Outcome>> RequestForwarder::tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer)
+{
+    auto server = takeSuccessor();
+    if (!server) {
+        watchSilence();
+        co_return std::nullopt;
+    }
+    m_silenceTimer->stop();
+    notePromptRead(silentServer);
+    m_call->answer = nullptr;
+    m_call->silentAnswer = &silentAnswer;
+    m_overlapTimer->restart(currentTime() + maximumOverlap);
+    Outcome outcome = co_await attemptAt(*server);
+    m_overlapTimer->stop();
+    bool isClosed = !std::exchange(m_call->silentAnswer, nullptr);
+    if (isClosed || outcome == Outcome::Answered || m_call->isCallerDisconnected || m_isAborted)
+        co_return outcome;
+    m_currentServer = silentServer;
+    m_call->answer = &silentAnswer;
+    watchSilence();
+    co_return std::nullopt;
+}
+
 /** Counts the request at the server, so that no other request takes its place. */
 void RequestForwarder::reserve(const BackendServerName& server)
 {
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -274,6 +274,9 @@
             beast::error_code error;
             m_connection->stream.expires_at(deadline);
             co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+            bool isInterrupted = std::exchange(m_isInterrupted, false) && error == asio::error::operation_aborted;
+            if (isInterrupted)
+                co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
             if (error && error != http::error::need_buffer)
                 co_return fail(error);
             std::size_t count = piece.size() - m_parser.get().body().size;
@@ -286,8 +289,19 @@
         co_return std::optional<ByteString>();
     }
 
+    bool interrupt() override
+    {
+        // Cancelling applies to all operations of the connection.
+        if (!m_connection || !m_write->isDone)
+            return false;
+        m_isInterrupted = true;
+        m_connection->stream.cancel();
+        return true;
+    }
+
     void close() override
     {
+        m_isInterrupted = false;
         if (m_connection)
             m_connection->stream.close();
     }
@@ -316,6 +330,8 @@
     std::unique_ptr<ClientConnection> m_connection;
     std::shared_ptr<RequestWrite> m_write;
     bool m_isOnReusedConnection;
+    /** True from interrupt() to the end of the read. */
+    bool m_isInterrupted = false;
     http::response_parser<http::buffer_body> m_parser;
     HttpHeaders m_headers;
 };
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -23,7 +23,9 @@
     /** The answer is not valid HTTP. */
     Malformed,
     /** The answer exceeds its size limit. */
-    TooLarge
+    TooLarge,
+    /** A read was interrupted; the next one continues. */
+    Interrupted
 };
 
 /** True if no byte of the request can have reached the peer. */
@@ -49,6 +51,8 @@
     virtual bool isOnReusedConnection() const = 0;
     /** The next piece, or std::nullopt at the end of the body. A truncated body is an error. */
     virtual boost::asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) = 0;
+    /** Makes a read in progress fail with Interrupted, and keeps the connection. False if that is not possible, because the request is still being sent. */
+    virtual bool interrupt() = 0;
     /** Closes the connection. A read in progress fails. */
     virtual void close() = 0;
 };
