Begin the overlap of two servers with the first byte sent

Callers saw a stream cut while its server was silent, because the server that should have taken over could not be reached: the silent answer was closed 200 ms after the takeover began, and connecting is given up after 300 ms only.

Test on: SilentServerTests/aStreamIsNotCutWhenTheServerThatShouldTakeOverIsUnreachable "check reply.isComplete has failed".

Change: the overlap is counted from the moment at which the connection stands and the first byte is about to leave. A server that was never reached works on nothing, so no two work on one request meanwhile.

--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -110,8 +110,13 @@
     notePromptRead(silentServer);
     m_call->answer = nullptr;
     m_call->silentAnswer = &silentAnswer;
-    m_overlapTimer->restart(currentTime() + maximumOverlap);
+    // A server that can't be reached works on nothing, so the overlap begins with the first byte sent to it.
+    m_call->handle->setSendCondition([this] {
+        m_overlapTimer->restart(currentTime() + maximumOverlap);
+        return true;
+    });
     Outcome outcome = co_await attemptAt(*server);
+    m_call->handle->setSendCondition(nullptr);
     m_overlapTimer->stop();
     bool isClosed = !std::exchange(m_call->silentAnswer, nullptr);
     if (isClosed || outcome == Outcome::Answered || m_call->isCallerDisconnected || m_isAborted)
