Free the place at a silent server when it is left

Callers saw 503 "every server that holds the model is full", or waited, while a server had a free slot: one that a resumed stream had left stayed counted for as long as the stream ran at the other server.

Cause: the attempt at the other server is made within the one at the silent server, and the place was freed only when the outer attempt ended. The demand for the model counted the request twice as active for the same time.

Change: the place is freed when the answer of the silent server is closed. The request remembers the servers at which it is active, so that no place is freed twice.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -151,7 +151,7 @@
 {
     auto executor = co_await asio::this_coro::executor;
     m_silenceTimer.emplace(executor, [this] { checkSilence(); });
-    m_overlapTimer.emplace(executor, [this] { m_call->closeSilentAnswer(); });
+    m_overlapTimer.emplace(executor, [this] { leaveSilentServer(); });
     bool again = true;
     while (again)
         again = co_await tryOnce();
@@ -197,15 +197,14 @@
         m_core.metrics.observe(waitMetric, elapsed());
     ++m_tries;
     m_currentServer = server;
+    m_activeServers.insert(server);
     if (hasModel())
         m_core.demand.addActive(m_key, 1);
     Outcome outcome = co_await sendTo(server);
     m_silenceTimer->stop();
     endSilence();
     notePromptRead(server);
-    m_core.servers.noteEnded(server);
-    if (hasModel())
-        m_core.demand.addActive(m_key, -1);
+    noteAttemptEnded(server);
     m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
     co_return outcome;
 }
@@ -357,7 +356,7 @@
         co_return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
     if (status >= firstFailure)
         co_return co_await receiveBuffered(name, *answer);
-    m_call->closeSilentAnswer();
+    leaveSilentServer();
     if (m_route->kind == RequestKind::Stream)
         co_return co_await forwardEvents(name, *answer);
     co_return co_await receiveBuffered(name, *answer);
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -94,6 +94,8 @@
     boost::asio::awaitable<std::optional<Outcome>> tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     void reserve(const BackendServerName&);
     void release(const BackendServerName&);
+    void noteAttemptEnded(const BackendServerName&);
+    void leaveSilentServer();
     std::optional<BackendServerName> takeSuccessor();
     void releaseSuccessor();
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
@@ -168,6 +170,10 @@
     /** When the last attempt was sent, or its server last made progress. */
     Instant m_lastProgress {};
     BackendServerName m_currentServer;
+    /** The server whose answer stays open while another server is asked to take over. */
+    BackendServerName m_silentServer;
+    /** The servers at which the request counts as active. */
+    std::set<BackendServerName> m_activeServers;
     std::optional<WatchdogTimer> m_silenceTimer;
     /** Ends the time for which a silent attempt stays open beside the one that replaces it. */
     std::optional<WatchdogTimer> m_overlapTimer;
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -110,6 +110,7 @@
     notePromptRead(silentServer);
     m_call->answer = nullptr;
     m_call->silentAnswer = &silentAnswer;
+    m_silentServer = silentServer;
     m_overlapTimer->restart(currentTime() + maximumOverlap);
     Outcome outcome = co_await attemptAt(*server);
     m_overlapTimer->stop();
@@ -122,6 +123,23 @@
     co_return std::nullopt;
 }
 
+/** Closes the answer of a silent server, if one is open, and frees the place there while the request continues elsewhere. */
+void RequestForwarder::leaveSilentServer()
+{
+    if (m_call->closeSilentAnswer())
+        noteAttemptEnded(m_silentServer);
+}
+
+/** Has no effect for an attempt that has ended before. */
+void RequestForwarder::noteAttemptEnded(const BackendServerName& server)
+{
+    if (m_activeServers.erase(server) == 0)
+        return;
+    m_core.servers.noteEnded(server);
+    if (hasModel())
+        m_core.demand.addActive(m_key, -1);
+}
+
 /** Counts the request at the server, so that no other request takes its place. */
 void RequestForwarder::reserve(const BackendServerName& server)
 {
