Keep a silent stream open while another server is being connected to

Callers saw a stream cut although its silent server would have gone on: the server that was to take over could not be connected to, and the silent one was closed 200 ms after the attempt had begun, before the connection timed out.

Cause: the time for which both attempts may be open began with the connection, when no other server can be at work yet.

Evidence: SilentServerTests/aStreamIsNotCutWhenTheServerThatShouldTakeOverIsUnreachable on the commit before: "check reply.isComplete has failed", the body ends after event 1; attempt_failed "not-sent ... timeout", then broken_off with one send.

Change: the time begins just before the first byte is sent to the other server.

--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -111,8 +111,14 @@
     m_call->answer = nullptr;
     m_call->silentAnswer = &silentAnswer;
     m_silentServer = silentServer;
-    m_overlapTimer->restart(currentTime() + maximumOverlap);
+    // The limit does not apply while the request cannot be running at the other server, which may be unreachable.
+    auto handle = m_call->handle;
+    handle->setSendCondition([this] {
+        m_overlapTimer->restart(currentTime() + maximumOverlap);
+        return true;
+    });
     Outcome outcome = co_await attemptAt(*server);
+    handle->setSendCondition(nullptr);
     m_overlapTimer->stop();
     bool isClosed = !std::exchange(m_call->silentAnswer, nullptr);
     if (isClosed || outcome == Outcome::Answered || m_call->isCallerDisconnected || m_isAborted)
