Read a silent stream on as soon as the other server fails

Callers saw a stream cut although its silent server would have gone on: the other server responded with an error, and while the body of that response was awaited the silent server was closed.

Cause: only a refusal ended the attempt to move before its time had passed; the body of an error response was read first, although the caller of a stream cannot be sent it.

Evidence: SilentServerTests/aStreamIsNotCutWhenTheServerThatShouldTakeOverFails on the commit before: "check reply.isComplete has failed", the body ends after event 1; attempt_failed "status 500" 400 ms after the move, then broken_off "no attempt is left".

Change: an error response ends the attempt at its head while a silent answer is open.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -354,6 +354,9 @@
     }
     if (std::find(std::begin(refusalStatuses), std::end(refusalStatuses), status) != std::end(refusalStatuses))
         co_return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
+    // The silent server is a better prospect than the rest of an error response.
+    if (status >= firstFailure && m_call->silentAnswer)
+        co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(status));
     if (status >= firstFailure)
         co_return co_await receiveBuffered(name, *answer);
     leaveSilentServer();
