Leave a server whose head arrives as its connection is closed

Callers saw a stream cut after its first event although two servers were sound: the gateway, busy for a moment, read the first part of a head, found the server silent, reserved another server and closed the connection, and then read the rest of the head from bytes that had arrived before. It took the answer for one in progress, gave the reserved server back and found the connection closed after the first event; the other server counted as tried.

Cause: the end of the head can be read after the connection was closed, and the success was believed.

Change: an answer that was opened after a successor was reserved is discarded, and the request goes to the successor.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -330,6 +330,9 @@
             m_core.servers.noteUnreachable(name, currentTime());
         co_return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
     }
+    // The head may have been read just before the connection was closed; the rest of the answer cannot be.
+    if (m_successor)
+        co_return noteFailedAttempt(name, Outcome::Unknown, "the connection is closed");
     noteProgress();
     m_call->answer = answer->get();
     Outcome outcome = co_await receive(name, metadata, std::move(*answer));
