Let an interruption between two reads take effect

A stream whose server was silent could miss its only move to another server: the silence was noticed while the gateway still wrote to the caller, the interruption was forgotten, and the next read lasted until the deadline, with the other server reserved.

Cause: HttpResponseStream::interrupt() cancelled a read in progress only, and reported success without one.

Change: without a read in progress the next one is interrupted.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -267,6 +267,8 @@
     {
         if (!m_connection)
             co_return std::optional<ByteString>();
+        if (std::exchange(m_isInterrupted, false))
+            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
         ByteString piece(maximumPieceBytes, '\0');
         while (!m_parser.is_done()) {
             m_parser.get().body().data = piece.data();
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -51,7 +51,7 @@
     virtual bool isOnReusedConnection() const = 0;
     /** The next piece, or std::nullopt at the end of the body. A truncated body is an error. */
     virtual boost::asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) = 0;
-    /** Makes a read in progress fail with Interrupted, and keeps the connection. False if that is not possible, because the request is still being sent. */
+    /** Makes the read in progress, or else the next one, fail with Interrupted, and keeps the connection. False if that is not possible, because the request is still being sent. */
     virtual bool interrupt() = 0;
     /** Closes the connection. A read in progress fails. */
     virtual void close() = 0;
--- a/modules/hc_http/tests/HttpInterruptTests.cpp
+++ b/modules/hc_http/tests/HttpInterruptTests.cpp
@@ -77,10 +77,45 @@
     co_return received;
 }
 
+/** Interrupts the stream while nothing is being read. */
+asio::awaitable<unsigned> receiveAfterInterrupt(HttpClient& client, tcp::endpoint endpoint)
+{
+    Instant deadline = currentTime() + 500ms;
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/x";
+    auto stream = co_await client.open(endpoint, std::move(request), deadline);
+    if (!stream)
+        co_return 0;
+    bool isInterrupted = (*stream)->interrupt();
+    unsigned interruptions = 0;
+    while (true) {
+        auto piece = co_await (*stream)->read(deadline);
+        interruptions += !piece && piece.error().code == HttpClientErrorCode::Interrupted ? 1 : 0;
+        if (piece && !*piece)
+            break;
+        if (!piece && piece.error().code != HttpClientErrorCode::Interrupted)
+            co_return 0;
+    }
+    co_return isInterrupted ? interruptions : 0;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(HttpInterruptTests)
 
+/** Otherwise the interruption would be lost, and with it the move to another server. */
+BOOST_AUTO_TEST_CASE(anInterruptionBetweenTwoReadsIsNotLost)
+{
+    asio::io_context context;
+    HttpClient client { HttpClient::Options() };
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    asio::co_spawn(context, answerWithPause(acceptor, 0), asio::detached);
+    auto result = asio::co_spawn(context, receiveAfterInterrupt(client, acceptor.local_endpoint()), asio::use_future);
+    context.run();
+    BOOST_TEST(result.get() == 1U);
+}
+
 /** The answer is split at each byte of its body, so that the interruption comes within chunk sizes and ends of chunks too. */
 BOOST_AUTO_TEST_CASE(anInterruptedReadLosesNothing)
 {
