Count one silence as one failure of the server

Callers waited 300 ms longer or were sent to a worse server: a sound server was ejected for a second after one silence, because another server had refused to take over or could not be reached meanwhile. Two failures eject a server.

Cause: the attempt to move restarted the record of progress, so that the same silence was found and counted again. The log named a silence of 404 ms.

Change: when the silent answer is read on, the time of its last progress and the silence noted apply again.

--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -111,6 +111,7 @@
     m_call->answer = nullptr;
     m_call->silentAnswer = &silentAnswer;
     m_silentServer = silentServer;
+    Instant lastProgress = m_lastProgress;
     // The limit does not apply while the request cannot be running at the other server, which may be unreachable.
     auto handle = m_call->handle;
     handle->setSendCondition([this] {
@@ -125,6 +126,8 @@
         co_return outcome;
     m_currentServer = silentServer;
     m_call->answer = &silentAnswer;
+    m_lastProgress = lastProgress;
+    m_isSilent = true;
     watchSilence();
     co_return std::nullopt;
 }
