--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -151,7 +151,7 @@
 {
     auto executor = co_await asio::this_coro::executor;
     m_silenceTimer.emplace(executor, [this] { checkSilence(); });
-    m_overlapTimer.emplace(executor, [this] { m_call->closeSilentAnswer(); });
+    m_overlapTimer.emplace(executor, [this] { leaveSilentServer(); });
     bool again = true;
     while (again)
         again = co_await tryOnce();
@@ -197,15 +197,14 @@
         m_core.metrics.observe(waitMetric, elapsed());
     ++m_tries;
     m_currentServer = server;
+    m_activeServers.insert(server);
     if (hasModel())
         m_core.demand.addActive(m_key, 1);
     Outcome outcome = co_await sendTo(server);
     m_silenceTimer->stop();
     endSilence();
     notePromptRead(server);
-    m_core.servers.noteEnded(server);
-    if (hasModel())
-        m_core.demand.addActive(m_key, -1);
+    noteAttemptEnded(server);
     m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
     co_return outcome;
 }
@@ -331,6 +330,9 @@
             m_core.servers.noteUnreachable(name, currentTime());
         co_return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
     }
+    // The head may have been read just before the connection was closed; the rest of the answer cannot be.
+    if (m_successor)
+        co_return noteFailedAttempt(name, Outcome::Unknown, "the connection is closed");
     noteProgress();
     m_call->answer = answer->get();
     Outcome outcome = co_await receive(name, metadata, std::move(*answer));
@@ -355,9 +357,12 @@
     }
     if (std::find(std::begin(refusalStatuses), std::end(refusalStatuses), status) != std::end(refusalStatuses))
         co_return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
+    // The silent server is a better prospect than the rest of an error response.
+    if (status >= firstFailure && m_call->silentAnswer)
+        co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(status));
     if (status >= firstFailure)
         co_return co_await receiveBuffered(name, *answer);
-    m_call->closeSilentAnswer();
+    leaveSilentServer();
     if (m_route->kind == RequestKind::Stream)
         co_return co_await forwardEvents(name, *answer);
     co_return co_await receiveBuffered(name, *answer);
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -110,23 +110,45 @@
     notePromptRead(silentServer);
     m_call->answer = nullptr;
     m_call->silentAnswer = &silentAnswer;
-    // A server that can't be reached works on nothing, so the overlap begins with the first byte sent to it.
-    m_call->handle->setSendCondition([this] {
+    m_silentServer = silentServer;
+    Instant lastProgress = m_lastProgress;
+    // A server that cannot be reached works on nothing, so the overlap begins with the first byte sent to it.
+    auto handle = m_call->handle;
+    handle->setSendCondition([this] {
         m_overlapTimer->restart(currentTime() + maximumOverlap);
         return true;
     });
     Outcome outcome = co_await attemptAt(*server);
-    m_call->handle->setSendCondition(nullptr);
+    handle->setSendCondition(nullptr);
     m_overlapTimer->stop();
     bool isClosed = !std::exchange(m_call->silentAnswer, nullptr);
     if (isClosed || outcome == Outcome::Answered || m_call->isCallerDisconnected || m_isAborted)
         co_return outcome;
     m_currentServer = silentServer;
     m_call->answer = &silentAnswer;
+    m_lastProgress = lastProgress;
+    m_isSilent = true;
     watchSilence();
     co_return std::nullopt;
 }
 
+/** Closes the answer of a silent server, if one is open, and frees the place there while the request continues elsewhere. */
+void RequestForwarder::leaveSilentServer()
+{
+    if (m_call->closeSilentAnswer())
+        noteAttemptEnded(m_silentServer);
+}
+
+/** Has no effect for an attempt that has ended before. */
+void RequestForwarder::noteAttemptEnded(const BackendServerName& server)
+{
+    if (m_activeServers.erase(server) == 0)
+        return;
+    m_core.servers.noteEnded(server);
+    if (hasModel())
+        m_core.demand.addActive(m_key, -1);
+}
+
 /** Counts the request at the server, so that no other request takes its place. */
 void RequestForwarder::reserve(const BackendServerName& server)
 {
