Select a server again that was reserved but not asked to take over

Callers saw a stream cut at its deadline although another server was free all the while: bytes of no event arrived as the silence was noticed, the reserved server was given back, and it was never selected again.

Cause: the reserved server stayed among those that were tried.

Change: a server that is given back without having been asked counts as not tried.

--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -170,10 +170,13 @@
     return isListed ? successor : std::nullopt;
 }
 
+/** The server was not asked, and may be selected again. */
 void RequestForwarder::releaseSuccessor()
 {
-    if (auto unused = std::exchange(m_successor, std::nullopt))
+    if (auto unused = std::exchange(m_successor, std::nullopt)) {
         release(*unused);
+        m_triedServers.erase(*unused);
+    }
 }
 
 } // namespace hemlockchute
