Keep a silent server's models while an order is unanswered

What callers saw: an order that got no answer within 1 s made the coordinator forget what its server holds. Gateways then saw only what the platform's list said of it, which lags, and the placement counted none of its models: with as many requests as two servers take, a third one got a copy of the model, possibly at the cost of another model, although the server went on a moment later.

Cause: PlacementDirector::markUnknown made a server without a confirmed state the same as one that holds nothing.

The server now counts as holding what it last reported (or what the list says, before its first report to this leader) until a report request fails as well. It still takes no order before it has reported. A model whose unload got no answer is left out, since it may be gone.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -132,6 +132,7 @@
     m_listRequestedAt.reset();
     for (auto& [id, server] : m_servers) {
         markUnknown(server);
+        server.hasReported = false;
         publish(server);
     }
     for (auto& [name, service] : m_services)
@@ -162,6 +163,12 @@
     }
 }
 
+/** A server that only fails to answer an order still holds its models; its last report is newer than the list. */
+const HeldModels& PlacementDirector::presumedModels(const Server& server)
+{
+    return server.hasReported ? server.state.models : server.listed.models;
+}
+
 /** A server as gateways see it: with the models it holds, except those withdrawn for an unload. */
 ListedServer PlacementDirector::publishedState(const Server& server)
 {
@@ -169,8 +176,7 @@
     published.isLeaving = isLeaving(server);
     published.inMemory.clear();
     published.onDisk.clear();
-    if (server.isKnown)
-        published.models = server.state.models;
+    published.models = presumedModels(server);
     if (server.withdrawnAdapter.isEmpty())
         published.models.erase(server.withdrawn);
     else if (auto held = published.models.find(server.withdrawn); held != published.models.end())
@@ -215,17 +221,20 @@
         each.id = id;
         each.dataCentre = server.listed.dataCentre;
         each.isLoadingFromStore = server.isLoadingFromStore || (!server.isKnown && server.mayBeLoading);
-        if (isLeaving(server) || !server.isKnown) {
+        if (isLeaving(server)) {
             // It takes no orders, but may use part of the store's capacity.
             if (each.isLoadingFromStore)
                 placed.push_back(std::move(each));
             continue;
         }
-        each.models = server.state.models;
+        // Until a report request fails too, the models of a silent server are not replaced elsewhere.
+        if (!server.isKnown && !server.mayBeLoading)
+            continue;
+        each.models = presumedModels(server);
         each.inMemory = server.inMemory.models();
         each.onDisk = server.onDisk.models();
         each.pendingAdapters = server.state.pendingAdapters;
-        each.mayTakeOrder = !server.isBusy;
+        each.mayTakeOrder = server.isKnown && !server.isBusy;
         each.loading = server.loading;
         each.loadedAt = server.loadedAt;
         auto load = outstanding.find(m_table.handleOf(id));
@@ -348,6 +357,8 @@
     server->withdrawnAdapter = AdapterName();
     bool isSuccessful = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::AlreadyHolds;
     if (!isSuccessful) {
+        if (!outcome && step.operation == PlacementStep::Operation::Unload)
+            removeFromState(*server, step);
         markUnknown(*server);
         publish(*server);
         server->isBusy = false;
@@ -364,6 +375,15 @@
     server->isBusy = false;
 }
 
+/** Records that the model or adapter of an unload may no longer be held. */
+void PlacementDirector::removeFromState(Server& server, const PlacementStep& step)
+{
+    if (step.adapter.isEmpty())
+        server.state.models.erase(step.model);
+    else if (auto held = server.state.models.find(step.model); held != server.state.models.end())
+        held->second.erase(step.adapter);
+}
+
 /** Records that a load leaves copies of the weights in the server's memory and on its disk. */
 void PlacementDirector::recordCopies(Server& server, const ModelName& model)
 {
@@ -483,6 +503,7 @@
     server->isBusy = false;
     server->nextReport = currentTime() + m_options.reportRetryDelay;
     server->mayBeLoading = false;
+    bool hasReported = std::exchange(server->hasReported, false);
     if (answer)
         markIfLeaving(lifeOf(server->listed), *answer);
     std::string reason;
@@ -496,15 +517,18 @@
         reason = "the report is of another incarnation of the server";
     else if (report->isBusy) {
         server->mayBeLoading = true;
+        server->hasReported = hasReported;
         reason = "an order is in progress";
     } else {
         server->inMemory.reset(report->inMemory);
         server->onDisk.reset(report->onDisk);
         server->state = std::move(*report);
+        server->hasReported = true;
         server->isKnown = true;
         publish(*server);
         co_return;
     }
+    publish(*server);
     logReportUnavailable(id, reason);
 }
 
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -69,8 +69,10 @@
         ListedServer listed;
         /** True once the server announced that it leaves, to this host or a gateway, whatever the list says. */
         bool announcedLeaving = false;
-        /** False until the server has reported what it holds. */
+        /** False until the server has reported what it holds; false again while it is uncertain whether it carried out an order. */
         bool isKnown = false;
+        /** True from the server's first report in this epoch until a report request fails: `state` is what it holds, except for the result of an unanswered order. */
+        bool hasReported = false;
         /** True until the server reports otherwise or does not answer: an earlier order, possibly of a former leader, may still be in progress. */
         bool mayBeLoading = true;
         /** True while an order or a report request of this host is in progress. */
@@ -120,6 +122,8 @@
     unsigned storeLoads(const ServiceName&) const;
     bool markLoadingFromStore(Server&, const ModelName&, Instant acceptedAt);
     static ListedServer publishedState(const Server&);
+    static const HeldModels& presumedModels(const Server&);
+    static void removeFromState(Server&, const PlacementStep&);
     Duration withdrawalDelay(Instant now);
 
     boost::asio::io_context& m_context;
--- a/modules/hc_coordinator/tests/FaultyEngines.cpp
+++ b/modules/hc_coordinator/tests/FaultyEngines.cpp
@@ -166,6 +166,7 @@
     }
     m_isOverloaded = m_isOverloaded || m_models.size() >= maximumModels;
     m_loading = model;
+    m_loads.insert(model);
     m_loadedAt = std::chrono::steady_clock::now() + m_loadTime;
     return accepted;
 }
@@ -175,6 +176,8 @@
     constexpr Duration beyondTimeout = 10s;
     HttpResponse response;
     response.status = holds;
+    if (auto now = std::chrono::steady_clock::now(); now < m_silentUntil)
+        co_await pause(m_silentUntil - now);
     if (exchange.request().target == "/report") {
         if (happens(m_faults.lostAnswer))
             co_await pause(beyondTimeout);
--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <random>
+#include <set>
 
 namespace hemlockchute::testing {
 
@@ -55,6 +56,10 @@
     /** Replaces the server by another one at the same address, holding these models. */
     void replace(std::string id, std::set<std::string> models);
     const std::set<std::string>& models() const { return m_models; }
+    /** Leaves every request unread for this long, from now on. */
+    void silence(Duration duration) { m_silentUntil = std::chrono::steady_clock::now() + duration; }
+    /** Number of loads of a model that were accepted. */
+    unsigned loads(const std::string& model) const { return static_cast<unsigned>(m_loads.count(model)); }
     bool isLoading() const { return !m_loading.empty() && std::chrono::steady_clock::now() < m_loadedAt; }
     /** True when a load was accepted for which there was no room. */
     bool wasOverloaded() const { return m_isOverloaded; }
@@ -77,6 +82,8 @@
     std::set<std::string> m_models;
     std::string m_loading;
     Instant m_loadedAt {};
+    Instant m_silentUntil {};
+    std::multiset<std::string> m_loads;
     std::uint64_t m_accepted = 0;
     std::uint64_t m_fence = 0;
     unsigned m_allAccepted = 0;
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -16,7 +16,7 @@
 constexpr unsigned storeLoadsAtOnce = 2;
 const std::vector<std::string> modelNames { "a", "b", "c", "d", "e", "f" };
 
-RouteConfigurationPointer configuration(Duration loadTime)
+RouteConfigurationPointer configuration(Duration loadTime, const std::vector<std::string>& models = modelNames)
 {
     RouteConfiguration::Parts parts;
     parts.version = ConfigurationVersion(1);
@@ -26,7 +26,7 @@
     llm.engine->slots = 4;
     llm.engine->weightsCapacity = ByteCount::gibibytes(FaultyEngine::maximumModels);
     llm.engine->storeLoadsPerSecond = 100;
-    for (const std::string& name : modelNames) {
+    for (const std::string& name : models) {
         EngineModel model;
         model.weights = ByteCount::gibibytes(1);
         model.loadFromStore = loadTime;
@@ -45,6 +45,22 @@
     return RouteConfiguration::make(std::move(parts)).value();
 }
 
+PlacementDirector::Options directorOptions(unsigned number)
+{
+    PlacementDirector::Options options;
+    options.issuer = HostName("leader-" + std::to_string(number));
+    options.placer.storeLoadsAtOnce = storeLoadsAtOnce;
+    options.placer.minimumResidence = 20ms;
+    options.placer.unreachableAfter = 50ms;
+    options.placer.evictionCost = 5ms;
+    options.orderTimeout = orderTimeout;
+    options.withdrawalDelay = withdrawalDelay;
+    options.completionPollInterval = 5ms;
+    options.maximumOrderTime = 300ms;
+    options.reportRetryDelay = 20ms;
+    return options;
+}
+
 //==============================================================================
 /** Two directors, of which one has authority at a time, in front of engines over faulty links; records every violation of an invariant. */
 class PlacementSimulation {
@@ -170,28 +186,12 @@
     struct Leader {
         Leader(PlacementSimulation& simulation, unsigned number)
             : client(HttpClient::Options())
-            , director(simulation.m_context, platform, client, metrics, options(number), [&simulation, number] { return simulation.m_hasAuthority && simulation.m_leading == number ? std::optional(FencingNumber(simulation.m_fence)) : std::nullopt; })
+            , director(simulation.m_context, platform, client, metrics, directorOptions(number), [&simulation, number] { return simulation.m_hasAuthority && simulation.m_leading == number ? std::optional(FencingNumber(simulation.m_fence)) : std::nullopt; })
         {
             platform.onOrder = [&simulation, number](const PlacementOrder& order) { simulation.checkOrder(number, order); };
             director.setConfiguration(configuration(simulation.m_loadTime));
         }
 
-        static PlacementDirector::Options options(unsigned number)
-        {
-            PlacementDirector::Options options;
-            options.issuer = HostName("leader-" + std::to_string(number));
-            options.placer.storeLoadsAtOnce = storeLoadsAtOnce;
-            options.placer.minimumResidence = 20ms;
-            options.placer.unreachableAfter = 50ms;
-            options.placer.evictionCost = 5ms;
-            options.orderTimeout = orderTimeout;
-            options.withdrawalDelay = withdrawalDelay;
-            options.completionPollInterval = 5ms;
-            options.maximumOrderTime = 300ms;
-            options.reportRetryDelay = 20ms;
-            return options;
-        }
-
         PlainPlatform platform;
         HttpClient client;
         Metrics metrics;
@@ -274,6 +274,80 @@
     std::vector<std::unique_ptr<Leader>> m_leaders;
 };
 
+//==============================================================================
+/** One director with authority and enough store capacity, in front of three servers without faults. */
+class SteadyPlacement {
+public:
+    explicit SteadyPlacement(Duration declaredLoadTime, Duration loadTime)
+        : m_client(HttpClient::Options())
+        , m_director(m_context, m_platform, m_client, m_metrics, options(), [] { return FencingNumber(1); })
+    {
+        for (unsigned i = 0; i < 3; ++i)
+            m_servers.push_back(std::make_unique<FaultyEngine>(m_context, "s" + std::to_string(i), m_random, m_faults, loadTime));
+        m_director.setConfiguration(configuration(declaredLoadTime, { "a", "b" }));
+        m_director.beginEpoch(1);
+    }
+
+    FaultyEngine& server(unsigned number) { return *m_servers[number]; }
+
+    /** Sets the number of requests for a model; they wait until a server holds it, then they run, and more arrive. */
+    void setRequests(const std::string& model, unsigned requests) { m_requests[model] = requests; }
+
+    /** Runs for the duration, or until the condition holds. */
+    void run(
+        Duration duration, const std::function<bool()>& isDone = [] { return false; })
+    {
+        for (Instant end = currentTime() + duration; currentTime() < end && !isDone();) {
+            tick();
+            m_context.run_for(tickInterval);
+        }
+    }
+
+    /** Whether gateways see the model at the server. */
+    bool isShown(unsigned number, const std::string& model)
+    {
+        FollowReply reply;
+        m_director.fill(reply, {}, currentTime());
+        return std::any_of(reply.servers.begin(), reply.servers.end(), [&](const FleetEntry& entry) { return entry.server.id == server(number).listed().id && entry.server.models.contains(ModelName(model)); });
+    }
+
+private:
+    static PlacementDirector::Options options()
+    {
+        PlacementDirector::Options options = directorOptions(0);
+        options.placer.storeLoadsAtOnce = 8;
+        options.placer.idleLoadValue = 0;
+        return options;
+    }
+
+    void tick()
+    {
+        Instant now = currentTime();
+        std::vector<ListedServer> listing;
+        for (const auto& server : m_servers)
+            listing.push_back(server->listed());
+        m_director.updateListing(listing, now);
+        FollowRequest request;
+        request.host = HostName("gateway");
+        for (const auto& [model, requests] : m_requests) {
+            bool isHeld = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& server) { return server->models().contains(model); });
+            request.demands.push_back({ { service, ModelName(model), AdapterName() }, isHeld ? 0 : requests, isHeld ? requests : 0, 1, 0, 1 });
+        }
+        m_director.recordDemand(request, now);
+        m_director.tick(now);
+    }
+
+    std::mt19937 m_random { 1 };
+    OrderFaults m_faults;
+    asio::io_context m_context;
+    std::vector<std::unique_ptr<FaultyEngine>> m_servers;
+    PlainPlatform m_platform;
+    HttpClient m_client;
+    Metrics m_metrics;
+    PlacementDirector m_director;
+    std::map<std::string, unsigned> m_requests;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(PlacementDirectorTests)
@@ -339,4 +413,29 @@
     });
 }
 
+//==============================================================================
+// Silent servers
+
+/** The server is silent for longer than the time-out of an order, and then goes on. */
+BOOST_AUTO_TEST_CASE(theModelsOfAServerThatDoesNotAnswerAnOrderAreNotLoadedElsewhere)
+{
+    SteadyPlacement placement(15ms, 15ms);
+    placement.server(0).replace("s0", { "a" });
+    placement.server(1).replace("s1", { "a" });
+    // As many requests as two servers take.
+    placement.setRequests("a", 4);
+    placement.run(100ms);
+    BOOST_TEST(placement.isShown(0, "a"));
+    placement.server(0).silence(orderTimeout + 40ms);
+    placement.setRequests("b", 2);
+    bool isAlwaysShown = true;
+    placement.run(300ms, [&] {
+        isAlwaysShown = isAlwaysShown && placement.isShown(0, "a");
+        return false;
+    });
+    BOOST_TEST(isAlwaysShown);
+    BOOST_TEST(placement.server(2).loads("a") == 0U);
+    BOOST_TEST(placement.server(0).loads("b") == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
