Don't start a load elsewhere while its silent server may complete it

What callers saw: a model was loaded from the store by two servers, the second one in place of another model, because the first one had not answered within 1 s when asked whether its load was complete. It was still loading and completed the load.

Cause: PlacementDirector::awaitCompletion took a missing answer for the end of the load and cleared Server::loading, so the placer found the model neither loaded nor on its way.

A load without an answer now stays on its way until the server's report tells whether it holds the model, or the report request fails as well.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -476,13 +476,16 @@
         co_return;
     if (isFromStore && outcome == OrderOutcome::AlreadyHolds)
         noteStoreLoad(*server, step.model, currentTime() - acceptedAt);
-    server->loading = ModelName();
-    server->isLoadingFromStore = false;
     if (outcome != OrderOutcome::AlreadyHolds) {
+        // Without an answer, the load may still be in progress; the report tells.
+        ModelName loading = outcome ? ModelName() : server->loading;
         markUnknown(*server);
+        server->loading = loading;
         server->nextReport = currentTime();
         co_return;
     }
+    server->loading = ModelName();
+    server->isLoadingFromStore = false;
     if (!isLoad)
         co_return;
     server->state.models.try_emplace(step.model);
@@ -525,9 +528,12 @@
         server->state = std::move(*report);
         server->hasReported = true;
         server->isKnown = true;
+        server->loading = ModelName();
         publish(*server);
         co_return;
     }
+    if (!server->mayBeLoading)
+        server->loading = ModelName();
     publish(*server);
     logReportUnavailable(id, reason);
 }
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -438,4 +438,16 @@
     BOOST_TEST(placement.server(0).loads("b") == 1U);
 }
 
+/** The server accepts a load that takes longer than declared, and is silent when asked whether it is complete. */
+BOOST_AUTO_TEST_CASE(aLoadAtASilentServerIsNotStartedElsewhere)
+{
+    SteadyPlacement placement(40ms, 250ms);
+    placement.setRequests("b", 2);
+    placement.run(1s, [&] { return placement.server(0).isLoading(); });
+    placement.server(0).silence(orderTimeout + 80ms);
+    placement.run(1s, [&] { return placement.server(0).models().contains("b"); });
+    BOOST_TEST(placement.server(0).loads("b") == 1U);
+    BOOST_TEST(placement.server(1).loads("b") + placement.server(2).loads("b") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
