Place models beside ones that the configuration doesn't name

What operators would see: the leading coordinator ends, and after it the next one, once a change of the configuration removes a model that a server still holds, or that callers still ask for.

Cause: ModelPlacer looked up every victim, intent and requested model with std::map::at, which throws for a model that the engine does not list; the exception leaves the coordinator's timer. Found by reading, not in a run of the processes.

Such a model is now the first to be unloaded, and neither loaded nor copied. Its size is unknown and counts nowhere.

Evidence, before the change: unknown location(0): fatal error: in "ModelPlacerTests/modelsThatTheConfigurationDoesNotNameDoNotEndThePlacement": std::out_of_range: map::at

--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -135,7 +135,8 @@
         const BackendServerName& id = item.first;
         const Intent& intent = item.second;
         auto server = std::find_if(round.servers.begin(), round.servers.end(), [&](const PlacedServer& each) { return each.id == id; });
-        bool isDone = server == round.servers.end() || server->models.contains(intent.model) || server->loading == intent.model;
+        bool isUnknown = server == round.servers.end() || !round.engine.models.contains(intent.model);
+        bool isDone = isUnknown || server->models.contains(intent.model) || server->loading == intent.model;
         return isDone || round.now - intent.since > intentTimeout;
     });
     for (const PlacedServer& server : round.servers) {
@@ -188,7 +189,7 @@
 void ModelPlacer::addCopies(Round& round, bool forUrgent)
 {
     for (const auto& [model, demand] : round.models) {
-        if (round.copies[model] == 0 || (demand.rank == 0) != forUrgent)
+        if (!round.engine.models.contains(model) || round.copies[model] == 0 || (demand.rank == 0) != forUrgent)
             continue;
         double value = demand.arrivalsPerSecond / (round.copies[model] + 1) * urgency(demand.rank);
         auto needed = static_cast<unsigned>(std::ceil((demand.active + demand.waiting) / (m_options.fullThreshold * round.engine.slots)));
@@ -310,9 +311,10 @@
     for (auto other = others.begin(); used + spec.weights > round.engine.weightsCapacity; ++other) {
         if (other == others.end())
             return std::nullopt;
-        const EngineModel& victim = round.engine.models.at(other->second);
-        ByteCount freed = victim.weights + ByteCount(victim.adapterWeights.value() * server.models.at(other->second).size());
-        used -= freed;
+        // The size of a model that the configuration no longer names is unknown; usedAt() does not count it either.
+        auto victim = round.engine.models.find(other->second);
+        if (victim != round.engine.models.end())
+            used -= victim->second.weights + ByteCount(victim->second.adapterWeights.value() * server.models.at(other->second).size());
         lost += other->first;
         place.victims.push_back(other->second);
         place.cost += unloadTime;
@@ -397,7 +399,7 @@
 {
     for (const auto& [key, demand] : round.demands) {
         const auto& [model, adapter] = key;
-        if (adapter.isEmpty() || demand.waiting == 0)
+        if (adapter.isEmpty() || demand.waiting == 0 || !round.engine.models.contains(model))
             continue;
         bool isThere = false;
         const PlacedServer* best = nullptr;
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -357,4 +357,31 @@
     BOOST_TEST(served == 40U);
 }
 
+/** A server may hold a model that a newer configuration no longer names, and callers may ask for it. */
+BOOST_AUTO_TEST_CASE(modelsThatTheConfigurationDoesNotNameDoNotEndThePlacement)
+{
+    {
+        ModelPlacer placer { ModelPlacer::Options() };
+        ModelPlacer::Servers servers { server("s1", { "former", "m1", "m2", "m3" }) };
+        std::vector<PlacementStep> steps = placer.decide(engineOf(5), servers, { { key("m0"), waiting(2) } }, Instant(1h));
+        BOOST_REQUIRE(steps.size() == 1U);
+        BOOST_TEST((steps.front().operation == PlacementStep::Operation::Unload));
+        BOOST_TEST(steps.front().model == ModelName("former"));
+    }
+    {
+        ModelPlacer placer { ModelPlacer::Options() };
+        ModelPlacer::Servers servers { server("s1", { "m1", "m2", "m3" }) };
+        ModelPlacer::Demands demands { { key("m4"), waiting(2) } };
+        BOOST_TEST(placer.decide(engineOf(5), servers, demands, Instant(1h)).size() == 1U);
+        for (const PlacementStep& step : placer.decide(engineOf(4), servers, demands, Instant(1h) + 50ms))
+            BOOST_TEST((step.model != ModelName("m4") && step.makesRoomFor != ModelName("m4")));
+    }
+    {
+        ModelPlacer placer { ModelPlacer::Options() };
+        ModelPlacer::Servers servers { server("s1", { "former" }), server("s2", { "m0", "m1", "m2" }) };
+        ModelPlacer::Demands demands { { key("former"), waiting(9) }, { key("former", "a1"), waiting(9) } };
+        BOOST_TEST(placer.decide(engineOf(3), servers, demands, Instant(1h)).empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
