Limit the answers that a coordinator reads to 4 MB

What operators would see: a server in trouble whose report never ends made a coordinator read 16 MB, and again at every retry; a few of them at once, as after a change of leader, take most of a small host's memory. Each read was already over after 1 s.

Cause: the coordinator's HttpClient had the default limit, which is made for the answers of backend servers to callers.

The limit holds for each answer; there is none over all of them.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -24,6 +24,9 @@
 /** Added to the order lease to cover orders of the former leader that are still in flight. */
 constexpr Duration orderMargin = 500ms;
 
+/** Limit of an answer to a list, report or order request. */
+constexpr std::size_t maximumAnswerBytes = 4U << 20U;
+
 /** Distance between the first epochs of two terms; FleetTable also starts a new epoch by itself after many departures. */
 constexpr std::uint64_t epochsPerTerm = 1U << 16U;
 
@@ -77,7 +80,7 @@
     , m_id(keeperIdOf(settings.peers))
     , m_client(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" }, PeerClient::Options())
     , m_server(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" })
-    , m_http(HttpClient::Options())
+    , m_http(HttpClient::Options().withMaximumBodyBytes(maximumAnswerBytes))
     , m_group(m_id, std::move(disk), groupOptions(settings, next), m_clock, m_register,
           { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { applyAgreedConfiguration(); }); }, endProcess, std::move(reopen) })
     , m_voters(voterOptions(settings))
