--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -343,7 +343,7 @@
         FollowRequest request;
         request.host = HostName("gateway");
         for (const auto& [model, requests] : m_requests) {
-            bool isHeld = std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& server) { return server->models().contains(model); });
+            bool isHeld = std::any_of(m_servers.begin(), m_servers.end(), [&model = model](const auto& server) { return server->models().contains(model); });
             request.demands.push_back({ { service, ModelName(model), AdapterName() }, isHeld ? 0 : requests, isHeld ? requests : 0, 1, 0, 1 });
         }
         m_director.recordDemand(request, now);
