--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -110,11 +110,16 @@
         bool isSame = !known.empty() && known.mapped().listed.startedAt == listed.startedAt && known.mapped().listed.address == listed.address;
         Server server = isSame ? std::move(known.mapped()) : Server();
         server.listed = listed;
+        server.isUnlisted = false;
         publish(server);
         servers.insert_or_assign(listed.id, std::move(server));
     }
-    for (const auto& [id, server] : m_servers)
+    // An entry may be unreadable for a moment, or move to a page that was read before; what runs at the server goes on.
+    for (auto& [id, server] : m_servers) {
         m_table.remove(id);
+        if (!isLeaving(server) && !std::exchange(server.isUnlisted, true))
+            servers.try_emplace(id, std::move(server));
+    }
     m_servers = std::move(servers);
 }
 
@@ -132,6 +137,7 @@
     m_listRequestedAt.reset();
     for (auto& [id, server] : m_servers) {
         markUnknown(server);
+        server.hasReported = false;
         publish(server);
     }
     for (auto& [name, service] : m_services)
@@ -162,6 +168,12 @@
     }
 }
 
+/** A server that only fails to answer an order still holds its models; its last report is newer than the list. */
+const HeldModels& PlacementDirector::presumedModels(const Server& server)
+{
+    return server.hasReported ? server.state.models : server.listed.models;
+}
+
 /** A server as gateways see it: with the models it holds, except those withdrawn for an unload. */
 ListedServer PlacementDirector::publishedState(const Server& server)
 {
@@ -169,8 +181,7 @@
     published.isLeaving = isLeaving(server);
     published.inMemory.clear();
     published.onDisk.clear();
-    if (server.isKnown)
-        published.models = server.state.models;
+    published.models = presumedModels(server);
     if (server.withdrawnAdapter.isEmpty())
         published.models.erase(server.withdrawn);
     else if (auto held = published.models.find(server.withdrawn); held != published.models.end())
@@ -194,7 +205,8 @@
         if (!spec || !spec->engine)
             continue;
         for (auto& [id, server] : m_servers) {
-            bool isDue = server.listed.service == name && !isLeaving(server) && !server.isKnown && !server.isBusy && now >= server.nextReport;
+            bool mayReport = server.listed.service == name && !isLeaving(server) && !server.isUnlisted;
+            bool isDue = mayReport && !server.isKnown && !server.isBusy && now >= server.nextReport;
             if (!isDue)
                 continue;
             server.isBusy = true;
@@ -215,17 +227,20 @@
         each.id = id;
         each.dataCentre = server.listed.dataCentre;
         each.isLoadingFromStore = server.isLoadingFromStore || (!server.isKnown && server.mayBeLoading);
-        if (isLeaving(server) || !server.isKnown) {
+        if (isLeaving(server)) {
             // It takes no orders, but may use part of the store's capacity.
             if (each.isLoadingFromStore)
                 placed.push_back(std::move(each));
             continue;
         }
-        each.models = server.state.models;
+        // Until a report request fails too, the models of a silent server are not replaced elsewhere.
+        if (!server.isKnown && !server.mayBeLoading)
+            continue;
+        each.models = presumedModels(server);
         each.inMemory = server.inMemory.models();
         each.onDisk = server.onDisk.models();
         each.pendingAdapters = server.state.pendingAdapters;
-        each.mayTakeOrder = !server.isBusy;
+        each.mayTakeOrder = server.isKnown && !server.isBusy && !server.isUnlisted;
         each.loading = server.loading;
         each.loadedAt = server.loadedAt;
         auto load = outstanding.find(m_table.handleOf(id));
@@ -248,7 +263,8 @@
 
 void PlacementDirector::publish(const Server& server)
 {
-    m_table.put(publishedState(server));
+    if (!server.isUnlisted)
+        m_table.put(publishedState(server));
 }
 
 /** From now on the placer plans without this server, without waiting for the list to show it as leaving. */
@@ -311,7 +327,7 @@
 {
     auto found = m_servers.find(id);
     auto fence = m_authority();
-    if (found == m_servers.end() || !fence)
+    if (found == m_servers.end() || found->second.isUnlisted || !fence)
         co_return std::nullopt;
     PlacementOrder order = orderFor(found->second, step, *fence);
     HttpRequest request = m_platform.orderRequest(order);
@@ -348,6 +364,8 @@
     server->withdrawnAdapter = AdapterName();
     bool isSuccessful = outcome == OrderOutcome::Accepted || outcome == OrderOutcome::AlreadyHolds;
     if (!isSuccessful) {
+        if (!outcome && step.operation == PlacementStep::Operation::Unload)
+            removeFromState(*server, step);
         markUnknown(*server);
         publish(*server);
         server->isBusy = false;
@@ -364,6 +382,15 @@
     server->isBusy = false;
 }
 
+/** Records that the model or adapter of an unload may no longer be held. */
+void PlacementDirector::removeFromState(Server& server, const PlacementStep& step)
+{
+    if (step.adapter.isEmpty())
+        server.state.models.erase(step.model);
+    else if (auto held = server.state.models.find(step.model); held != server.state.models.end())
+        held->second.erase(step.adapter);
+}
+
 /** Records that a load leaves copies of the weights in the server's memory and on its disk. */
 void PlacementDirector::recordCopies(Server& server, const ModelName& model)
 {
@@ -456,13 +483,16 @@
         co_return;
     if (isFromStore && outcome == OrderOutcome::AlreadyHolds)
         noteStoreLoad(*server, step.model, currentTime() - acceptedAt);
-    server->loading = ModelName();
-    server->isLoadingFromStore = false;
     if (outcome != OrderOutcome::AlreadyHolds) {
+        // Without an answer, the load may still be in progress; the report tells.
+        ModelName loading = outcome ? ModelName() : server->loading;
         markUnknown(*server);
+        server->loading = loading;
         server->nextReport = currentTime();
         co_return;
     }
+    server->loading = ModelName();
+    server->isLoadingFromStore = false;
     if (!isLoad)
         co_return;
     server->state.models.try_emplace(step.model);
@@ -483,6 +513,7 @@
     server->isBusy = false;
     server->nextReport = currentTime() + m_options.reportRetryDelay;
     server->mayBeLoading = false;
+    bool hasReported = std::exchange(server->hasReported, false);
     if (answer)
         markIfLeaving(lifeOf(server->listed), *answer);
     std::string reason;
@@ -496,15 +527,21 @@
         reason = "the report is of another incarnation of the server";
     else if (report->isBusy) {
         server->mayBeLoading = true;
+        server->hasReported = hasReported;
         reason = "an order is in progress";
     } else {
         server->inMemory.reset(report->inMemory);
         server->onDisk.reset(report->onDisk);
         server->state = std::move(*report);
+        server->hasReported = true;
         server->isKnown = true;
+        server->loading = ModelName();
         publish(*server);
         co_return;
     }
+    if (!server->mayBeLoading)
+        server->loading = ModelName();
+    publish(*server);
     logReportUnavailable(id, reason);
 }
 
