Handle Interrupted where HTTP client errors become backend errors

The compiler warned: "enumeration value 'Interrupted' not handled in switch [-Wswitch]" (HemlockHttpProtocol.cpp, codeFor). The protocol never interrupts a read, so the code is mapped like the other unexpected ones; behaviour is unchanged.

--- a/modules/hc_backend/backend/HemlockHttpProtocol.cpp
+++ b/modules/hc_backend/backend/HemlockHttpProtocol.cpp
@@ -25,6 +25,7 @@
     case HttpClientErrorCode::ConnectionLost:
         return BackendErrorCode::Lost;
     case HttpClientErrorCode::Malformed:
+    case HttpClientErrorCode::Interrupted:
     case HttpClientErrorCode::TooLarge:
         break;
     }
