Leave a silent engine only once another has been assigned

Cause: an attempt ended when its next token took longer than 20 times the rank's target (at least 1 s), or its first one half of the time to the deadline. Only then did the router look for another engine, charge the retry and ask whether an attempt was left. With one engine, the same one was asked again until four attempts were used up. Class: an attempt is given up for silence before it is certain that something better can take its place.

Change: reads wait for the request's own bounds. A WatchdogTimer asks, and asks again, whether another engine has a free slot, an attempt is left and the retry can be charged. Only then is the silent attempt cancelled, and the request goes to the reserved engine, resumed after the last token that the caller got. What the time-out did besides stays: the engine is probed over a new connection for its record, and idle connections to it are closed (BackendProtocol::closeIdleConnections). A dead connection to a live engine is still left for a new one, but later, once per request, and only if the engine answers there (stalledConnectionsTimeOutAndTheStreamIsResumed, unchanged). The deadline, the number of attempts, the caller's disconnect and, for a stream, 10 s after the pause stay as bounds. Events 1605 and 1606 tell of silence and takeover.

--- a/modules/hc_backend/backend/HemlockHttpProtocol.cpp
+++ b/modules/hc_backend/backend/HemlockHttpProtocol.cpp
@@ -203,6 +203,8 @@
         co_return std::move(*response);
     }
 
+    void closeIdleConnections(const BackendServer& server) override { m_client->closeIdleConnections(server.endpoint); }
+
 private:
     std::shared_ptr<HttpClient> m_client = std::make_shared<HttpClient>(HttpClient::Options().withMaximumIdleConnections(maximumIdleConnectionsPerServer));
 };
--- a/modules/hc_backend/include/hemlockchute/backend/BackendProtocol.h
+++ b/modules/hc_backend/include/hemlockchute/backend/BackendProtocol.h
@@ -102,6 +102,8 @@
     virtual boost::asio::awaitable<Result<std::unique_ptr<TokenStream>, BackendErrorCode>> infer(BackendServer, InferRequest, Instant deadline) = 0;
     /** Calls a plain service and reads the complete answer; an answer of another attempt is an error. */
     virtual boost::asio::awaitable<Result<HttpResponse, BackendErrorCode>> callService(BackendServer, ServiceRequest, Instant deadline) = 0;
+    /** Closes the idle connections to a server, so that the next request opens a new one. */
+    virtual void closeIdleConnections(const BackendServer&) = 0;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_controller/tests/ControllerTests.cpp
+++ b/modules/hc_controller/tests/ControllerTests.cpp
@@ -53,6 +53,8 @@
     {
         co_return failure(BackendErrorCode::Refused, "not asked for");
     }
+
+    void closeIdleConnections(const BackendServer&) override { }
 };
 
 const ScopedPluginRegistration<BackendProtocol, FakeProtocol> registration("fake");
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -43,6 +43,8 @@
     { EventId::RouterRunUnknown, Warning, "router.run-unknown", "A call that must not be repeated may have run, and its outcome is unknown." },
     { EventId::RouterClaimNotVoided, Warning, "router.claim-not-voided", "A claim whose call was never sent could not be voided yet; voiding is retried." },
     { EventId::RouterDocumentInForce, Info, "router.document-in-force", "A newer document came into force in the router." },
+    { EventId::RouterServerSilent, Info, "router.server-silent", "An engine has been silent for a while; its attempt continues until another server is assigned." },
+    { EventId::RouterTakeover, Info, "router.takeover", "Another server, or a new connection to the same one, was assigned to a request whose engine is silent." },
 
     // 1700: controller
     { EventId::ControllerTermGained, Info, "controller.term_gained", "This host leads its data centre's placement." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -47,6 +47,8 @@
     RouterRunUnknown = 1602,
     RouterClaimNotVoided = 1603,
     RouterDocumentInForce = 1604,
+    RouterServerSilent = 1605,
+    RouterTakeover = 1606,
 
     // 1700: controller
     ControllerTermGained = 1700,
--- a/modules/hc_router/include/hemlockchute/router/DispatchTable.h
+++ b/modules/hc_router/include/hemlockchute/router/DispatchTable.h
@@ -85,6 +85,10 @@
     std::optional<Assignment> assignNext(Instant now, std::uint64_t random);
     /** A server for a request that was assigned before, preferably none of those tried. */
     std::optional<BackendServer> assignRetry(const QueuedRequest&, const std::set<BackendServerName>& tried, Instant now, std::uint64_t random);
+    /** A server other than the silent one that holds the request, preferably none of those tried. */
+    std::optional<BackendServer> assignTakeover(const QueuedRequest&, const BackendServerName& silent, const std::set<BackendServerName>& tried, Instant now, std::uint64_t random);
+    /** One more slot of the server that holds the request, which is to move to a new connection; nothing if the server takes no new work. */
+    std::optional<BackendServer> assignReconnect(const QueuedRequest&, const BackendServerName&, Instant now);
     /** A server of a plain service, preferably none of those tried. */
     std::optional<BackendServer> assignService(const ServiceName&, const std::set<BackendServerName>& tried, Instant now, std::uint64_t random);
     /** Releases an assignment's slot and records the outcome for the server. */
--- a/modules/hc_router/include/hemlockchute/router/RequestLifecycle.h
+++ b/modules/hc_router/include/hemlockchute/router/RequestLifecycle.h
@@ -85,6 +85,8 @@
 
     //==============================================================================
     bool hasEnded() const { return m_ended; }
+    /** True when the current attempt, which may have run, could be replaced by another one. */
+    bool mayReplaceAttempt(Instant now) const;
     /** True when any attempt may have reached a backend server and run there. */
     bool mayHaveRun() const { return m_mayHaveRun; }
     std::uint64_t tokenCount() const { return m_tokens; }
--- a/modules/hc_router/router/CallerWatch.h
+++ b/modules/hc_router/router/CallerWatch.h
@@ -39,8 +39,14 @@
             m_state->disconnect();
     }
     void clear() { m_state->action = nullptr; }
+    /** Interrupts the work in progress for a reason other than the caller. */
+    void interrupt()
+    {
+        if (auto pending = std::exchange(m_state->action, nullptr))
+            pending();
+    }
 
-    /** Runs a task and cancels it when the caller disconnects; returns nothing when it was cancelled. */
+    /** Runs a task and cancels it when the caller disconnects or interrupt() is called; returns nothing when it was cancelled. */
     template <typename T>
     boost::asio::awaitable<std::optional<T>> run(boost::asio::awaitable<T> task)
     {
--- a/modules/hc_router/router/DispatchTable.cpp
+++ b/modules/hc_router/router/DispatchTable.cpp
@@ -131,6 +131,25 @@
     return reserveSlot(m_engines[*picked]);
 }
 
+std::optional<BackendServer> DispatchTable::assignTakeover(const QueuedRequest& request, const BackendServerName& silent, const std::set<BackendServerName>& tried, Instant now, std::uint64_t random)
+{
+    auto engines = enginesFor(request.model, request.adapter, now);
+    std::erase_if(engines, [&](std::size_t index) { return m_engines[index].placed.name == silent; });
+    auto picked = pickEngine(withoutTried(std::move(engines), tried), request.rank, now, random);
+    if (!picked)
+        return std::nullopt;
+    return reserveSlot(m_engines[*picked]);
+}
+
+std::optional<BackendServer> DispatchTable::assignReconnect(const QueuedRequest& request, const BackendServerName& server, Instant now)
+{
+    for (std::size_t index : enginesFor(request.model, request.adapter, now)) {
+        if (m_engines[index].placed.name == server)
+            return reserveSlot(m_engines[index]);
+    }
+    return std::nullopt;
+}
+
 std::optional<BackendServer> DispatchTable::assignService(const ServiceName& service, const std::set<BackendServerName>& tried, Instant now, std::uint64_t random)
 {
     std::vector<BackendServer> servers = serversOf(service, tried, now);
--- a/modules/hc_router/router/ModelHandler.cpp
+++ b/modules/hc_router/router/ModelHandler.cpp
@@ -1,4 +1,5 @@
 #include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/http/WatchdogTimer.h"
 #include "router/AnswerWriter.h"
 #include "router/RouterCore.h"
 
@@ -14,12 +15,16 @@
 constexpr unsigned statusTooMany = 429;
 constexpr unsigned statusUnavailable = 503;
 constexpr unsigned statusTimeout = 504;
-/** Lower bound of an attempt's first-token timeout, which is otherwise half the time left until the deadline. */
-constexpr Duration minimumFirstTokenTimeout = 250ms;
-/** A stream is resumed on another server after a pause of this many times the rank's between-tokens target. */
+/** Lower bound of the silence after which an attempt without a token looks for another server; otherwise half the time left until the deadline. */
+constexpr Duration minimumFirstTokenSilence = 250ms;
+/** A stream looks for another server after a pause of this many times the rank's between-tokens target. */
 constexpr int stallFactor = 20;
-constexpr Duration minimumStallTimeout = 1s;
-/** How long a broken stream may wait for a server to resume on. */
+constexpr Duration minimumStall = 1s;
+/** How often a silent attempt looks for another server. */
+constexpr Duration silenceRecheckInterval = 50ms;
+/** A stream moves to a new connection to the same server after this many times the pause after which it looks for another one. */
+constexpr int reconnectFactor = 3;
+/** How long a broken stream may wait for a server to resume on, and a silent one for its next token. */
 constexpr Duration resumeTimeout = 10s;
 constexpr Duration probeTimeout = 500ms;
 constexpr MetricDefinition firstToken { "hemlock_router_first_token_seconds", "Time from a request's receipt to its first token." };
@@ -86,6 +91,8 @@
 
     asio::awaitable<void> run()
     {
+        asio::any_io_executor executor = co_await asio::this_coro::executor;
+        m_silenceTimer.emplace(executor, [this] { checkSilence(); });
         LifecycleDecision decision { LifecycleDecision::Kind::Retry };
         while (decision.kind == LifecycleDecision::Kind::Retry) {
             std::optional<BackendServer> server = co_await findServer();
@@ -102,6 +109,8 @@
 private:
     asio::awaitable<std::optional<BackendServer>> findServer()
     {
+        if (m_successor)
+            co_return std::exchange(m_successor, std::nullopt);
         if (m_lifecycle.mayHaveRun()) {
             auto again = m_core->dispatcher().withTable([&, random = m_core->dispatcher().random()](DispatchTable& table) { return table.assignRetry(m_queued, m_tried, currentTime(), random); });
             if (again)
@@ -132,7 +141,11 @@
         ++m_core->counters().attempts;
         if (m_lifecycle.tokenCount() > 0)
             ++m_core->counters().streamsResumed;
+        beginAttempt(server, startTime);
         Result<void, BackendErrorCode> read = co_await readAnswer(*protocol, server, attempt);
+        m_silenceTimer->stop();
+        if (m_watch.isCallerDisconnected() || read)
+            releaseSuccessor();
         if (m_watch.isCallerDisconnected()) {
             recordAttemptOutcome(server, AttemptOutcome::Unused);
             co_return m_lifecycle.noteCallerDisconnect();
@@ -150,18 +163,28 @@
     asio::awaitable<Result<void, BackendErrorCode>> readAnswer(BackendProtocol& protocol, BackendServer server, AttemptId attempt)
     {
         InferRequest infer { attempt, m_request.model, m_request.adapter, m_request.parameters.rank.order, m_request.body, m_writer.tokens() };
-        auto opened = co_await m_watch.run(protocol.infer(server, std::move(infer), tokenDeadline()));
+        noteProgress();
+        auto opened = co_await m_watch.run(protocol.infer(server, std::move(infer), answerDeadline()));
+        bool isInterrupted = m_successor && (!opened || (!*opened && !hasCertainlyNotRun(opened->error().code)));
+        if (isInterrupted)
+            co_return silenceError();
         if (!opened)
             co_return failure(BackendErrorCode::Lost, "the caller has left");
         if (!*opened)
             co_return tl::unexpected(opened->error());
         std::unique_ptr<TokenStream> stream = std::move(**opened);
         while (true) {
+            if (m_successor)
+                co_return cancelIfTimedOut(std::move(stream), silenceError().value());
             m_watch.onCallerDisconnect([&] { stream->close(); });
-            auto token = co_await stream->next(tokenDeadline());
+            noteProgress();
+            auto token = co_await stream->next(answerDeadline());
+            m_silenceTimer->stop();
             m_watch.clear();
             if (m_watch.isCallerDisconnected())
                 co_return failure(BackendErrorCode::Lost, "the caller has left");
+            if (!token && m_successor)
+                co_return cancelIfTimedOut(std::move(stream), silenceError().value());
             if (!token)
                 co_return cancelIfTimedOut(std::move(stream), token.error());
             if (!*token)
@@ -188,16 +211,122 @@
         return tl::unexpected(std::move(error));
     }
 
-    /** Time by which the current attempt's next token must arrive. */
-    Instant tokenDeadline() const
+    /** Time by which the current attempt's next token must arrive, whether another server is free or not. */
+    Instant answerDeadline() const
+    {
+        if (m_lifecycle.tokenCount() == 0)
+            return m_request.parameters.deadline;
+        return std::max(m_request.parameters.deadline, currentTime() + stallLimit() + resumeTimeout);
+    }
+
+    //==============================================================================
+    // Silent servers
+
+    Duration stallLimit() const
+    {
+        return std::max<Duration>(minimumStall, m_request.parameters.rank.betweenTokensTarget * stallFactor);
+    }
+
+    void beginAttempt(const BackendServer& server, Instant now)
+    {
+        m_currentServer = server;
+        m_lastProgress = now;
+        m_isSilent = false;
+        m_isReachable = nullptr;
+    }
+
+    /** Restarts the time after which the server counts as silent. */
+    void noteProgress()
     {
         Instant now = currentTime();
-        if (m_lifecycle.tokenCount() > 0)
-            return now + std::max<Duration>(minimumStallTimeout, m_request.parameters.rank.betweenTokensTarget * stallFactor);
+        m_lastProgress = now;
+        m_isSilent = false;
+        m_isReachable = nullptr;
+        if (m_lifecycle.tokenCount() > 0) {
+            m_reconnectTime = now + stallLimit() * reconnectFactor;
+            m_silenceTimer->restart(now + stallLimit());
+            return;
+        }
         Duration left = m_request.parameters.deadline - now;
-        return now + std::min(left, std::max<Duration>(minimumFirstTokenTimeout, left / 2));
+        m_reconnectTime = now + left * 3 / 4;
+        m_silenceTimer->restart(now + std::min(left, std::max<Duration>(minimumFirstTokenSilence, left / 2)));
+    }
+
+    /** Replaces a silent attempt once another server is assigned to the request. Until then the attempt continues, since its server may only be slow. */
+    void checkSilence()
+    {
+        if (m_successor || m_watch.isCallerDisconnected())
+            return;
+        noteSilence();
+        if (!m_lifecycle.mayReplaceAttempt(currentTime()))
+            return;
+        m_successor = assignSuccessor();
+        if (!m_successor) {
+            m_silenceTimer->restart(currentTime() + silenceRecheckInterval);
+            return;
+        }
+        logEvent(EventId::RouterTakeover, { { "request", m_request.parameters.request.text() }, { "from", m_currentServer.name.text() }, { "to", m_successor->name.text() }, { "tokens", m_lifecycle.tokenCount() }, { "silent_ms", silentMilliseconds() } });
+        m_watch.interrupt();
+    }
+
+    /** A server with a free slot, once the retry is charged to the silent one's budget. Resuming a stream is not charged. */
+    std::optional<BackendServer> assignSuccessor()
+    {
+        bool mayReconnect = isReachableOnNewConnection();
+        std::uint64_t random = m_core->dispatcher().random();
+        return m_core->dispatcher().withTable([&](DispatchTable& table) -> std::optional<BackendServer> {
+            Instant now = currentTime();
+            auto server = table.assignTakeover(m_queued, m_currentServer.name, m_tried, now, random);
+            if (!server && mayReconnect)
+                server = table.assignReconnect(m_queued, m_currentServer.name, now);
+            if (!server)
+                return std::nullopt;
+            bool isCharged = m_lifecycle.tokenCount() > 0 || table.takeRetry(m_currentServer.name, m_lifecycle.attemptCount(), random);
+            if (isCharged)
+                return server;
+            table.recordAttemptOutcome(server->name, AttemptOutcome::Unused, now);
+            return std::nullopt;
+        });
+    }
+
+    /** True if the connection seems to be dead rather than the server, which has been silent for long but answers on a new one. */
+    bool isReachableOnNewConnection()
+    {
+        if (m_hasReconnected || currentTime() < m_reconnectTime)
+            return false;
+        if (!m_isReachable)
+            m_isReachable = probe(m_currentServer);
+        return m_isReachable->load();
+    }
+
+    /** New requests use new connections to the server, and the probe shows whether it is dead. */
+    void noteSilence()
+    {
+        if (std::exchange(m_isSilent, true))
+            return;
+        logEvent(EventId::RouterServerSilent, { { "request", m_request.parameters.request.text() }, { "server", m_currentServer.name.text() }, { "tokens", m_lifecycle.tokenCount() }, { "silent_ms", silentMilliseconds() } });
+        m_core->protocol(m_currentServer.protocol)->closeIdleConnections(m_currentServer);
+        probe(m_currentServer);
     }
 
+    std::uint64_t silentMilliseconds() const
+    {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(currentTime() - m_lastProgress).count());
+    }
+
+    void releaseSuccessor()
+    {
+        if (auto unused = std::exchange(m_successor, std::nullopt))
+            recordAttemptOutcome(*unused, AttemptOutcome::Unused);
+    }
+
+    static tl::unexpected<Error<BackendErrorCode>> silenceError()
+    {
+        return failure(BackendErrorCode::TimedOut, "the server was silent and another one has been assigned");
+    }
+
+    //==============================================================================
+
     asio::awaitable<LifecycleDecision> handleFailure(BackendServer server, AttemptId attempt, Error<BackendErrorCode> error)
     {
         ++m_core->counters().attemptsFailed;
@@ -210,12 +339,16 @@
         m_core->dispatcher().update([&](DispatchTable& table) {
             table.recordAttemptOutcome(server.name, attemptOutcomeFor(error.code), currentTime());
             bool isResumed = m_lifecycle.tokenCount() > 0;
-            if (mayHaveRun && !isResumed)
+            if (mayHaveRun && !isResumed && !m_successor)
                 pause = table.takeRetry(server.name, m_lifecycle.attemptCount(), random);
         });
-        if (error.code == BackendErrorCode::TimedOut)
+        if (error.code == BackendErrorCode::TimedOut && !m_isSilent)
             probe(server);
         LifecycleDecision decision = m_lifecycle.fail(attempt, error.code, pause.has_value(), currentTime());
+        if (decision.kind != LifecycleDecision::Kind::Retry)
+            releaseSuccessor();
+        else if (m_successor && m_successor->name == server.name)
+            m_hasReconnected = true;
         bool mustPause = decision.kind == LifecycleDecision::Kind::Retry && pause && *pause > Duration::zero();
         if (mustPause)
             co_await sleep(std::min(*pause, m_request.parameters.deadline - currentTime()));
@@ -231,14 +364,17 @@
         m_watch.clear();
     }
 
-    /** Distinguishes a dead server from a dead connection: the client has closed its idle connections, so the probe uses a new one. */
-    void probe(const BackendServer& server)
+    /** Distinguishes a dead server from a dead connection: idle connections have been closed, so the probe uses a new one. The result becomes true if the server answers. */
+    std::shared_ptr<const std::atomic<bool>> probe(const BackendServer& server)
     {
-        m_core->spawn([core = m_core, server]() -> asio::awaitable<void> {
+        auto isReachable = std::make_shared<std::atomic<bool>>(false);
+        m_core->spawn([core = m_core, server, isReachable]() -> asio::awaitable<void> {
             auto protocol = core->protocol(server.protocol);
             auto state = co_await protocol->readState(server, currentTime() + probeTimeout);
+            isReachable->store(state.has_value());
             core->dispatcher().withTable([&](DispatchTable& table) { table.recordProbe(server.name, state.has_value(), currentTime()); });
         });
+        return isReachable;
     }
 
     void recordAttemptOutcome(const BackendServer& server, AttemptOutcome end)
@@ -315,6 +451,16 @@
     RequestLifecycle m_lifecycle;
     QueuedRequest m_queued;
     std::set<BackendServerName> m_tried;
+    std::optional<WatchdogTimer> m_silenceTimer;
+    BackendServer m_currentServer;
+    /** The server that takes over from the silent one; its slot is reserved. */
+    std::optional<BackendServer> m_successor;
+    Instant m_lastProgress {};
+    /** When the attempt may move to a new connection to the same server. */
+    Instant m_reconnectTime {};
+    bool m_isSilent = false;
+    bool m_hasReconnected = false;
+    std::shared_ptr<const std::atomic<bool>> m_isReachable;
     unsigned m_refusedStatus = statusUnavailable;
     Duration m_retryAfter = 1s;
     std::string m_detail;
--- a/modules/hc_router/router/RequestLifecycle.cpp
+++ b/modules/hc_router/router/RequestLifecycle.cpp
@@ -77,6 +77,11 @@
     return m_ended ? LifecycleDecision {} : end(LifecycleDecision::Kind::Drop);
 }
 
+bool RequestLifecycle::mayReplaceAttempt(Instant now) const
+{
+    return m_current && m_options.isRepeatable && mayBegin(now);
+}
+
 bool RequestLifecycle::mayBegin(Instant now) const
 {
     if (m_ended || m_notRun >= m_options.maximumNotRun || m_attempts - m_notRun >= m_options.maximumAttempts)
--- a/modules/hc_router/tests/DispatchTableTests.cpp
+++ b/modules/hc_router/tests/DispatchTableTests.cpp
@@ -105,4 +105,27 @@
     BOOST_TEST((refusal->retryAfter > Duration::zero()));
 }
 
+BOOST_AUTO_TEST_CASE(aSilentEngineIsOnlyReplacedByAnotherWithAFreeSlot)
+{
+    BOOST_REQUIRE(!add("urgent"));
+    auto assignment = table.assignNext(start, 1);
+    BOOST_REQUIRE(assignment);
+    const BackendServerName silent = assignment->server.name;
+    auto takeover = [&](const std::set<BackendServerName>& tried) { return table.assignTakeover(assignment->request, silent, tried, start, 1); };
+    BOOST_TEST(!takeover({}));
+    BOOST_TEST(!takeover({ silent }));
+    PlacementView view = viewOfOneEngine();
+    view.engines.push_back(view.engines.front());
+    view.engines.back().name = BackendServerName("e2");
+    view.engines.back().slots = 1;
+    table.setPlacement(view, start);
+    // An engine that was tried before is better than a silent one.
+    auto other = takeover({ silent, BackendServerName("e2") });
+    BOOST_REQUIRE(other);
+    BOOST_TEST(other->name.text() == "e2");
+    BOOST_TEST(!takeover({}));
+    table.recordAttemptOutcome(other->name, AttemptOutcome::Unused, start);
+    BOOST_TEST(takeover({}).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_router/tests/RouterFixture.cpp
+++ b/modules/hc_router/tests/RouterFixture.cpp
@@ -187,6 +187,10 @@
             co_return;
         if (behaviour.stallAfter == i)
             co_return co_await stall(exchange);
+        if (behaviour.pauseAfter == i) {
+            asio::steady_timer timer(co_await asio::this_coro::executor, behaviour.pause);
+            co_await timer.async_wait(asio::use_awaitable);
+        }
         std::string index = std::to_string(i);
         std::string rest = "\"index\":";
         rest.append(index).append(",\"token\":\"t").append(index).append(" \"");
--- a/modules/hc_router/tests/RouterFixture.h
+++ b/modules/hc_router/tests/RouterFixture.h
@@ -22,6 +22,9 @@
     std::optional<unsigned> disconnectAfter;
     /** Number of tokens after which it sends nothing more and keeps the connection open. */
     std::optional<unsigned> stallAfter;
+    /** Number of tokens after which it is silent for the pause before it goes on. */
+    std::optional<unsigned> pauseAfter;
+    Duration pause = 1700ms;
     /** Attempt id of its answers, instead of the request's. */
     std::string attemptIdOverride;
     /** Refuses with this status. */
--- a/modules/hc_router/tests/RouterTests.cpp
+++ b/modules/hc_router/tests/RouterTests.cpp
@@ -48,6 +48,14 @@
     return behaviour;
 }
 
+FakeServerBehaviour pausingAfter(unsigned tokens, Duration pause = 1700ms)
+{
+    FakeServerBehaviour behaviour;
+    behaviour.pauseAfter = tokens;
+    behaviour.pause = pause;
+    return behaviour;
+}
+
 FakeServerBehaviour answeringAs(const std::string& attempt)
 {
     FakeServerBehaviour behaviour;
@@ -265,6 +273,152 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+//==============================================================================
+/** Starts streams at a known engine and keeps engines occupied. */
+struct SilenceFixture : RouterFixture {
+    std::future<HttpResponse> sendTo(FakeBackendServer& server, HttpHeaders headers = {})
+    {
+        std::size_t before = server.requests().size();
+        setEngines({ server.placed(ModelName("m"), 1) });
+        auto answer = std::async(std::launch::async, [this, headers = std::move(headers)] { return sendModelRequest(streamed, headers); });
+        BOOST_TEST(eventually([&] { return server.requests().size() == before + 1; }));
+        return answer;
+    }
+
+    std::future<HttpResponse> occupy(FakeBackendServer& server)
+    {
+        server.setHeld(true);
+        return sendTo(server);
+    }
+
+    void useBothEngines(unsigned slots)
+    {
+        setEngines({ first.placed(ModelName("m"), slots), second.placed(ModelName("m"), slots) });
+    }
+};
+
+BOOST_FIXTURE_TEST_SUITE(RouterSilenceTests, SilenceFixture)
+
+BOOST_AUTO_TEST_CASE(aStreamIsNotGivenUpWhileItsOnlyEngineIsSilent)
+{
+    first.setDefaultBehaviour(pausingAfter(1));
+    HttpResponse answer = sendTo(first).get();
+    BOOST_TEST(isCompleteStream(answer.body), answer.body);
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestIsNotGivenUpWhileItsOnlyEngineIsSilentBeforeTheFirstToken)
+{
+    first.setDefaultBehaviour(pausingAfter(0));
+    HttpResponse answer = sendTo(first, { { "X-Deadline-Ms", "3000" } }).get();
+    BOOST_TEST(answer.status == 200U);
+    BOOST_TEST(isCompleteStream(answer.body), answer.body);
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestIsNotGivenUpWhileItsOnlyEngineHasNotAcceptedIt)
+{
+    auto answer = occupy(first);
+    std::this_thread::sleep_for(1700ms);
+    first.setHeld(false);
+    BOOST_TEST(isCompleteStream(answer.get().body));
+    answer = sendTo(first, { { "X-Deadline-Ms", "3000" } });
+    BOOST_TEST(isCompleteStream(answer.get().body));
+    first.setHeld(true);
+    answer = sendTo(first, { { "X-Deadline-Ms", "3000" } });
+    std::this_thread::sleep_for(1700ms);
+    first.setHeld(false);
+    HttpResponse late = answer.get();
+    BOOST_TEST(late.status == 200U);
+    BOOST_TEST(isCompleteStream(late.body), late.body);
+    BOOST_TEST(first.requests().size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(aStreamIsNotGivenUpWhileEveryOtherEngineIsFull)
+{
+    auto other = occupy(second);
+    first.setDefaultBehaviour(pausingAfter(1));
+    auto answer = sendTo(first);
+    useBothEngines(1);
+    HttpResponse stream = answer.get();
+    BOOST_TEST(isCompleteStream(stream.body), stream.body);
+    BOOST_TEST(first.requests().size() == 1U);
+    second.setHeld(false);
+    BOOST_TEST(isCompleteStream(other.get().body));
+}
+
+BOOST_AUTO_TEST_CASE(theLastAttemptOfAStreamIsNotGivenUpForSilence)
+{
+    for (int i = 0; i < 3; ++i)
+        first.queueBehaviour(disconnectingAfter(1));
+    first.queueBehaviour(pausingAfter(1));
+    setEngines({ first.placed(ModelName("m")) });
+    auto answer = std::async(std::launch::async, [&] { return sendModelRequest(streamed); });
+    BOOST_TEST(eventually([&] { return first.requests().size() == 4; }));
+    useBothEngines(8);
+    HttpResponse stream = answer.get();
+    BOOST_TEST(isCompleteStream(stream.body), stream.body);
+    BOOST_TEST(second.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(aRequestIsNotGivenUpForSilenceWhenNoRetryIsLeftInTheBudget)
+{
+    setEngines({ first.placed(ModelName("m")) });
+    bool isExhausted = false;
+    for (int i = 0; i < 20 && !isExhausted; ++i) {
+        first.queueBehaviour(disconnectingAfter(0));
+        isExhausted = sendModelRequest(streamed).status == 502;
+    }
+    BOOST_TEST(isExhausted);
+    first.queueBehaviour(pausingAfter(0));
+    auto answer = sendTo(first, { { "X-Deadline-Ms", "3000" } });
+    useBothEngines(8);
+    HttpResponse stream = answer.get();
+    BOOST_TEST(isCompleteStream(stream.body), stream.body);
+    BOOST_TEST(second.requests().empty());
+}
+
+BOOST_AUTO_TEST_CASE(aStreamLeavesASilentEngineOnceAnotherBecomesFree)
+{
+    for (unsigned tokens : { 0U, 1U }) {
+        std::size_t before = first.requests().size();
+        auto other = occupy(second);
+        first.queueBehaviour(stallingAfter(tokens));
+        auto answer = sendTo(first, { { "X-Deadline-Ms", "3600" } });
+        useBothEngines(1);
+        std::this_thread::sleep_for(2200ms);
+        BOOST_TEST(first.running() == 1U);
+        BOOST_TEST(first.requests().size() == before + 1);
+        second.setHeld(false);
+        HttpResponse stream = answer.get();
+        BOOST_TEST(isCompleteStream(stream.body), stream.body);
+        BOOST_TEST(isCompleteStream(other.get().body));
+        BOOST_TEST(first.requests().size() == before + 1);
+        BOOST_TEST(eventually([&] { return first.running() == 0; }));
+    }
+}
+
+BOOST_AUTO_TEST_CASE(aCallerDisconnectEndsASilentAttempt)
+{
+    first.setDefaultBehaviour(stallingAfter(1));
+    setEngines({ first.placed(ModelName("m"), 1) });
+    {
+        boost::asio::io_context own;
+        boost::asio::ip::tcp::socket socket(own);
+        socket.connect(callers);
+        boost::asio::write(socket, boost::asio::buffer("POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " + std::to_string(streamed.size()) + "\r\n\r\n" + streamed));
+        BOOST_TEST(eventually([&] { return first.running() == 1; }));
+        std::this_thread::sleep_for(1300ms);
+        BOOST_TEST(first.running() == 1U);
+        BOOST_TEST(first.requests().size() == 1U);
+    }
+    BOOST_TEST(eventually([&] { return first.running() == 0; }));
+    first.setDefaultBehaviour({});
+    BOOST_TEST(isCompleteStream(sendModelRequest(streamed).body));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 BOOST_FIXTURE_TEST_SUITE(RouterServiceTests, RouterFixture)
 
 BOOST_AUTO_TEST_CASE(idempotentCallsAreRetriedAndForwarded)
