Leave a silent server of an idempotent service only for another one

A call of an idempotent service whose only server took longer than half of its time ran twice: the first run was cut off and a second one was begun at the same server.

Cause: the first attempt ended after half of the time to the deadline (or of the service's timeout), and only then did the router look for a server and charge the retry. Without one, or without a retry left in the budget, the call was refused although its server would have answered.

Evidence, on the code before: RouterServiceTests/anIdempotentCallIsNotGivenUpWhileItsOnlyServerIsSilent "check first.requests().size() == 1U has failed [2 != 1]". anIdempotentCallLeavesASilentServerForAnother guards the other side; it was not run on the code before.

Change: the attempt may use all of its time. A WatchdogTimer asks whether an untried server is there and the retry can be charged; only then is the attempt cancelled. After three quarters of its time a first attempt still moves to a new connection to the same server, since a pooled one may be broken without notice.

--- a/modules/hc_router/router/ServiceHandler.cpp
+++ b/modules/hc_router/router/ServiceHandler.cpp
@@ -1,4 +1,5 @@
 #include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/http/WatchdogTimer.h"
 #include "router/AtMostOnceCall.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -10,8 +11,10 @@
 namespace {
 
 constexpr unsigned statusUnavailable = 503;
-/** Lower bound of an attempt's timeout, which is otherwise half the time left until the deadline. */
-constexpr Duration minimumAttemptTimeout = 250ms;
+/** Lower bound of the silence after which an attempt looks for another server; otherwise half of its time. */
+constexpr Duration minimumSilence = 250ms;
+/** How often a silent attempt looks for another server. */
+constexpr Duration silenceRecheckInterval = 50ms;
 
 //==============================================================================
 /** One call of an idempotent service, retried after failures. */
@@ -28,6 +31,8 @@
     /** The response to the caller, or nothing when it has disconnected. */
     asio::awaitable<std::optional<ServiceAnswer>> run()
     {
+        asio::any_io_executor executor = co_await asio::this_coro::executor;
+        m_silenceTimer.emplace(executor, [this] { checkSilence(); });
         LifecycleDecision decision { LifecycleDecision::Kind::Retry };
         while (decision.kind == LifecycleDecision::Kind::Retry)
             decision = co_await attempt();
@@ -41,8 +46,7 @@
 private:
     asio::awaitable<LifecycleDecision> attempt()
     {
-        std::uint64_t random = m_core->dispatcher().random();
-        auto server = m_core->dispatcher().withTable([&](DispatchTable& table) { return table.assignService(m_call.service.name, m_tried, currentTime(), random); });
+        auto server = takeServer();
         if (!server)
             co_return m_lifecycle.refuse(m_lifecycle.mayHaveRun() ? 502 : statusUnavailable);
         AttemptId id = m_core->makeAttemptId();
@@ -55,7 +59,14 @@
         ++m_core->counters().attempts;
         // A second attempt uses a new connection, since the first one's may be broken without notice.
         ServiceRequest request { id, m_call.request, m_lifecycle.attemptCount() > 1 };
-        auto response = co_await m_watch.run(protocol->callService(*server, std::move(request), attemptDeadline()));
+        Instant attemptEnd = beginAttempt(*server);
+        auto response = co_await m_watch.run(protocol->callService(*server, std::move(request), attemptEnd));
+        m_silenceTimer->stop();
+        if (m_watch.isCallerDisconnected() || (response && *response))
+            releaseSuccessor();
+        bool isInterrupted = m_successor && (!response || !hasCertainlyNotRun(response->error().code));
+        if (isInterrupted)
+            co_return co_await handleFailure(*server, id, silenceError());
         if (m_watch.isCallerDisconnected() || !response) {
             recordAttemptOutcome(*server, AttemptOutcome::Unused);
             co_return m_lifecycle.noteCallerDisconnect();
@@ -67,13 +78,72 @@
         co_return m_lifecycle.complete(id);
     }
 
-    Instant attemptDeadline() const
+    /** The server that takes over from a silent one, or else any of the service. */
+    std::optional<BackendServer> takeServer()
+    {
+        if (m_successor)
+            return std::exchange(m_successor, std::nullopt);
+        std::uint64_t random = m_core->dispatcher().random();
+        return m_core->dispatcher().withTable([&](DispatchTable& table) { return table.assignService(m_call.service.name, m_tried, currentTime(), random); });
+    }
+
+    /** Starts to watch for silence; returns the time by which the answer must arrive. */
+    Instant beginAttempt(const BackendServer& server)
     {
         Instant now = currentTime();
         Duration left = std::min(m_call.parameters.deadline - now, m_call.service.timeout);
-        if (m_lifecycle.attemptCount() > 1)
-            return now + left;
-        return now + std::min(left, std::max<Duration>(minimumAttemptTimeout, left / 2));
+        m_currentServer = server;
+        m_isSilent = false;
+        m_reconnectTime = now + left * 3 / 4;
+        m_silenceTimer->restart(now + std::min(left, std::max<Duration>(minimumSilence, left / 2)));
+        return now + left;
+    }
+
+    /** Replaces a silent attempt once another server is assigned to the call. Until then the attempt continues, since its server may only be slow. */
+    void checkSilence()
+    {
+        bool mayReplace = !m_successor && !m_watch.isCallerDisconnected() && m_lifecycle.mayReplaceAttempt(currentTime());
+        if (!mayReplace)
+            return;
+        if (!std::exchange(m_isSilent, true))
+            m_core->protocol(m_currentServer.protocol)->closeIdleConnections(m_currentServer);
+        m_successor = assignSuccessor();
+        if (m_successor)
+            m_watch.interrupt();
+        else
+            m_silenceTimer->restart(currentTime() + silenceRecheckInterval);
+    }
+
+    /** An untried server, once the retry is charged. The first attempt may also move to a new connection, since a pooled one may be broken without notice. */
+    std::optional<BackendServer> assignSuccessor()
+    {
+        Instant now = currentTime();
+        bool mayReconnect = m_lifecycle.attemptCount() == 1 && now >= m_reconnectTime;
+        std::set<BackendServerName> tried = m_tried;
+        tried.insert(m_currentServer.name);
+        std::uint64_t random = m_core->dispatcher().random();
+        return m_core->dispatcher().withTable([&](DispatchTable& table) -> std::optional<BackendServer> {
+            auto server = table.assignService(m_call.service.name, tried, now, random);
+            if (!server)
+                return std::nullopt;
+            bool isBetter = !tried.contains(server->name) || mayReconnect;
+            bool isCharged = isBetter && table.takeRetry(m_currentServer.name, m_lifecycle.attemptCount(), random);
+            if (isCharged)
+                return server;
+            table.recordAttemptOutcome(server->name, AttemptOutcome::Unused, now);
+            return std::nullopt;
+        });
+    }
+
+    static Error<BackendErrorCode> silenceError()
+    {
+        return { BackendErrorCode::TimedOut, "the server was silent and another one has been assigned" };
+    }
+
+    void releaseSuccessor()
+    {
+        if (auto unused = std::exchange(m_successor, std::nullopt))
+            recordAttemptOutcome(*unused, AttemptOutcome::Unused);
     }
 
     asio::awaitable<LifecycleDecision> handleFailure(BackendServer server, AttemptId attempt, Error<BackendErrorCode> error)
@@ -84,9 +154,13 @@
         m_detail = error.detail;
         recordAttemptOutcome(server, error.code == BackendErrorCode::TimedOut ? AttemptOutcome::TimedOut : AttemptOutcome::Failed);
         std::uint64_t random = m_core->dispatcher().random();
-        auto pause = m_core->dispatcher().withTable([&](DispatchTable& table) { return table.takeRetry(server.name, m_lifecycle.attemptCount(), random); });
+        std::optional<Duration> pause = Duration::zero();
+        if (!m_successor)
+            pause = m_core->dispatcher().withTable([&](DispatchTable& table) { return table.takeRetry(server.name, m_lifecycle.attemptCount(), random); });
         LifecycleDecision decision = m_lifecycle.fail(attempt, error.code, pause.has_value(), currentTime());
-        if (decision.kind == LifecycleDecision::Kind::Retry)
+        if (decision.kind != LifecycleDecision::Kind::Retry)
+            releaseSuccessor();
+        else if (!m_successor)
             co_await sleep(std::min(pause.value_or(minimumRetryDelay), m_call.parameters.deadline - currentTime()));
         co_return decision;
     }
@@ -110,6 +184,13 @@
     CallerWatch m_watch;
     RequestLifecycle m_lifecycle;
     std::set<BackendServerName> m_tried;
+    std::optional<WatchdogTimer> m_silenceTimer;
+    BackendServer m_currentServer;
+    /** The server that takes over from the silent one; its slot is reserved. */
+    std::optional<BackendServer> m_successor;
+    /** When the attempt may move to a new connection to the same server. */
+    Instant m_reconnectTime {};
+    bool m_isSilent = false;
     ServiceAnswer m_response;
     std::string m_detail = "no backend server of the service is live";
 };
--- a/modules/hc_router/tests/RouterFixture.cpp
+++ b/modules/hc_router/tests/RouterFixture.cpp
@@ -66,6 +66,12 @@
     return "data: {\"attempt\":\"" + attempt + "\"," + rest + "}\n\n";
 }
 
+asio::awaitable<void> sleep(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 unsigned resumedTokens(const std::string& body)
 {
     std::size_t at = body.find("\"resume_after\":[");
@@ -170,6 +176,8 @@
     bool isService = exchange.request().path() != "/v1/infer";
     if (isService && behaviour.stallAfter)
         co_return co_await stall(exchange);
+    if (isService && behaviour.pauseAfter)
+        co_await sleep(behaviour.pause);
     co_await waitWhileHeld(exchange);
     if (isService && behaviour.disconnectAfter) {
         co_await exchange.startStream(200, headers);
@@ -187,10 +195,8 @@
             co_return;
         if (behaviour.stallAfter == i)
             co_return co_await stall(exchange);
-        if (behaviour.pauseAfter == i) {
-            asio::steady_timer timer(co_await asio::this_coro::executor, behaviour.pause);
-            co_await timer.async_wait(asio::use_awaitable);
-        }
+        if (behaviour.pauseAfter == i)
+            co_await sleep(behaviour.pause);
         std::string index = std::to_string(i);
         std::string rest = "\"index\":";
         rest.append(index).append(",\"token\":\"t").append(index).append(" \"");
--- a/modules/hc_router/tests/RouterTests.cpp
+++ b/modules/hc_router/tests/RouterTests.cpp
@@ -434,6 +434,31 @@
     BOOST_TEST(says(send({ "GET", "/services/none/x", {}, {} }).value(), 404, "not-run"));
 }
 
+BOOST_AUTO_TEST_CASE(anIdempotentCallIsNotGivenUpWhileItsOnlyServerIsSilent)
+{
+    router.setServers({ first.server(ServiceName("stock")) });
+    first.setDefaultBehaviour(pausingAfter(0, 1200ms));
+    HttpResponse response = send({ "GET", "/services/stock/items/hide", {}, {} }).value();
+    BOOST_TEST(response.status == 200U);
+    BOOST_TEST(response.body == "done: ");
+    BOOST_TEST(first.requests().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(anIdempotentCallLeavesASilentServerForAnother)
+{
+    router.setServers({ first.server(ServiceName("stock")) });
+    first.setDefaultBehaviour(stallingAfter(0));
+    auto answer = std::async(std::launch::async, [&] { return send({ "GET", "/services/stock/items/hide", {}, {} }).value(); });
+    BOOST_TEST(eventually([&] { return first.running() == 1; }));
+    std::this_thread::sleep_for(1200ms);
+    BOOST_TEST(first.requests().size() == 1U);
+    router.setServers({ first.server(ServiceName("stock")), second.server(ServiceName("stock")) });
+    BOOST_TEST(answer.get().status == 200U);
+    BOOST_TEST(first.requests().size() == 1U);
+    BOOST_TEST(second.requests().size() == 1U);
+    BOOST_TEST(eventually([&] { return first.running() == 0; }));
+}
+
 BOOST_AUTO_TEST_CASE(aBookingRunsOnceAndItsAnswerIsRecorded)
 {
     router.setServers({ first.server(ServiceName("booking")) });
