--- a/modules/hc_backend/backend/HemlockHttpProtocol.cpp
+++ b/modules/hc_backend/backend/HemlockHttpProtocol.cpp
@@ -25,6 +25,7 @@
     case HttpClientErrorCode::ConnectionLost:
         return BackendErrorCode::Lost;
     case HttpClientErrorCode::Malformed:
+    case HttpClientErrorCode::Interrupted:
     case HttpClientErrorCode::TooLarge:
         break;
     }
@@ -202,6 +203,8 @@
         co_return std::move(*response);
     }
 
+    void closeIdleConnections(const BackendServer& server) override { m_client->closeIdleConnections(server.endpoint); }
+
 private:
     std::shared_ptr<HttpClient> m_client = std::make_shared<HttpClient>(HttpClient::Options().withMaximumIdleConnections(maximumIdleConnectionsPerServer));
 };
