Keep a silent request open before the head of its answer too

Callers got 502 with seconds left: their server was silent before the head of its answer, the gateway closed its connection, and the server that should have taken over refused or could not be reached.

Cause: the overlap of two servers began with the head, since only a read of the body could be interrupted.

All takeovers go one way; the one that closed the silent attempt first is gone. While a long request is still being written nothing is moved; a dead host ends that by TCP_USER_TIMEOUT.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -311,43 +311,62 @@
     ServerIncarnation incarnation = lifeOf(*server);
     ++m_sends;
     m_isReading = true;
+    m_hasHead = false;
     noteProgress();
-    auto answer = co_await m_core.client.open(server->address, std::move(request), answerDeadline(), use, m_call->handle);
-    AnswerMetadata metadata;
-    if (answer) {
-        metadata = m_core.platform.decodeAnswer((*answer)->status(), (*answer)->headers());
-        // The address may belong to another server now, whose notice is about itself.
-        if ((*answer)->status() != statusWrongServer)
-            applyNotice(incarnation, metadata.notice);
-    }
+    auto answer = co_await m_core.client.begin(server->address, std::move(request), answerDeadline(), use, m_call->handle);
     if (m_call->isCallerDisconnected)
         co_return Outcome::CallerDisconnected;
-    if (!answer) {
-        bool isNotSent = isCertainlyNotSent(answer.error().code);
-        if (isNotSent)
-            --m_sends;
-        if (isNotSent || answer.error().code == HttpClientErrorCode::TimedOut)
-            m_core.servers.noteUnreachable(name, currentTime());
-        co_return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, answer.error().detail);
-    }
-    // The head may have been read just before the connection was closed; the rest of the answer cannot be.
-    if (m_successor)
-        co_return noteFailedAttempt(name, Outcome::Unknown, "the connection is closed");
-    noteProgress();
+    if (!answer)
+        co_return noteLostAttempt(name, answer.error());
     m_call->answer = answer->get();
-    Outcome outcome = co_await receive(name, metadata, std::move(*answer));
+    Outcome outcome = co_await receive(incarnation, **answer);
     m_call->answer = nullptr;
     co_return outcome;
 }
 
-asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receive(const BackendServerName& name, const AnswerMetadata& metadata, std::unique_ptr<HttpResponseStream> answer)
+RequestForwarder::Outcome RequestForwarder::noteLostAttempt(const BackendServerName& name, const Error<HttpClientErrorCode>& error)
+{
+    bool isNotSent = isCertainlyNotSent(error.code);
+    if (isNotSent)
+        --m_sends;
+    if (isNotSent || error.code == HttpClientErrorCode::TimedOut)
+        m_core.servers.noteUnreachable(name, currentTime());
+    return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, error.detail);
+}
+
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receive(const ServerIncarnation& incarnation, HttpResponseStream& answer)
+{
+    const BackendServerName& name = incarnation.server;
+    auto head = co_await answer.readHead(answerDeadline());
+    while (!head && head.error().code == HttpClientErrorCode::Interrupted) {
+        auto outcome = co_await moveFrom(name, answer);
+        if (outcome)
+            co_return *outcome;
+        head = co_await answer.readHead(answerDeadline());
+    }
+    if (m_call->isCallerDisconnected)
+        co_return Outcome::CallerDisconnected;
+    if (!head)
+        co_return noteLostAttempt(name, head.error());
+    // The server may have gone on just before the other one was asked.
+    releaseSuccessor();
+    m_hasHead = true;
+    noteProgress();
+    AnswerMetadata metadata = m_core.platform.decodeAnswer(answer.status(), answer.headers());
+    // The address may belong to another server now, whose notice is about itself.
+    if (answer.status() != statusWrongServer)
+        applyNotice(incarnation, metadata.notice);
+    co_return co_await receiveBody(name, metadata, answer);
+}
+
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveBody(const BackendServerName& name, const AnswerMetadata& metadata, HttpResponseStream& answer)
 {
     static constexpr unsigned refusalStatuses[] = { 408, 421, 429, 503 };
-    unsigned status = answer->status();
+    unsigned status = answer.status();
     bool isOther = metadata.attempt && *metadata.attempt != m_metadata.attempt;
     bool isSuccess = status < firstFailure && !metadata.isNotRun && std::find(std::begin(refusalStatuses), std::end(refusalStatuses), status) == std::end(refusalStatuses);
     // A response without an attempt id may be a late one to another request, except an error or refusal on a fresh connection.
-    bool mayBeOther = !metadata.attempt && (isSuccess || answer->isOnReusedConnection());
+    bool mayBeOther = !metadata.attempt && (isSuccess || answer.isOnReusedConnection());
     if (isOther || mayBeOther)
         co_return noteFailedAttempt(name, Outcome::Unknown, "the answer belongs to another request");
     if (metadata.isNotRun || status == statusWrongServer) {
@@ -361,11 +380,11 @@
     if (status >= firstFailure && m_call->silentAnswer)
         co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(status));
     if (status >= firstFailure)
-        co_return co_await receiveBuffered(name, *answer);
+        co_return co_await receiveBuffered(name, answer);
     leaveSilentServer();
     if (m_route->kind == RequestKind::Stream)
-        co_return co_await forwardEvents(name, *answer);
-    co_return co_await receiveBuffered(name, *answer);
+        co_return co_await forwardEvents(name, answer);
+    co_return co_await receiveBuffered(name, answer);
 }
 
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveBuffered(const BackendServerName& name, HttpResponseStream& answer)
@@ -410,10 +429,7 @@
         if (m_call->isCallerDisconnected)
             co_return Outcome::CallerDisconnected;
         if (!piece && piece.error().code == HttpClientErrorCode::Interrupted) {
-            std::optional<Outcome> outcome;
-            do
-                outcome = co_await tryTakeover(name, answer);
-            while (!outcome && m_successor);
+            auto outcome = co_await moveFrom(name, answer);
             if (outcome)
                 co_return *outcome;
             continue;
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -62,17 +62,10 @@
 
         void cancel()
         {
-            cancelAttempt();
             handle->cancel();
-            closeSilentAnswer();
-        }
-
-        /** Closes the current attempt only; the next one can be sent. */
-        void cancelAttempt()
-        {
-            std::exchange(handle, std::make_shared<HttpCallHandle>())->cancel();
             if (answer)
                 answer->close();
+            closeSilentAnswer();
         }
 
         /** False when it was closed before, or there is none. */
@@ -91,6 +84,7 @@
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<bool> tryOnce();
     boost::asio::awaitable<Outcome> attemptAt(const BackendServerName&);
+    boost::asio::awaitable<std::optional<Outcome>> moveFrom(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     boost::asio::awaitable<std::optional<Outcome>> tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     void reserve(const BackendServerName&);
     void release(const BackendServerName&);
@@ -101,7 +95,8 @@
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
     std::optional<BackendServerName> pickServer();
     boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
-    boost::asio::awaitable<Outcome> receive(const BackendServerName&, const AnswerMetadata&, std::unique_ptr<HttpResponseStream>);
+    boost::asio::awaitable<Outcome> receive(const ServerIncarnation&, HttpResponseStream&);
+    boost::asio::awaitable<Outcome> receiveBody(const BackendServerName&, const AnswerMetadata&, HttpResponseStream&);
     void applyNotice(const ServerIncarnation&, const ServerNotice&);
     boost::asio::awaitable<Outcome> receiveBuffered(const BackendServerName&, HttpResponseStream&);
     boost::asio::awaitable<Outcome> forwardEvents(const BackendServerName&, HttpResponseStream&);
@@ -118,6 +113,7 @@
     ForwardingTerms termsFor(const BackendServerName&) const;
     void noteRefused(unsigned status, std::string_view reason, Duration retryAfter);
     void logCallerDisconnect();
+    Outcome noteLostAttempt(const BackendServerName&, const Error<HttpClientErrorCode>&);
     Outcome noteFailedAttempt(const BackendServerName&, Outcome, std::string_view reason);
     bool mayResend(Outcome);
     std::string_view resendObstacle(Outcome);
@@ -170,6 +166,8 @@
     /** When the last attempt was sent, or its server last made progress. */
     Instant m_lastProgress {};
     BackendServerName m_currentServer;
+    /** True once the head of the current server's answer was read. */
+    bool m_hasHead = false;
     /** The server whose answer stays open while another server is asked to take over. */
     BackendServerName m_silentServer;
     /** The servers at which the request counts as active. */
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -57,14 +57,17 @@
     if (m_call->isCallerDisconnected || m_isAborted || m_successor)
         return;
     noteSilence();
+    // A read can be interrupted only once the request has been written.
+    if (!m_call->answer || !m_call->answer->isRequestSent()) {
+        watchSilence();
+        return;
+    }
     auto other = pickServer();
     if (other && mayResend(Outcome::Unknown)) {
         m_successor = std::move(other);
         reserve(*m_successor);
         logEvent(EventId::GatewayTakeover, { { "request", m_metadata.attempt }, { "from", m_currentServer }, { "to", *m_successor }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "left_ms", milliseconds(timeLeft()) } });
-        bool isInterrupted = m_call->answer && m_call->answer->interrupt();
-        if (!isInterrupted)
-            m_call->cancelAttempt();
+        m_call->answer->interrupt();
         return;
     }
     if (hasModel() && !std::exchange(m_isWaitingElsewhere, true)) {
@@ -82,7 +85,7 @@
     Instant now = currentTime();
     logEvent(EventId::GatewayServerSilent, { { "request", m_metadata.attempt }, { "server", m_currentServer }, { "silent_ms", milliseconds(now - m_lastProgress) }, { "last_event", m_lastEvent.value_or(0) }, { "send", m_sends }, { "left_ms", milliseconds(timeLeft()) } });
     m_core.servers.noteFailure(m_currentServer, now);
-    if (!m_call->answer)
+    if (!m_hasHead)
         m_core.servers.noteUnreachable(m_currentServer, now);
     if (const ListedServer* server = m_core.servers.find(m_currentServer))
         m_core.client.closeIdleConnections(server->address);
@@ -98,6 +101,16 @@
 //==============================================================================
 // The server that takes over
 
+/** Moves from a silent server to the reserved one. Nothing if the silent answer is to be read on. */
+asio::awaitable<std::optional<RequestForwarder::Outcome>> RequestForwarder::moveFrom(const BackendServerName& silentServer, HttpResponseStream& silentAnswer)
+{
+    std::optional<Outcome> outcome;
+    do
+        outcome = co_await tryTakeover(silentServer, silentAnswer);
+    while (!outcome && m_successor);
+    co_return outcome;
+}
+
 /** Sends the request to the reserved server while the silent one's answer stays open, in case the other one refuses. Nothing if the silent answer is to be read on. */
 asio::awaitable<std::optional<RequestForwarder::Outcome>> RequestForwarder::tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer)
 {
@@ -112,6 +125,7 @@
     m_call->silentAnswer = &silentAnswer;
     m_silentServer = silentServer;
     Instant lastProgress = m_lastProgress;
+    bool hadHead = m_hasHead;
     // A server that cannot be reached works on nothing, so the overlap begins with the first byte sent to it.
     auto handle = m_call->handle;
     handle->setSendCondition([this] {
@@ -127,6 +141,7 @@
     m_currentServer = silentServer;
     m_call->answer = &silentAnswer;
     m_lastProgress = lastProgress;
+    m_hasHead = hadHead;
     m_isSilent = true;
     watchSilence();
     co_return std::nullopt;
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -122,7 +122,7 @@
         close();
 }
 
-/** Connects a handle to a connection while a call uses it. */
+/** Connects a handle to a connection, or to an answer, while a call uses it. */
 class ScopedHttpCall {
 public:
     ScopedHttpCall(std::shared_ptr<HttpCallHandle> handle, ClientConnection& connection)
@@ -131,6 +131,12 @@
         if (m_handle)
             m_handle->m_close = [&connection] { connection.stream.close(); };
     }
+    ScopedHttpCall(std::shared_ptr<HttpCallHandle> handle, HttpResponseStream& answer)
+        : m_handle(std::move(handle))
+    {
+        if (m_handle)
+            m_handle->m_close = [&answer] { answer.close(); };
+    }
     ~ScopedHttpCall()
     {
         if (m_handle)
@@ -246,11 +252,18 @@
         m_parser.body_limit(boost::none);
     }
 
-    asio::awaitable<Result<void, HttpClientErrorCode>> readHeader(Instant deadline)
+    asio::awaitable<Result<void, HttpClientErrorCode>> readHead(Instant deadline) override
     {
+        if (std::exchange(m_isInterrupted, false))
+            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
         beast::error_code error;
         m_connection->stream.expires_at(deadline);
         co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+        bool isInterrupted = std::exchange(m_isInterrupted, false) && error == asio::error::operation_aborted;
+        if (isInterrupted)
+            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
+        if (error && m_write->hasFailed)
+            m_client->closeIdleConnections(m_endpoint);
         if (error)
             co_return fail(error);
         m_headers = headersFromBeast(m_parser.get());
@@ -291,14 +304,14 @@
         co_return std::optional<ByteString>();
     }
 
-    bool interrupt() override
+    bool isRequestSent() const override { return m_write->isDone; }
+
+    void interrupt() override
     {
-        // Cancelling applies to all operations of the connection.
-        if (!m_connection || !m_write->isDone)
-            return false;
         m_isInterrupted = true;
-        m_connection->stream.cancel();
-        return true;
+        // Cancels all operations of the connection; the write is complete.
+        if (m_connection)
+            m_connection->stream.cancel();
     }
 
     void close() override
@@ -362,6 +375,18 @@
 HttpClient::~HttpClient() = default;
 
 asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> HttpClient::open(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
+{
+    auto stream = co_await begin(endpoint, std::move(request), deadline, use, handle);
+    if (!stream)
+        co_return tl::unexpected(stream.error());
+    ScopedHttpCall call(handle, **stream);
+    auto head = co_await (*stream)->readHead(deadline);
+    if (!head)
+        co_return tl::unexpected(head.error());
+    co_return stream;
+}
+
+asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> HttpClient::begin(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
 {
     auto impl = m_impl;
     if (handle && handle->isCancelled())
@@ -371,7 +396,6 @@
         co_return tl::unexpected(connection.error());
     if (handle && !handle->maySend())
         co_return failure(HttpClientErrorCode::NotConnected, "given up before it was sent");
-    ScopedHttpCall call(handle, **connection);
     auto write = std::make_shared<RequestWrite>();
     write->message = requestToBeast(std::move(request), endpoint);
     (*connection)->stream.expires_at(deadline);
@@ -379,14 +403,7 @@
         write->isDone = true;
         write->hasFailed = bool(error);
     });
-    auto stream = std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection), write);
-    auto header = co_await stream->readHeader(deadline);
-    if (!header) {
-        if (write->hasFailed)
-            impl->closeIdleConnections(endpoint);
-        co_return tl::unexpected(header.error());
-    }
-    co_return stream;
+    co_return std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection), write);
 }
 
 asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> HttpClient::send(tcp::endpoint endpoint, HttpRequest request, Instant deadline, ConnectionUse use, std::shared_ptr<HttpCallHandle> handle)
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -36,7 +36,7 @@
 
 //==============================================================================
 /**
-    A response whose body is read in pieces.
+    A response that is read in pieces, its head first.
 
     Destroying it before the end of the body closes its connection. Thread safety: one coroutine at
     a time; close() from the same executor.
@@ -45,14 +45,18 @@
 public:
     virtual ~HttpResponseStream() = default;
 
+    /** Reads up to the end of the head. Call it before the other methods; HttpClient::open() has done so. */
+    virtual boost::asio::awaitable<Result<void, HttpClientErrorCode>> readHead(Instant deadline) = 0;
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
     /** True if the connection carried another request before, so that bytes of that request's answer may be left on it. */
     virtual bool isOnReusedConnection() const = 0;
     /** The next piece, or std::nullopt at the end of the body. A truncated body is an error. */
     virtual boost::asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) = 0;
-    /** Makes the read in progress, or else the next one, fail with Interrupted, and keeps the connection. False if that is not possible, because the request is still being sent. */
-    virtual bool interrupt() = 0;
+    /** True once the whole request has been written. */
+    virtual bool isRequestSent() const = 0;
+    /** Makes the read in progress, or else the next one, fail with Interrupted, and keeps the connection. Precondition: isRequestSent(). */
+    virtual void interrupt() = 0;
     /** Closes the connection. A read in progress fails. */
     virtual void close() = 0;
 };
@@ -135,6 +139,8 @@
     boost::asio::awaitable<Result<HttpResponse, HttpClientErrorCode>> send(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
     /** Sends a request and reads the answer up to the end of its header, possibly while a long request is still being sent. Sets the Host header unless the request has one. */
     boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
+    /** As open(), but returns once the connection stands and the request is being sent. The handle has no effect after that. */
+    boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> begin(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
     /** Closes idle connections that the peer has closed or on which it has sent unsolicited bytes. Call periodically. */
     void closeBrokenConnections();
     /** Closes the idle connections to an endpoint, for example when its host has left. */
