Do not time out a long request whose server reads nothing for a while

Callers with a long request body lost it when their server's process read nothing for 2 s; a request that must not be repeated was answered 502.

Cause: TCP_USER_TIMEOUT also counts the time for which the peer announces an empty window, although its host acknowledges each probe. Class: silence of a process taken for the end of its host.

Evidence: HttpLongBodyTests/aServerThatPausesWithinALongBodyKeepsItsConnection before: "critical check answer has failed".

Change: a request with a body of more than 64 KiB goes without that time-out, on a connection that is not used again. A host that is gone is then noticed at the deadline, or by the silence after the request was written.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -28,6 +28,8 @@
 
 constexpr unsigned httpVersion = 11;
 constexpr std::size_t maximumPieceBytes = 16U << 10U;
+/** Fits into a peer's receive buffer, so that its host acknowledges the request whatever its process does. */
+constexpr std::size_t maximumBufferedBodyBytes = 64U << 10U;
 
 HttpClientErrorCode errorCodeFor(beast::error_code error)
 {
@@ -396,6 +398,12 @@
         co_return tl::unexpected(connection.error());
     if (handle && !handle->maySend())
         co_return failure(HttpClientErrorCode::NotConnected, "given up before it was sent");
+    // The time-out would also count the time for which a sound peer reads nothing of a long request.
+    if (impl->options.acknowledgeTimeout.count() > 0 && request.body.size() > maximumBufferedBodyBytes) {
+        beast::error_code ignored;
+        (*connection)->stream.socket().set_option(AcknowledgeTimeout(0), ignored);
+        (*connection)->isSingleUse = true;
+    }
     auto write = std::make_shared<RequestWrite>();
     write->message = requestToBeast(std::move(request), endpoint);
     (*connection)->stream.expires_at(deadline);
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -109,7 +109,7 @@
         Duration idleTimeout = 20s;
         /** A connection used within this time counts as open; see ConnectionUse::RecentlyUsed. */
         Duration recentUseWindow = 300ms;
-        /** TCP_USER_TIMEOUT: closes a connection on which sent bytes stay unacknowledged for this long; 0 uses the system's default. */
+        /** TCP_USER_TIMEOUT: closes a connection on which sent bytes stay unacknowledged for this long; 0 uses the system's default. Does not apply to requests with long bodies. */
         std::chrono::milliseconds acknowledgeTimeout { 0 };
         std::size_t maximumHeaderBytes = 16U << 10U;
         /** Applies to send() only; a caller of open() limits the body itself. */
