Notice a caller that leaves just after its request came early

Work of callers that had left went on until its end: a gateway, or a stand-in server in the soak, did not notice that the connection was closed. In the soak two servers seemed to be at work on one request for 0.4 to 1.1 s.

Cause: the wait that tells of a close can end for bytes that had been read before it began, as when the next request on a connection arrives while the server finishes the one before; the watch was then over. And a close that came before the wait began caused no notification at all.

Change: a wait that ended without bytes begins again, and the connection is looked at once when a wait begins.

--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -299,20 +299,32 @@
         co_return m_isFinished && !m_isBroken && mayKeepAlive();
     }
 
-    /** Detects a caller that disconnects while its request is in progress. */
+    /** Detects a caller that disconnects while its request is in progress, or has done so while it was read. */
     void watchForDisconnect()
     {
         m_stream.socket().async_wait(tcp::socket::wait_read, [self = shared_from_this()](beast::error_code error) {
-            if (error || !self->m_isHandlingRequest)
-                return;
-            char byte = 0;
-            beast::error_code peekError;
-            self->m_stream.socket().non_blocking(true, peekError);
-            std::size_t count = self->m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-            bool closed = (peekError && peekError != asio::error::would_block) || (!peekError && count == 0);
-            if (closed)
-                self->handleCallerDisconnect();
+            bool isWatched = !error && self->m_isHandlingRequest;
+            if (isWatched && self->checkForDisconnect() == asio::error::would_block) {
+                // The notification was for bytes that had been read before the wait began.
+                self->watchForDisconnect();
+            }
         });
+        // A close that came before the wait began causes no further notification.
+        checkForDisconnect();
+    }
+
+    /** Returns the result of looking for bytes from the caller. */
+    beast::error_code checkForDisconnect()
+    {
+        char byte = 0;
+        beast::error_code error;
+        if (!m_stream.socket().non_blocking())
+            m_stream.socket().non_blocking(true, error);
+        std::size_t count = m_stream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        bool isClosed = (error && error != asio::error::would_block) || (!error && count == 0);
+        if (isClosed)
+            handleCallerDisconnect();
+        return error;
     }
 
     static constexpr std::size_t readSizeBytes = 8192;
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -206,6 +206,26 @@
     BOOST_TEST(eventually([&] { return callersGone == 1; }));
 }
 
+/** The next request on a connection often arrives while the server finishes the one before. */
+BOOST_AUTO_TEST_CASE(callerDisconnectIsDetectedAfterARequestThatArrivesEarly)
+{
+    constexpr int connections = 3000;
+    const std::string first = "POST /echo HTTP/1.1\r\nContent-Length: 2\r\n\r\nab";
+    const std::string second = "GET /wait HTTP/1.1\r\n\r\n";
+    asio::io_context own;
+    for (int i = 0; i < connections; ++i) {
+        tcp::socket socket(own);
+        socket.connect(endpoint);
+        socket.set_option(tcp::no_delay(true));
+        asio::write(socket, asio::buffer(first));
+        std::string answer;
+        asio::read_until(socket, asio::dynamic_buffer(answer), "\r\n\r\nab");
+        asio::write(socket, asio::buffer(second));
+        std::this_thread::sleep_for(300us);
+    }
+    BOOST_TEST(eventually([&] { return callersGone == connections; }), callersGone << " of " << connections);
+}
+
 BOOST_AUTO_TEST_CASE(refusedConnectionIsCertainlyNotSent)
 {
     std::promise<void> drained;
