Log which prompt parts and which server incarnation a failed attempt had

gateway.attempt_failed named the server but not its incarnation, and nothing of the prompt, so that a request that ends its server could not be told from those beside it.

--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -115,6 +115,8 @@
     void logCallerDisconnect();
     Outcome noteLostAttempt(const BackendServerName&, const Error<HttpClientErrorCode>&);
     Outcome noteFailedAttempt(const BackendServerName&, Outcome, std::string_view reason);
+    std::int64_t startTimeOf(const BackendServerName&) const;
+    std::string sharedPartsText() const;
     bool mayResend(Outcome);
     std::string_view resendObstacle(Outcome);
     bool isUnservable(Instant now);
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -62,10 +62,27 @@
     m_lastFault = std::string(outcomeName) + " at " + name.text() + ": " + std::string(reason);
     m_attemptFault = m_lastFault;
     m_core.metrics.add(attemptsMetric, { { "outcome", std::string(outcomeName) } });
-    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "outcome", outcomeName }, { "reason", reason }, { "send", m_sends }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "version", m_configuration->version() }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) } });
+    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "started_at", startTimeOf(name) }, { "parts", sharedPartsText() }, { "outcome", outcomeName }, { "reason", reason }, { "send", m_sends }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "version", m_configuration->version() }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) } });
     return outcome;
 }
 
+/** The start of the server's current incarnation; 0 when it is not listed any more. */
+std::int64_t RequestForwarder::startTimeOf(const BackendServerName& name) const
+{
+    const ListedServer* server = m_core.servers.find(name);
+    return server ? server->startedAt : 0;
+}
+
+/** The ids of the prompt's parts except the last, for the log. */
+std::string RequestForwarder::sharedPartsText() const
+{
+    constexpr std::size_t maximumLength = 200;
+    std::string text;
+    for (std::size_t i = 0; i + 1 < m_metadata.promptParts.size() && text.size() < maximumLength; ++i)
+        text += (i == 0 ? "" : ",") + m_metadata.promptParts[i].id;
+    return text.substr(0, maximumLength);
+}
+
 /** A server's notice takes effect at once, whatever the outcome of the response that carries it. */
 void RequestForwarder::applyNotice(const ServerIncarnation& incarnation, const ServerNotice& notice)
 {
