Tell a refused connection from other failures to connect, and leave such servers out

A server that refuses a connection is now left out for 700 ms or until it is listed as another incarnation. Also adds HttpClient::openIdle(), which tells whether a server still accepts connections.

--- a/modules/hc_backend/backend/HemlockHttpProtocol.cpp
+++ b/modules/hc_backend/backend/HemlockHttpProtocol.cpp
@@ -19,6 +19,7 @@
 {
     switch (code) {
     case HttpClientErrorCode::NotConnected:
+    case HttpClientErrorCode::ConnectionRefused:
         return BackendErrorCode::NotSent;
     case HttpClientErrorCode::TimedOut:
         return BackendErrorCode::TimedOut;
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -121,7 +121,7 @@
 
 bool ServerTable::isEligible(const Server& server, const ModelKey& key, Instant now) const
 {
-    bool isServing = server.listed.service == key.service && !server.listed.isLeaving && !m_notices.isLeaving(lifeOf(server.listed), now);
+    bool isServing = server.listed.service == key.service && now >= server.refusesUntil && !server.listed.isLeaving && !m_notices.isLeaving(lifeOf(server.listed), now);
     return isServing && (key.model.isEmpty() || holds(server, key, now));
 }
 
@@ -218,6 +218,29 @@
     reachability.lastUnreachable = now;
 }
 
+void ServerTable::noteConnectionRefused(const BackendServerName& id, Instant now)
+{
+    auto found = m_servers.find(id);
+    if (found != m_servers.end())
+        found->second.refusesUntil = now + m_options.refusedBackoff;
+}
+
+bool ServerTable::isRefusing(const BackendServerName& id, Instant now) const
+{
+    auto found = m_servers.find(id);
+    return found != m_servers.end() && now < found->second.refusesUntil;
+}
+
+std::vector<ServerIncarnation> ServerTable::refusing(Instant now) const
+{
+    std::vector<ServerIncarnation> all;
+    for (const auto& [id, server] : m_servers) {
+        if (now < server.refusesUntil && !server.listed.isLeaving)
+            all.push_back(lifeOf(server.listed));
+    }
+    return all;
+}
+
 bool ServerTable::isUnreachable(const DataCentreName& dataCentre, Instant now) const
 {
     auto found = m_reachability.find(dataCentre);
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -30,6 +30,8 @@
         /** The time after which an unreachable data centre is tried again. */
         Duration unreachableBackoff = 700ms;
         ServerNotices::Options notices;
+        /** The time after which a server that refused a connection is tried again, in case the list does not show another incarnation of it. */
+        Duration refusedBackoff = 700ms;
     };
 
     /** The servers of a service that are eligible for a request but for a pause. */
@@ -70,6 +72,12 @@
     void noteFailure(const BackendServerName& server, Instant now) { m_ejections.noteFailure(server, now); }
     /** Notes that a server could not be reached, in addition to noteFailure(). */
     void noteUnreachable(const BackendServerName&, Instant now);
+    /** Notes that the server refused a connection, so its process has ended or a link to it is cut. */
+    void noteConnectionRefused(const BackendServerName&, Instant now);
+    /** True for some time after the server refused a connection. */
+    bool isRefusing(const BackendServerName&, Instant now) const;
+    /** The servers that refused a connection shortly before. */
+    std::vector<ServerIncarnation> refusing(Instant now) const;
     /** Notes that the server reported the model or adapter missing. */
     void noteModelMissing(const BackendServerName&, const ModelKey&, Instant now);
     /** @see ServerNotices::noteLeaving */
@@ -90,6 +98,8 @@
         ServerLoad reportedOwn;
         ServerLoad others;
         ServerHandle handle;
+        /** Set while the server is left out because it refused a connection. */
+        Instant refusesUntil {};
         /** True while a full list is being received and has not included this server yet. */
         bool isUnconfirmed = false;
     };
--- a/modules/hc_gateway/tests/ServerTableTests.cpp
+++ b/modules/hc_gateway/tests/ServerTableTests.cpp
@@ -153,6 +153,22 @@
     BOOST_TEST(table.outstanding().empty());
 }
 
+BOOST_AUTO_TEST_CASE(aServerThatRefusesConnectionsIsLeftOutUntilItIsListedAnewOrAWhileHasPassed)
+{
+    table.noteConnectionRefused(BackendServerName("near"), now);
+    table.noteConnectionRefused(BackendServerName("far-1"), now);
+    BOOST_TEST((candidates() == std::set<std::string> { "far-2", "far-3" }));
+    BOOST_TEST(table.isRefusing(BackendServerName("near"), now));
+    std::vector<ServerIncarnation> refusing = table.refusing(now);
+    BOOST_REQUIRE(refusing.size() == 2U);
+    BOOST_TEST(refusing.front().startedAt == 1);
+    table.replaceAll({ listed("near", "z1", 1), listed("far-1", "z2", 2, 2), listed("far-2", "z2", 3), listed("far-3", "z2", 4) });
+    BOOST_TEST((candidates() == std::set<std::string> { "far-1", "far-2", "far-3" }));
+    now += 1s;
+    BOOST_TEST(candidates().contains("near"));
+    BOOST_TEST(table.refusing(now).empty());
+}
+
 BOOST_AUTO_TEST_CASE(demandIsReportedOnceAndDroppedWhenItEnds)
 {
     DemandTracker tracker;
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -182,10 +182,15 @@
     {
         if (connection->isSingleUse || connection->buffer.size() > 0 || !isReusable(*connection))
             return;
+        connection->isUsed = true;
+        keepIdle(endpoint, std::move(connection));
+    }
+
+    void keepIdle(const tcp::endpoint& endpoint, std::unique_ptr<ClientConnection> connection)
+    {
         std::lock_guard guard(lock);
         auto& connections = idle[endpoint];
         connection->idleSince = std::chrono::steady_clock::now();
-        connection->isUsed = true;
         if (connections.size() < options.maximumIdleConnections)
             connections.push_back(std::move(connection));
     }
@@ -222,7 +227,7 @@
         beast::error_code error;
         co_await connection->stream.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
         if (error)
-            co_return failure(HttpClientErrorCode::NotConnected, error.message());
+            co_return failure(error == asio::error::connection_refused ? HttpClientErrorCode::ConnectionRefused : HttpClientErrorCode::NotConnected, error.message());
         beast::error_code ignored;
         connection->stream.socket().set_option(tcp::no_delay(true), ignored);
         // An abandoned request must not arrive later: with a linger time of 0, closing drops what the peer has not acknowledged and resets the connection.
@@ -432,6 +437,17 @@
     }
 }
 
+asio::awaitable<Result<void, HttpClientErrorCode>> HttpClient::openIdle(tcp::endpoint endpoint, Instant deadline)
+{
+    auto impl = m_impl;
+    auto connection = co_await impl->connect(endpoint, deadline, ConnectionUse::Fresh, nullptr);
+    if (!connection)
+        co_return tl::unexpected(connection.error());
+    (*connection)->stream.expires_never();
+    impl->keepIdle(endpoint, std::move(*connection));
+    co_return Result<void, HttpClientErrorCode> {};
+}
+
 void HttpClient::closeBrokenConnections()
 {
     m_impl->closeBrokenConnections();
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -16,6 +16,8 @@
 enum class HttpClientErrorCode {
     /** The connection failed before any byte of the request was sent. */
     NotConnected,
+    /** The peer's host refused the connection, since no process listens at the port. Nothing was sent. */
+    ConnectionRefused,
     /** The connection was lost before a complete answer arrived. All or part of the request may have been sent. */
     ConnectionLost,
     /** The deadline passed before a complete answer arrived. All or part of the request may have been sent. */
@@ -31,7 +33,7 @@
 /** True if no byte of the request can have reached the peer. */
 constexpr bool isCertainlyNotSent(HttpClientErrorCode code)
 {
-    return code == HttpClientErrorCode::NotConnected;
+    return code == HttpClientErrorCode::NotConnected || code == HttpClientErrorCode::ConnectionRefused;
 }
 
 //==============================================================================
@@ -141,6 +143,8 @@
     boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> open(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
     /** As open(), but returns once the connection stands and the request is being sent. The handle has no effect after that. */
     boost::asio::awaitable<Result<std::unique_ptr<HttpResponseStream>, HttpClientErrorCode>> begin(boost::asio::ip::tcp::endpoint, HttpRequest, Instant deadline, ConnectionUse = ConnectionUse::Pooled, std::shared_ptr<HttpCallHandle> = nullptr);
+    /** Opens a connection and keeps it idle for a later request; tells whether the peer still accepts connections. */
+    boost::asio::awaitable<Result<void, HttpClientErrorCode>> openIdle(boost::asio::ip::tcp::endpoint, Instant deadline);
     /** Closes idle connections that the peer has closed or on which it has sent unsolicited bytes. Call periodically. */
     void closeBrokenConnections();
     /** Closes the idle connections to an endpoint, for example when its host has left. */
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -137,6 +137,26 @@
     BOOST_TEST(server.connectionCount() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(aClosedPortIsReportedAsRefused)
+{
+    asio::io_context own;
+    tcp::acceptor closed(own, anyPort);
+    endpoint = closed.local_endpoint();
+    closed.close();
+    auto answer = send({});
+    BOOST_REQUIRE(!answer);
+    BOOST_TEST((answer.error().code == HttpClientErrorCode::ConnectionRefused));
+    BOOST_TEST(isCertainlyNotSent(answer.error().code));
+}
+
+BOOST_AUTO_TEST_CASE(aConnectionOpenedAheadIsUsedByTheNextRequest)
+{
+    auto open = [&] { return asio::co_spawn(asio::make_strand(context), client.openIdle(endpoint, std::chrono::steady_clock::now() + 1s), asio::use_future).get(); };
+    BOOST_TEST(open().has_value());
+    BOOST_TEST(send({ "POST", "/echo", {}, "hello" }).has_value());
+    BOOST_TEST(server.connectionCount() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(truncatedStreamsAreReported)
 {
     auto whole = send({ "GET", "/stream", {}, {} });
