--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -30,6 +30,21 @@
 /** Distance between the first epochs of two terms; FleetTable also starts a new epoch by itself after many departures. */
 constexpr std::uint64_t epochsPerTerm = 1U << 16U;
 
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+/** For the log; long lists are cut. */
+std::string partsText(const std::vector<PromptPartKey>& parts)
+{
+    constexpr std::size_t maximumParts = 8;
+    std::string text;
+    for (std::size_t i = 0; i < std::min(parts.size(), maximumParts); ++i)
+        text += (i == 0 ? "" : ",") + std::to_string(parts[i].value());
+    return text;
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -236,6 +251,7 @@
         m_leadTerm = status.term;
         m_leadingSince = now;
         m_director.beginEpoch(status.term.value() * epochsPerTerm);
+        m_quarantine = PromptPartQuarantine(PromptPartQuarantine::Options());
     }
     m_listing.setActive(status.isLeader);
     bool gives = authority().has_value();
@@ -322,6 +338,7 @@
         m_director.recordDemand(*request, now);
         m_director.fill(reply, *request, now);
         reply.relays = relays(now);
+        recordPromptParts(*request, reply, now);
     } else if (request->relay.isNone()) {
         m_relay.recordDemand(*request, now);
         if (m_relay.isCurrent(now))
@@ -333,6 +350,33 @@
     call.reply(encodeFollowReply(reply));
 }
 
+/** Evaluates what the host has seen of prompt parts that crash servers, and fills in the verdicts. */
+void Coordinator::recordPromptParts(const FollowRequest& request, FollowReply& reply, Instant now)
+{
+    const PromptPartReport& report = request.promptParts;
+    m_quarantine.expire(now);
+    for (const PartProgress& progress : report.progress) {
+        if (m_quarantine.noteProgress(progress, now))
+            logEvent(EventId::CoordinatorPromptPartReleased, { { "part", progress.part }, { "told_by", request.host } });
+    }
+    for (const ServerCrash& crash : report.crashes) {
+        logEvent(EventId::CoordinatorServerCrash, { { "server", crash.server.server }, { "started_at", crash.server.startedAt }, { "parts", partsText(crash.parts) }, { "told_by", request.host }, { "sent_ago_ms", milliseconds(now - crash.sent) }, { "ended_ago_ms", milliseconds(now - crash.ended) } });
+        for (PromptPartKey part : m_quarantine.noteCrash(crash, now))
+            logEvent(EventId::CoordinatorPromptPartQuarantined, { { "part", part }, { "told_by", request.host }, { "server", crash.server.server } });
+    }
+    for (PromptPartKey part : report.quarantined) {
+        if (m_quarantine.adopt(part, now))
+            logEvent(EventId::CoordinatorPromptPartQuarantined, { { "part", part }, { "told_by", request.host }, { "server", "" } });
+    }
+    for (PromptPartKey part : report.refused) {
+        if (!m_quarantine.takeTrial(part, now))
+            continue;
+        reply.trialParts.push_back(part);
+        logEvent(EventId::CoordinatorPromptPartTrial, { { "part", part }, { "at", request.host } });
+    }
+    reply.suspectParts = m_quarantine.suspects(now);
+}
+
 /** Fills in the newest configuration known here, if it is newer than the one known to the requester. */
 void Coordinator::fillConfiguration(FollowReply& reply, ConfigurationVersion known) const
 {
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -80,6 +80,7 @@
     void serveAgreement(PeerCall);
     void serveFollow(PeerCall);
     void fillConfiguration(FollowReply&, ConfigurationVersion known) const;
+    void recordPromptParts(const FollowRequest&, FollowReply&, Instant now);
     std::vector<CoordinatorLocation> relays(Instant now);
     std::optional<KeeperId> otherLeader() const;
     void serveJoin(PeerCall);
@@ -111,6 +112,8 @@
     ReplicatedGroup m_group;
     VoterPolicy m_voters;
     PlacementDirector m_director;
+    /** Used while this coordinator leads; a new leader learns of quarantines from the gateways. */
+    PromptPartQuarantine m_quarantine { PromptPartQuarantine::Options() };
     FleetRelay m_relay;
     ListingPoller m_listing;
     HttpServer m_operators;
--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -16,6 +16,15 @@
 
 /** How often to check for a leader while none is known. */
 constexpr Duration leaderCheckInterval = 50ms;
+/** Bound on each list of records of prompt parts that waits for the leader. */
+constexpr std::size_t maximumRecords = 8192;
+
+template <typename Item>
+void append(std::vector<Item>& to, const std::vector<Item>& from)
+{
+    std::size_t count = std::min(from.size(), maximumRecords - std::min(to.size(), maximumRecords));
+    to.insert(to.end(), from.begin(), from.begin() + static_cast<std::ptrdiff_t>(count));
+}
 
 } // namespace
 
@@ -64,6 +73,9 @@
         unreported.rank = isNew ? demand.rank : std::min(unreported.rank, demand.rank);
     }
     m_leaving.insert(request.leaving.begin(), request.leaving.end());
+    m_ended.insert(request.ended.begin(), request.ended.end());
+    collectPromptParts(request.promptParts);
+    isUrgent = isUrgent || !request.promptParts.crashes.empty() || !request.promptParts.refused.empty();
     m_gateways.recordReport(request, now);
     if (isUrgent)
         pollSoon();
@@ -86,6 +98,14 @@
     if (m_lastReply.listAge)
         reply.listAge = *m_lastReply.listAge + reply.age;
     m_table.fill(reply, request);
+    reply.suspectParts = m_lastReply.suspectParts;
+    for (SuspectPart& suspect : reply.suspectParts)
+        suspect.untilTrial = std::max<Duration>(suspect.untilTrial - reply.age, Duration::zero());
+    for (PromptPartKey part : request.promptParts.refused) {
+        auto trial = m_trialParts.extract(part);
+        if (!trial.empty() && now < trial.mapped())
+            reply.trialParts.push_back(part);
+    }
     std::map<ServerHandle, ServerLoad> all = m_otherOutstanding;
     for (const auto& [server, load] : m_gateways.outstanding())
         all[server] = all[server] + load;
@@ -132,11 +152,14 @@
 asio::awaitable<void> FleetRelay::pollOnce(KeeperId leader)
 {
     Instant asked = currentTime();
-    ByteString request = encodeFollowRequest(nextRequest(asked));
+    FollowRequest sent = nextRequest(asked);
+    ByteString request = encodeFollowRequest(sent);
     auto bytes = co_await m_client.call(endpointOf(leader), PeerMethod::FollowFleet, std::move(request), m_options.timeout);
+    auto reply = bytes ? decodeFollowReply(*bytes) : FleetMessageResult<FollowReply>(failure(FleetMessageErrorCode::Malformed, bytes.error().detail));
+    if (!reply || !reply->isCurrent)
+        collectPromptParts(sent.promptParts);
     if (!bytes)
         co_return;
-    auto reply = decodeFollowReply(*bytes);
     if (!reply) {
         logEvent(EventId::CoordinatorRelayUnreadable, { { "leader", formatEndpoint(endpointOf(leader)) }, { "reason", reply.error().detail } });
         co_return;
@@ -168,6 +191,9 @@
     request.leaving.assign(m_leaving.begin(), m_leaving.end());
     // If this report is lost, gateways repeat the notice until the list shows the server as leaving.
     m_leaving.clear();
+    request.ended.assign(m_ended.begin(), m_ended.end());
+    m_ended.clear();
+    request.promptParts = takePromptParts();
     m_hasReportedDemand = !request.demands.empty();
     // Handles are valid within one epoch only, so none are reported while the list of a new epoch arrives.
     m_reportedOutstanding.clear();
@@ -178,6 +204,33 @@
     return request;
 }
 
+void FleetRelay::collectPromptParts(const PromptPartReport& report)
+{
+    append(m_promptParts.crashes, report.crashes);
+    append(m_promptParts.progress, report.progress);
+    append(m_promptParts.refused, report.refused);
+    append(m_promptParts.quarantined, report.quarantined);
+}
+
+/** The collected report, with one entry per part. */
+PromptPartReport FleetRelay::takePromptParts()
+{
+    PromptPartReport report = std::exchange(m_promptParts, {});
+    std::map<PromptPartKey, Instant> progress;
+    for (const PartProgress& each : report.progress) {
+        Instant& last = progress[each.part];
+        last = std::max(last, each.at);
+    }
+    report.progress.clear();
+    for (const auto& [part, at] : progress)
+        report.progress.push_back({ part, at });
+    for (auto* parts : { &report.refused, &report.quarantined }) {
+        std::sort(parts->begin(), parts->end());
+        parts->erase(std::unique(parts->begin(), parts->end()), parts->end());
+    }
+    return report;
+}
+
 void FleetRelay::applyReply(FollowReply reply, Instant asked)
 {
     if (reply.listAge)
@@ -186,6 +239,8 @@
         m_configuration = { reply.version, std::move(reply.configuration) };
     m_hasCaughtUp = m_hasCaughtUp || std::max(m_hooks.version(), m_configuration.version) >= reply.version;
     m_replyRequestedAt = asked;
+    for (PromptPartKey part : reply.trialParts)
+        m_trialParts[part] = asked + m_options.trialLifetime;
     m_expected.clear();
     for (const ModelExpectation& expectation : reply.expectations)
         m_expected[{ expectation.service, expectation.model }] = expectation.remaining;
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -35,6 +35,8 @@
         Duration timeout = 500ms;
         /** Bridges a few lost calls; shorter than every time limit for a change to come into force. */
         Duration lifetime = 700ms;
+        /** How long a trial of a quarantined prompt part waits for a gateway that can use it. */
+        Duration trialLifetime = 2s;
     };
 
     /** This coordinator, as the leader knows it. */
@@ -77,6 +79,8 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> pollOnce(KeeperId leader);
     FollowRequest nextRequest(Instant now);
+    void collectPromptParts(const PromptPartReport&);
+    PromptPartReport takePromptParts();
     void applyReply(FollowReply, Instant asked);
     void applyServers(const FollowReply&);
     void pollSoon();
@@ -92,6 +96,12 @@
     std::map<ModelKey, UnreportedDemand> m_unreportedDemand;
     /** Servers that announced to gateways of this relay that they leave, not yet reported to the leader. */
     std::set<ServerIncarnation> m_leaving;
+    /** The same of servers that refuse connections. */
+    std::set<ServerIncarnation> m_ended;
+    /** What gateways of this relay saw of prompt parts, not yet reported to the leader. */
+    PromptPartReport m_promptParts;
+    /** Trials of quarantined parts that the leader leaves to one gateway of this relay, and until when. */
+    std::map<PromptPartKey, Instant> m_trialParts;
     FleetTable m_table;
     /** The list of a new epoch while its parts arrive. */
     std::optional<FleetTable> m_incoming;
--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -128,6 +128,8 @@
     m_demand.recordReport(request, now);
     for (const ServerIncarnation& life : request.leaving)
         markLeaving(life, request.host.text());
+    for (const ServerIncarnation& life : request.ended)
+        checkIfEnded(life);
 }
 
 void PlacementDirector::beginEpoch(std::uint64_t epoch)
@@ -285,6 +287,16 @@
         markLeaving(life, m_options.issuer.text());
 }
 
+/** A gateway could not connect to the server. Its report is read at once, so that the models of a server that has ended are replaced before the list drops it; it may also be out of the gateway's reach only. */
+void PlacementDirector::checkIfEnded(const ServerIncarnation& life)
+{
+    Server* server = find(life.server, life.startedAt);
+    if (!server || !server->isKnown || server->isBusy)
+        return;
+    server->isKnown = false;
+    server->nextReport = currentTime();
+}
+
 /** The server's report is read before it gets another order. */
 void PlacementDirector::markUnknown(Server& server)
 {
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -118,6 +118,7 @@
     void markLeaving(const ServerIncarnation&, std::string_view toldBy);
     void markIfLeaving(const ServerIncarnation&, const HttpResponse&);
     static bool isLeaving(const Server& server) { return server.listed.isLeaving || server.announcedLeaving; }
+    void checkIfEnded(const ServerIncarnation&);
     void markUnknown(Server&);
     void recordCopies(Server&, const ModelName&);
     void noteStoreLoad(const Server&, const ModelName&, Duration took);
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -91,6 +91,8 @@
     { EventId::GatewayNoticeUnreadable, Warning, "gateway.notice_unreadable", "A notice in a header of a backend server's answer cannot be parsed and has no effect." },
     { EventId::GatewayServerSilent, Info, "gateway.server_silent", "A backend server has sent nothing for a request for a while; the attempt continues until another server can take over.", Failure },
     { EventId::GatewayTakeover, Info, "gateway.takeover", "A request at a silent backend server is sent to another one, after the last event given.", Failure },
+    { EventId::GatewayPromptPartQuarantined, Warning, "gateway.prompt_part_quarantined", "By this gateway's own evidence a part of a prompt crashes servers; this counts while no leader is in contact." },
+    { EventId::GatewayPromptPartTrial, Info, "gateway.prompt_part_trial", "A request with a quarantined prompt part is let through, to test whether the part still crashes servers." },
 
     // 2100: coordinator
     { EventId::CoordinatorStarted, Info, "coordinator.started", "The coordinator has read its data folder; identity, incarnation and version are given." },
@@ -106,6 +108,10 @@
     { EventId::CoordinatorConfigurationReceived, Info, "coordinator.configuration_received", "An operator's configuration arrived here; its version, the version in force and the leader known are given." },
     { EventId::CoordinatorLeaderCallFailed, Info, "coordinator.leader_call_failed", "One attempt to forward an operator's call to the leader failed; the target, the reason and the duration are given.", Failure },
     { EventId::CoordinatorServerLeaving, Info, "coordinator.server_leaving", "A server announced in an answer to this host or a gateway that it is leaving, before the platform's list said so." },
+    { EventId::CoordinatorServerCrash, Info, "coordinator.server_crash", "A server ended while a request, whose answer had not begun, was there; the keys of the prompt's shared parts are given.", Failure },
+    { EventId::CoordinatorPromptPartQuarantined, Warning, "coordinator.prompt_part_quarantined", "Requests with a part of a prompt crashed several servers in a row, and no server began to answer one since; gateways refuse such requests." },
+    { EventId::CoordinatorPromptPartReleased, Info, "coordinator.prompt_part_released", "A server began to answer a request with a quarantined prompt part; such requests are served again." },
+    { EventId::CoordinatorPromptPartTrial, Info, "coordinator.prompt_part_trial", "A gateway, or the gateways behind a relay, may let one request with a quarantined prompt part through." },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -95,6 +95,8 @@
     GatewayNoticeUnreadable = 2011,
     GatewayServerSilent = 2012,
     GatewayTakeover = 2013,
+    GatewayPromptPartQuarantined = 2014,
+    GatewayPromptPartTrial = 2015,
 
     // 2100: coordinator
     CoordinatorStarted = 2100,
@@ -109,7 +111,11 @@
     CoordinatorRelayUnreadable = 2109,
     CoordinatorConfigurationReceived = 2110,
     CoordinatorLeaderCallFailed = 2111,
-    CoordinatorServerLeaving = 2112
+    CoordinatorServerLeaving = 2112,
+    CoordinatorServerCrash = 2113,
+    CoordinatorPromptPartQuarantined = 2114,
+    CoordinatorPromptPartReleased = 2115,
+    CoordinatorPromptPartTrial = 2116
 };
 
 /** What a record reports; when the log is full, failures are kept. */
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -26,6 +26,31 @@
   startedAt @1 :Int64;
 }
 
+struct ServerCrash {
+  server @0 :ServerLife;
+  parts @1 :List(UInt64);
+  sentNanosecondsAgo @2 :Int64;
+  endedNanosecondsAgo @3 :Int64;
+}
+
+struct PartProgress {
+  part @0 :UInt64;
+  nanosecondsAgo @1 :Int64;
+}
+
+struct PromptPartReport {
+  crashes @0 :List(ServerCrash);
+  progress @1 :List(PartProgress);
+  refused @2 :List(UInt64);
+  quarantined @3 :List(UInt64);
+}
+
+struct SuspectPart {
+  part @0 :UInt64;
+  isQuarantined @1 :Bool;
+  nanosecondsUntilTrial @2 :Int64;
+}
+
 struct FollowRequest {
   host @0 :Text;
   configuration @1 :UInt64;
@@ -38,6 +63,8 @@
   dataCentre @8 :Text;
   isLast @9 :Bool;
   leaving @10 :List(ServerLife);
+  promptParts @11 :PromptPartReport;
+  ended @12 :List(ServerLife);
 }
 
 struct HeldModel {
@@ -93,6 +120,8 @@
   ageNanoseconds @15 :Int64;
   relays @16 :List(Relay);
   followers @17 :UInt32;
+  suspectParts @18 :List(SuspectPart);
+  trialParts @19 :List(UInt64);
 }
 
 struct ConfigurationBody {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -19,6 +19,10 @@
 CAPNP_DECLARE_SCHEMA(8a0ce8fbfa75e417);
 CAPNP_DECLARE_SCHEMA(c5e990f4f6e5d2b1);
 CAPNP_DECLARE_SCHEMA(eb52d18ef7fd9473);
+CAPNP_DECLARE_SCHEMA(c61c7cfe1167f4a5);
+CAPNP_DECLARE_SCHEMA(e2d22c5f10161ff7);
+CAPNP_DECLARE_SCHEMA(8b12e2af1dd37e37);
+CAPNP_DECLARE_SCHEMA(b8853dfe5a74acc7);
 CAPNP_DECLARE_SCHEMA(cca27ee069c78981);
 CAPNP_DECLARE_SCHEMA(e9823317390a82bc);
 CAPNP_DECLARE_SCHEMA(f80cdec24f7e05b5);
@@ -79,6 +83,66 @@
   };
 };
 
+struct ServerCrash {
+  ServerCrash() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c61c7cfe1167f4a5, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PartProgress {
+  PartProgress() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e2d22c5f10161ff7, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct PromptPartReport {
+  PromptPartReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8b12e2af1dd37e37, 0, 4)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct SuspectPart {
+  SuspectPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b8853dfe5a74acc7, 3, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FollowRequest {
   FollowRequest() = delete;
 
@@ -87,7 +151,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 5, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 5, 7)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -177,7 +241,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 8, 7)
+    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 8, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -517,9 +581,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FollowRequest::Reader {
+class ServerCrash::Reader {
 public:
-  typedef FollowRequest Reads;
+  typedef ServerCrash Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -534,32 +598,15 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost() const;
-  inline  ::capnp::Text::Reader getHost() const;
-
-  inline  ::uint64_t getConfiguration() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline bool hasDemands() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
-
-  inline bool hasLoads() const;
-  inline  ::hemlockchute::fleetwire::Loads::Reader getLoads() const;
-
-  inline  ::uint32_t getGateways() const;
-
-  inline  ::uint64_t getRelay() const;
+  inline bool hasServer() const;
+  inline  ::hemlockchute::fleetwire::ServerLife::Reader getServer() const;
 
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getParts() const;
 
-  inline bool getIsLast() const;
+  inline  ::int64_t getSentNanosecondsAgo() const;
 
-  inline bool hasLeaving() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+  inline  ::int64_t getEndedNanosecondsAgo() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -573,9 +620,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FollowRequest::Builder {
+class ServerCrash::Builder {
 public:
-  typedef FollowRequest Builds;
+  typedef ServerCrash Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -589,58 +636,26 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasHost();
-  inline  ::capnp::Text::Builder getHost();
-  inline void setHost( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initHost(unsigned int size);
-  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownHost();
-
-  inline  ::uint64_t getConfiguration();
-  inline void setConfiguration( ::uint64_t value);
-
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
-
-  inline bool hasDemands();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Builder getDemands();
-  inline void setDemands( ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
-  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
-
-  inline bool hasLoads();
-  inline  ::hemlockchute::fleetwire::Loads::Builder getLoads();
-  inline void setLoads( ::hemlockchute::fleetwire::Loads::Reader value);
-  inline  ::hemlockchute::fleetwire::Loads::Builder initLoads();
-  inline void adoptLoads(::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value);
-  inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> disownLoads();
-
-  inline  ::uint32_t getGateways();
-  inline void setGateways( ::uint32_t value);
-
-  inline  ::uint64_t getRelay();
-  inline void setRelay( ::uint64_t value);
-
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
-
-  inline bool getIsLast();
-  inline void setIsLast(bool value);
-
-  inline bool hasLeaving();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder getLeaving();
-  inline void setLeaving( ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
-  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>> disownLeaving();
+  inline bool hasServer();
+  inline  ::hemlockchute::fleetwire::ServerLife::Builder getServer();
+  inline void setServer( ::hemlockchute::fleetwire::ServerLife::Reader value);
+  inline  ::hemlockchute::fleetwire::ServerLife::Builder initServer();
+  inline void adoptServer(::capnp::Orphan< ::hemlockchute::fleetwire::ServerLife>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::fleetwire::ServerLife> disownServer();
+
+  inline bool hasParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getParts();
+  inline void setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownParts();
+
+  inline  ::int64_t getSentNanosecondsAgo();
+  inline void setSentNanosecondsAgo( ::int64_t value);
+
+  inline  ::int64_t getEndedNanosecondsAgo();
+  inline void setEndedNanosecondsAgo( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -652,15 +667,15 @@
 };
 
 #if !CAPNP_LITE
-class FollowRequest::Pipeline {
+class ServerCrash::Pipeline {
 public:
-  typedef FollowRequest Pipelines;
+  typedef ServerCrash Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockchute::fleetwire::Loads::Pipeline getLoads();
+  inline  ::hemlockchute::fleetwire::ServerLife::Pipeline getServer();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -669,9 +684,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class HeldModel::Reader {
+class PartProgress::Reader {
 public:
-  typedef HeldModel Reads;
+  typedef PartProgress Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -686,11 +701,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel() const;
-  inline  ::capnp::Text::Reader getModel() const;
+  inline  ::uint64_t getPart() const;
 
-  inline bool hasAdapters() const;
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAdapters() const;
+  inline  ::int64_t getNanosecondsAgo() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -704,9 +717,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class HeldModel::Builder {
+class PartProgress::Builder {
 public:
-  typedef HeldModel Builds;
+  typedef PartProgress Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -720,20 +733,11 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasModel();
-  inline  ::capnp::Text::Builder getModel();
-  inline void setModel( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initModel(unsigned int size);
-  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
 
-  inline bool hasAdapters();
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAdapters();
-  inline void setAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
-  inline void setAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
-  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAdapters(unsigned int size);
-  inline void adoptAdapters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAdapters();
+  inline  ::int64_t getNanosecondsAgo();
+  inline void setNanosecondsAgo( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -745,9 +749,9 @@
 };
 
 #if !CAPNP_LITE
-class HeldModel::Pipeline {
+class PartProgress::Pipeline {
 public:
-  typedef HeldModel Pipelines;
+  typedef PartProgress Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -761,9 +765,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Server::Reader {
+class PromptPartReport::Reader {
 public:
-  typedef Server Reads;
+  typedef PromptPartReport Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -778,30 +782,17 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId() const;
-  inline  ::capnp::Text::Reader getId() const;
-
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
-  inline bool hasAddress() const;
-  inline  ::capnp::Text::Reader getAddress() const;
-
-  inline bool hasDataCentre() const;
-  inline  ::capnp::Text::Reader getDataCentre() const;
+  inline bool hasCrashes() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader getCrashes() const;
 
-  inline  ::int64_t getStartedAt() const;
-
-  inline  ::uint32_t getSlots() const;
-
-  inline bool getIsLeaving() const;
-
-  inline bool hasModels() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader getModels() const;
+  inline bool hasProgress() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Reader getProgress() const;
 
-  inline  ::uint32_t getHandle() const;
+  inline bool hasRefused() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRefused() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline bool hasQuarantined() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantined() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -815,9 +806,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Server::Builder {
+class PromptPartReport::Builder {
 public:
-  typedef Server Builds;
+  typedef PromptPartReport Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -831,55 +822,35 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasId();
-  inline  ::capnp::Text::Builder getId();
-  inline void setId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initId(unsigned int size);
-  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownId();
-
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
-  inline bool hasAddress();
-  inline  ::capnp::Text::Builder getAddress();
-  inline void setAddress( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initAddress(unsigned int size);
-  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
-
-  inline bool hasDataCentre();
-  inline  ::capnp::Text::Builder getDataCentre();
-  inline void setDataCentre( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
-  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
-
-  inline  ::int64_t getStartedAt();
-  inline void setStartedAt( ::int64_t value);
-
-  inline  ::uint32_t getSlots();
-  inline void setSlots( ::uint32_t value);
-
-  inline bool getIsLeaving();
-  inline void setIsLeaving(bool value);
-
-  inline bool hasModels();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder getModels();
-  inline void setModels( ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder initModels(unsigned int size);
-  inline void adoptModels(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>> disownModels();
-
-  inline  ::uint32_t getHandle();
-  inline void setHandle( ::uint32_t value);
-
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool hasCrashes();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder getCrashes();
+  inline void setCrashes( ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder initCrashes(unsigned int size);
+  inline void adoptCrashes(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>> disownCrashes();
+
+  inline bool hasProgress();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Builder getProgress();
+  inline void setProgress( ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Builder initProgress(unsigned int size);
+  inline void adoptProgress(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>> disownProgress();
+
+  inline bool hasRefused();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getRefused();
+  inline void setRefused( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setRefused(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initRefused(unsigned int size);
+  inline void adoptRefused(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRefused();
+
+  inline bool hasQuarantined();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setQuarantined(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuarantined();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -891,9 +862,9 @@
 };
 
 #if !CAPNP_LITE
-class Server::Pipeline {
+class PromptPartReport::Pipeline {
 public:
-  typedef Server Pipelines;
+  typedef PromptPartReport Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -907,9 +878,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Departure::Reader {
+class SuspectPart::Reader {
 public:
-  typedef Departure Reads;
+  typedef SuspectPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -924,10 +895,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServer() const;
-  inline  ::capnp::Text::Reader getServer() const;
+  inline  ::uint64_t getPart() const;
 
-  inline  ::uint64_t getRevision() const;
+  inline bool getIsQuarantined() const;
+
+  inline  ::int64_t getNanosecondsUntilTrial() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -941,9 +913,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Departure::Builder {
+class SuspectPart::Builder {
 public:
-  typedef Departure Builds;
+  typedef SuspectPart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -957,15 +929,14 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasServer();
-  inline  ::capnp::Text::Builder getServer();
-  inline void setServer( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initServer(unsigned int size);
-  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+  inline  ::uint64_t getPart();
+  inline void setPart( ::uint64_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool getIsQuarantined();
+  inline void setIsQuarantined(bool value);
+
+  inline  ::int64_t getNanosecondsUntilTrial();
+  inline void setNanosecondsUntilTrial( ::int64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -977,9 +948,9 @@
 };
 
 #if !CAPNP_LITE
-class Departure::Pipeline {
+class SuspectPart::Pipeline {
 public:
-  typedef Departure Pipelines;
+  typedef SuspectPart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -993,9 +964,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Relay::Reader {
+class FollowRequest::Reader {
 public:
-  typedef Relay Reads;
+  typedef FollowRequest Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1010,11 +981,39 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getCoordinator() const;
-
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline  ::uint64_t getConfiguration() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDemands() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Reader getDemands() const;
+
+  inline bool hasLoads() const;
+  inline  ::hemlockchute::fleetwire::Loads::Reader getLoads() const;
+
+  inline  ::uint32_t getGateways() const;
+
+  inline  ::uint64_t getRelay() const;
+
   inline bool hasDataCentre() const;
   inline  ::capnp::Text::Reader getDataCentre() const;
 
+  inline bool getIsLast() const;
+
+  inline bool hasLeaving() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader getLeaving() const;
+
+  inline bool hasPromptParts() const;
+  inline  ::hemlockchute::fleetwire::PromptPartReport::Reader getPromptParts() const;
+
+  inline bool hasEnded() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader getEnded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1027,9 +1026,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Relay::Builder {
+class FollowRequest::Builder {
 public:
-  typedef Relay Builds;
+  typedef FollowRequest Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1043,8 +1042,41 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getCoordinator();
-  inline void setCoordinator( ::uint64_t value);
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline  ::uint64_t getConfiguration();
+  inline void setConfiguration( ::uint64_t value);
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDemands();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Builder getDemands();
+  inline void setDemands( ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>::Builder initDemands(unsigned int size);
+  inline void adoptDemands(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Demand,  ::capnp::Kind::STRUCT>> disownDemands();
+
+  inline bool hasLoads();
+  inline  ::hemlockchute::fleetwire::Loads::Builder getLoads();
+  inline void setLoads( ::hemlockchute::fleetwire::Loads::Reader value);
+  inline  ::hemlockchute::fleetwire::Loads::Builder initLoads();
+  inline void adoptLoads(::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> disownLoads();
+
+  inline  ::uint32_t getGateways();
+  inline void setGateways( ::uint32_t value);
+
+  inline  ::uint64_t getRelay();
+  inline void setRelay( ::uint64_t value);
 
   inline bool hasDataCentre();
   inline  ::capnp::Text::Builder getDataCentre();
@@ -1053,6 +1085,30 @@
   inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
+  inline bool getIsLast();
+  inline void setIsLast(bool value);
+
+  inline bool hasLeaving();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder getLeaving();
+  inline void setLeaving( ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder initLeaving(unsigned int size);
+  inline void adoptLeaving(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>> disownLeaving();
+
+  inline bool hasPromptParts();
+  inline  ::hemlockchute::fleetwire::PromptPartReport::Builder getPromptParts();
+  inline void setPromptParts( ::hemlockchute::fleetwire::PromptPartReport::Reader value);
+  inline  ::hemlockchute::fleetwire::PromptPartReport::Builder initPromptParts();
+  inline void adoptPromptParts(::capnp::Orphan< ::hemlockchute::fleetwire::PromptPartReport>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::fleetwire::PromptPartReport> disownPromptParts();
+
+  inline bool hasEnded();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder getEnded();
+  inline void setEnded( ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder initEnded(unsigned int size);
+  inline void adoptEnded(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>> disownEnded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1063,14 +1119,16 @@
 };
 
 #if !CAPNP_LITE
-class Relay::Pipeline {
+class FollowRequest::Pipeline {
 public:
-  typedef Relay Pipelines;
+  typedef FollowRequest Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::hemlockchute::fleetwire::Loads::Pipeline getLoads();
+  inline  ::hemlockchute::fleetwire::PromptPartReport::Pipeline getPromptParts();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1079,9 +1137,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class Expectation::Reader {
+class HeldModel::Reader {
 public:
-  typedef Expectation Reads;
+  typedef HeldModel Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1096,13 +1154,11 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService() const;
-  inline  ::capnp::Text::Reader getService() const;
-
   inline bool hasModel() const;
   inline  ::capnp::Text::Reader getModel() const;
 
-  inline  ::int64_t getRemainingNanoseconds() const;
+  inline bool hasAdapters() const;
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader getAdapters() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1116,9 +1172,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class Expectation::Builder {
+class HeldModel::Builder {
 public:
-  typedef Expectation Builds;
+  typedef HeldModel Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1132,13 +1188,6 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasService();
-  inline  ::capnp::Text::Builder getService();
-  inline void setService( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initService(unsigned int size);
-  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownService();
-
   inline bool hasModel();
   inline  ::capnp::Text::Builder getModel();
   inline void setModel( ::capnp::Text::Reader value);
@@ -1146,8 +1195,13 @@
   inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
   inline ::capnp::Orphan< ::capnp::Text> disownModel();
 
-  inline  ::int64_t getRemainingNanoseconds();
-  inline void setRemainingNanoseconds( ::int64_t value);
+  inline bool hasAdapters();
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder getAdapters();
+  inline void setAdapters( ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Reader value);
+  inline void setAdapters(::kj::ArrayPtr<const  ::capnp::Text::Reader> value);
+  inline  ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>::Builder initAdapters(unsigned int size);
+  inline void adoptAdapters(::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::Text,  ::capnp::Kind::BLOB>> disownAdapters();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1159,9 +1213,9 @@
 };
 
 #if !CAPNP_LITE
-class Expectation::Pipeline {
+class HeldModel::Pipeline {
 public:
-  typedef Expectation Pipelines;
+  typedef HeldModel Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1175,9 +1229,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class FollowReply::Reader {
+class Server::Reader {
 public:
-  typedef FollowReply Reads;
+  typedef Server Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1192,48 +1246,30 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsCurrent() const;
-
-  inline  ::uint64_t getLeader() const;
-
-  inline bool hasCoordinators() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCoordinators() const;
-
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasConfiguration() const;
-  inline  ::capnp::Data::Reader getConfiguration() const;
-
-  inline  ::uint64_t getEpoch() const;
-
-  inline  ::uint64_t getRevision() const;
-
-  inline bool hasServers() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader getServers() const;
-
-  inline bool hasExpectations() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Reader getExpectations() const;
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
 
-  inline bool hasLoads() const;
-  inline  ::hemlockchute::fleetwire::Loads::Reader getLoads() const;
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
 
-  inline  ::uint32_t getGateways() const;
+  inline bool hasAddress() const;
+  inline  ::capnp::Text::Reader getAddress() const;
 
-  inline bool getIsWhole() const;
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
-  inline bool hasGone() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader getGone() const;
+  inline  ::int64_t getStartedAt() const;
 
-  inline  ::int64_t getListAgeNanoseconds() const;
+  inline  ::uint32_t getSlots() const;
 
-  inline bool getHasMore() const;
+  inline bool getIsLeaving() const;
 
-  inline  ::int64_t getAgeNanoseconds() const;
+  inline bool hasModels() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader getModels() const;
 
-  inline bool hasRelays() const;
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+  inline  ::uint32_t getHandle() const;
 
-  inline  ::uint32_t getFollowers() const;
+  inline  ::uint64_t getRevision() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1247,9 +1283,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class FollowReply::Builder {
+class Server::Builder {
 public:
-  typedef FollowReply Builds;
+  typedef Server Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1263,88 +1299,141 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool getIsCurrent();
-  inline void setIsCurrent(bool value);
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
 
-  inline  ::uint64_t getLeader();
-  inline void setLeader( ::uint64_t value);
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
 
-  inline bool hasCoordinators();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCoordinators();
-  inline void setCoordinators( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setCoordinators(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCoordinators(unsigned int size);
-  inline void adoptCoordinators(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCoordinators();
+  inline bool hasAddress();
+  inline  ::capnp::Text::Builder getAddress();
+  inline void setAddress( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initAddress(unsigned int size);
+  inline void adoptAddress(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownAddress();
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
-  inline bool hasConfiguration();
-  inline  ::capnp::Data::Builder getConfiguration();
-  inline void setConfiguration( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initConfiguration(unsigned int size);
-  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownConfiguration();
+  inline  ::int64_t getStartedAt();
+  inline void setStartedAt( ::int64_t value);
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline  ::uint32_t getSlots();
+  inline void setSlots( ::uint32_t value);
 
-  inline  ::uint64_t getRevision();
-  inline void setRevision( ::uint64_t value);
+  inline bool getIsLeaving();
+  inline void setIsLeaving(bool value);
 
-  inline bool hasServers();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder getServers();
-  inline void setServers( ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
-  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>> disownServers();
+  inline bool hasModels();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder getModels();
+  inline void setModels( ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>::Builder initModels(unsigned int size);
+  inline void adoptModels(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::HeldModel,  ::capnp::Kind::STRUCT>> disownModels();
 
-  inline bool hasExpectations();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Builder getExpectations();
-  inline void setExpectations( ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Builder initExpectations(unsigned int size);
-  inline void adoptExpectations(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>> disownExpectations();
+  inline  ::uint32_t getHandle();
+  inline void setHandle( ::uint32_t value);
 
-  inline bool hasLoads();
-  inline  ::hemlockchute::fleetwire::Loads::Builder getLoads();
-  inline void setLoads( ::hemlockchute::fleetwire::Loads::Reader value);
-  inline  ::hemlockchute::fleetwire::Loads::Builder initLoads();
-  inline void adoptLoads(::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value);
-  inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> disownLoads();
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
-  inline  ::uint32_t getGateways();
-  inline void setGateways( ::uint32_t value);
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
 
-  inline bool getIsWhole();
-  inline void setIsWhole(bool value);
+#if !CAPNP_LITE
+class Server::Pipeline {
+public:
+  typedef Server Pipelines;
 
-  inline bool hasGone();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder getGone();
-  inline void setGone( ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder initGone(unsigned int size);
-  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>> disownGone();
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
 
-  inline  ::int64_t getListAgeNanoseconds();
-  inline void setListAgeNanoseconds( ::int64_t value);
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
 
-  inline bool getHasMore();
-  inline void setHasMore(bool value);
+class Departure::Reader {
+public:
+  typedef Departure Reads;
 
-  inline  ::int64_t getAgeNanoseconds();
-  inline void setAgeNanoseconds( ::int64_t value);
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-  inline bool hasRelays();
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder getRelays();
-  inline void setRelays( ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
-  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>> disownRelays();
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-  inline  ::uint32_t getFollowers();
-  inline void setFollowers( ::uint32_t value);
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer() const;
+  inline  ::capnp::Text::Reader getServer() const;
+
+  inline  ::uint64_t getRevision() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Departure::Builder {
+public:
+  typedef Departure Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasServer();
+  inline  ::capnp::Text::Builder getServer();
+  inline void setServer( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initServer(unsigned int size);
+  inline void adoptServer(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownServer();
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1356,15 +1445,14 @@
 };
 
 #if !CAPNP_LITE
-class FollowReply::Pipeline {
+class Departure::Pipeline {
 public:
-  typedef FollowReply Pipelines;
+  typedef Departure Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
-  inline  ::hemlockchute::fleetwire::Loads::Pipeline getLoads();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1373,9 +1461,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class ConfigurationBody::Reader {
+class Relay::Reader {
 public:
-  typedef ConfigurationBody Reads;
+  typedef Relay Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -1390,10 +1478,10 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion() const;
+  inline  ::uint64_t getCoordinator() const;
 
-  inline bool hasBody() const;
-  inline  ::capnp::Data::Reader getBody() const;
+  inline bool hasDataCentre() const;
+  inline  ::capnp::Text::Reader getDataCentre() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -1407,9 +1495,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class ConfigurationBody::Builder {
+class Relay::Builder {
 public:
-  typedef ConfigurationBody Builds;
+  typedef Relay Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -1423,15 +1511,15 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint64_t getCoordinator();
+  inline void setCoordinator( ::uint64_t value);
 
-  inline bool hasBody();
-  inline  ::capnp::Data::Builder getBody();
-  inline void setBody( ::capnp::Data::Reader value);
-  inline  ::capnp::Data::Builder initBody(unsigned int size);
-  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
-  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+  inline bool hasDataCentre();
+  inline  ::capnp::Text::Builder getDataCentre();
+  inline void setDataCentre( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initDataCentre(unsigned int size);
+  inline void adoptDataCentre(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownDataCentre();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -1443,9 +1531,9 @@
 };
 
 #if !CAPNP_LITE
-class ConfigurationBody::Pipeline {
+class Relay::Pipeline {
 public:
-  typedef ConfigurationBody Pipelines;
+  typedef Relay Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -1459,342 +1547,1062 @@
 };
 #endif  // !CAPNP_LITE
 
-// =======================================================================================
+class Expectation::Reader {
+public:
+  typedef Expectation Reads;
 
-inline bool Demand::Reader::hasService() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Demand::Builder::hasService() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Demand::Reader::getService() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Demand::Builder::getService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Demand::Builder::setService( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Demand::Builder::initService(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
-}
-inline void Demand::Builder::adoptService(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownService() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
 
-inline bool Demand::Reader::hasModel() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool Demand::Builder::hasModel() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Demand::Reader::getModel() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Demand::Builder::getModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void Demand::Builder::setModel( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Demand::Builder::initModel(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void Demand::Builder::adoptModel(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownModel() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
 
-inline bool Demand::Reader::hasAdapter() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline bool Demand::Builder::hasAdapter() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::Text::Reader Demand::Reader::getAdapter() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline  ::capnp::Text::Builder Demand::Builder::getAdapter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
-inline void Demand::Builder::setAdapter( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::Text::Builder Demand::Builder::initAdapter(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
-}
-inline void Demand::Builder::adoptAdapter(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownAdapter() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<2>() * ::capnp::POINTERS));
-}
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
 
-inline  ::uint32_t Demand::Reader::getWaiting() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+  inline bool hasService() const;
+  inline  ::capnp::Text::Reader getService() const;
+
+  inline bool hasModel() const;
+  inline  ::capnp::Text::Reader getModel() const;
+
+  inline  ::int64_t getRemainingNanoseconds() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Expectation::Builder {
+public:
+  typedef Expectation Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasService();
+  inline  ::capnp::Text::Builder getService();
+  inline void setService( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initService(unsigned int size);
+  inline void adoptService(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownService();
+
+  inline bool hasModel();
+  inline  ::capnp::Text::Builder getModel();
+  inline void setModel( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initModel(unsigned int size);
+  inline void adoptModel(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownModel();
+
+  inline  ::int64_t getRemainingNanoseconds();
+  inline void setRemainingNanoseconds( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Expectation::Pipeline {
+public:
+  typedef Expectation Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class FollowReply::Reader {
+public:
+  typedef FollowReply Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsCurrent() const;
+
+  inline  ::uint64_t getLeader() const;
+
+  inline bool hasCoordinators() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getCoordinators() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasConfiguration() const;
+  inline  ::capnp::Data::Reader getConfiguration() const;
+
+  inline  ::uint64_t getEpoch() const;
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasServers() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader getServers() const;
+
+  inline bool hasExpectations() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Reader getExpectations() const;
+
+  inline bool hasLoads() const;
+  inline  ::hemlockchute::fleetwire::Loads::Reader getLoads() const;
+
+  inline  ::uint32_t getGateways() const;
+
+  inline bool getIsWhole() const;
+
+  inline bool hasGone() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader getGone() const;
+
+  inline  ::int64_t getListAgeNanoseconds() const;
+
+  inline bool getHasMore() const;
+
+  inline  ::int64_t getAgeNanoseconds() const;
+
+  inline bool hasRelays() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader getRelays() const;
+
+  inline  ::uint32_t getFollowers() const;
+
+  inline bool hasSuspectParts() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getSuspectParts() const;
+
+  inline bool hasTrialParts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getTrialParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FollowReply::Builder {
+public:
+  typedef FollowReply Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool getIsCurrent();
+  inline void setIsCurrent(bool value);
+
+  inline  ::uint64_t getLeader();
+  inline void setLeader( ::uint64_t value);
+
+  inline bool hasCoordinators();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getCoordinators();
+  inline void setCoordinators( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setCoordinators(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initCoordinators(unsigned int size);
+  inline void adoptCoordinators(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownCoordinators();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasConfiguration();
+  inline  ::capnp::Data::Builder getConfiguration();
+  inline void setConfiguration( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initConfiguration(unsigned int size);
+  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownConfiguration();
+
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasServers();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder getServers();
+  inline void setServers( ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>::Builder initServers(unsigned int size);
+  inline void adoptServers(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Server,  ::capnp::Kind::STRUCT>> disownServers();
+
+  inline bool hasExpectations();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Builder getExpectations();
+  inline void setExpectations( ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>::Builder initExpectations(unsigned int size);
+  inline void adoptExpectations(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Expectation,  ::capnp::Kind::STRUCT>> disownExpectations();
+
+  inline bool hasLoads();
+  inline  ::hemlockchute::fleetwire::Loads::Builder getLoads();
+  inline void setLoads( ::hemlockchute::fleetwire::Loads::Reader value);
+  inline  ::hemlockchute::fleetwire::Loads::Builder initLoads();
+  inline void adoptLoads(::capnp::Orphan< ::hemlockchute::fleetwire::Loads>&& value);
+  inline ::capnp::Orphan< ::hemlockchute::fleetwire::Loads> disownLoads();
+
+  inline  ::uint32_t getGateways();
+  inline void setGateways( ::uint32_t value);
+
+  inline bool getIsWhole();
+  inline void setIsWhole(bool value);
+
+  inline bool hasGone();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder getGone();
+  inline void setGone( ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>::Builder initGone(unsigned int size);
+  inline void adoptGone(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Departure,  ::capnp::Kind::STRUCT>> disownGone();
+
+  inline  ::int64_t getListAgeNanoseconds();
+  inline void setListAgeNanoseconds( ::int64_t value);
+
+  inline bool getHasMore();
+  inline void setHasMore(bool value);
+
+  inline  ::int64_t getAgeNanoseconds();
+  inline void setAgeNanoseconds( ::int64_t value);
+
+  inline bool hasRelays();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder getRelays();
+  inline void setRelays( ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>::Builder initRelays(unsigned int size);
+  inline void adoptRelays(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::Relay,  ::capnp::Kind::STRUCT>> disownRelays();
+
+  inline  ::uint32_t getFollowers();
+  inline void setFollowers( ::uint32_t value);
+
+  inline bool hasSuspectParts();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getSuspectParts();
+  inline void setSuspectParts( ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initSuspectParts(unsigned int size);
+  inline void adoptSuspectParts(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>> disownSuspectParts();
+
+  inline bool hasTrialParts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getTrialParts();
+  inline void setTrialParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setTrialParts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initTrialParts(unsigned int size);
+  inline void adoptTrialParts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownTrialParts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FollowReply::Pipeline {
+public:
+  typedef FollowReply Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::hemlockchute::fleetwire::Loads::Pipeline getLoads();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ConfigurationBody::Reader {
+public:
+  typedef ConfigurationBody Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ConfigurationBody::Builder {
+public:
+  typedef ConfigurationBody Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ConfigurationBody::Pipeline {
+public:
+  typedef ConfigurationBody Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+// =======================================================================================
+
+inline bool Demand::Reader::hasService() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Demand::Builder::hasService() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Demand::Reader::getService() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Demand::Builder::getService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Demand::Builder::setService( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Demand::Builder::initService(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Demand::Builder::adoptService(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownService() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Demand::Reader::hasModel() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Demand::Builder::hasModel() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Demand::Reader::getModel() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Demand::Builder::getModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Demand::Builder::setModel( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Demand::Builder::initModel(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Demand::Builder::adoptModel(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownModel() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Demand::Reader::hasAdapter() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Demand::Builder::hasAdapter() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Demand::Reader::getAdapter() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Demand::Builder::getAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Demand::Builder::setAdapter( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Demand::Builder::initAdapter(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Demand::Builder::adoptAdapter(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Demand::Builder::disownAdapter() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline  ::uint32_t Demand::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Demand::Builder::getWaiting() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Demand::Builder::setWaiting( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Demand::Reader::getActive() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Demand::Builder::getActive() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void Demand::Builder::setActive( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t Demand::Reader::getArrivals() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Demand::Builder::getArrivals() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void Demand::Builder::setArrivals( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Demand::Builder::getWaiting() {
+inline  ::uint32_t Demand::Reader::getRefused() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Demand::Builder::getRefused() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setWaiting( ::uint32_t value) {
+inline void Demand::Builder::setRefused( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Demand::Reader::getActive() const {
+inline  ::uint32_t Demand::Reader::getRank() const {
   return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Demand::Builder::getActive() {
+inline  ::uint32_t Demand::Builder::getRank() {
   return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setActive( ::uint32_t value) {
+inline void Demand::Builder::setRank( ::uint32_t value) {
   _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Loads::Reader::hasServers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Loads::Builder::hasServers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getServers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Loads::Builder::setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void Loads::Builder::setServers(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initServers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Loads::Builder::adoptServers(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownServers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Loads::Reader::hasRequests() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Loads::Builder::hasRequests() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getRequests() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Loads::Builder::setRequests( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void Loads::Builder::setRequests(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initRequests(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Loads::Builder::adoptRequests(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownRequests() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool Loads::Reader::hasUnreadTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool Loads::Builder::hasUnreadTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getUnreadTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getUnreadTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void Loads::Builder::setUnreadTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline void Loads::Builder::setUnreadTokens(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initUnreadTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void Loads::Builder::adoptUnreadTokens(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownUnreadTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ServerLife::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerLife::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ServerLife::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ServerLife::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerLife::Builder::setServer( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ServerLife::Builder::initServer(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ServerLife::Builder::adoptServer(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ServerLife::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServerLife::Reader::getStartedAt() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerLife::Builder::getStartedAt() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerLife::Builder::setStartedAt( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ServerCrash::Reader::hasServer() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerCrash::Builder::hasServer() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockchute::fleetwire::ServerLife::Reader ServerCrash::Reader::getServer() const {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::ServerLife>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::hemlockchute::fleetwire::ServerLife::Builder ServerCrash::Builder::getServer() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::ServerLife>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockchute::fleetwire::ServerLife::Pipeline ServerCrash::Pipeline::getServer() {
+  return  ::hemlockchute::fleetwire::ServerLife::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void ServerCrash::Builder::setServer( ::hemlockchute::fleetwire::ServerLife::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::ServerLife>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockchute::fleetwire::ServerLife::Builder ServerCrash::Builder::initServer() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::ServerLife>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ServerCrash::Builder::adoptServer(
+    ::capnp::Orphan< ::hemlockchute::fleetwire::ServerLife>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::ServerLife>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockchute::fleetwire::ServerLife> ServerCrash::Builder::disownServer() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::ServerLife>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ServerCrash::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ServerCrash::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader ServerCrash::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ServerCrash::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ServerCrash::Builder::setParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline void ServerCrash::Builder::setParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder ServerCrash::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ServerCrash::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> ServerCrash::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline  ::int64_t ServerCrash::Reader::getSentNanosecondsAgo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ServerCrash::Builder::getSentNanosecondsAgo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ServerCrash::Builder::setSentNanosecondsAgo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Demand::Reader::getArrivals() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t ServerCrash::Reader::getEndedNanosecondsAgo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Demand::Builder::getArrivals() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+inline  ::int64_t ServerCrash::Builder::getEndedNanosecondsAgo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setArrivals( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+inline void ServerCrash::Builder::setEndedNanosecondsAgo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Demand::Reader::getRefused() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PartProgress::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Demand::Builder::getRefused() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+inline  ::uint64_t PartProgress::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setRefused( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+inline void PartProgress::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint32_t Demand::Reader::getRank() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t PartProgress::Reader::getNanosecondsAgo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint32_t Demand::Builder::getRank() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+inline  ::int64_t PartProgress::Builder::getNanosecondsAgo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
 }
-inline void Demand::Builder::setRank( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+inline void PartProgress::Builder::setNanosecondsAgo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool Loads::Reader::hasServers() const {
+inline bool PromptPartReport::Reader::hasCrashes() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline bool Loads::Builder::hasServers() {
+inline bool PromptPartReport::Builder::hasCrashes() {
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getServers() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader PromptPartReport::Reader::getCrashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder PromptPartReport::Builder::getCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void Loads::Builder::setServers( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline void Loads::Builder::setServers(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PromptPartReport::Builder::setCrashes( ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initServers(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>::Builder PromptPartReport::Builder::initCrashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), size);
 }
-inline void Loads::Builder::adoptServers(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void PromptPartReport::Builder::adoptCrashes(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownServers() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>> PromptPartReport::Builder::disownCrashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerCrash,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Loads::Reader::hasRequests() const {
+inline bool PromptPartReport::Reader::hasProgress() const {
   return !_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline bool Loads::Builder::hasRequests() {
+inline bool PromptPartReport::Builder::hasProgress() {
   return !_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getRequests() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Reader PromptPartReport::Reader::getProgress() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getRequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Builder PromptPartReport::Builder::getProgress() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
-inline void Loads::Builder::setRequests( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline void Loads::Builder::setRequests(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PromptPartReport::Builder::setProgress( ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initRequests(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>::Builder PromptPartReport::Builder::initProgress(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), size);
 }
-inline void Loads::Builder::adoptRequests(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void PromptPartReport::Builder::adoptProgress(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownRequests() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>> PromptPartReport::Builder::disownProgress() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::PartProgress,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
-inline bool Loads::Reader::hasUnreadTokens() const {
+inline bool PromptPartReport::Reader::hasRefused() const {
   return !_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline bool Loads::Builder::hasUnreadTokens() {
+inline bool PromptPartReport::Builder::hasRefused() {
   return !_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getUnreadTokens() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptPartReport::Reader::getRefused() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getUnreadTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptPartReport::Builder::getRefused() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
-inline void Loads::Builder::setUnreadTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PromptPartReport::Builder::setRefused( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline void Loads::Builder::setUnreadTokens(::kj::ArrayPtr<const  ::uint32_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PromptPartReport::Builder::setRefused(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initUnreadTokens(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptPartReport::Builder::initRefused(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), size);
 }
-inline void Loads::Builder::adoptUnreadTokens(
-    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+inline void PromptPartReport::Builder::adoptRefused(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownUnreadTokens() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptPartReport::Builder::disownRefused() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
-inline bool ServerLife::Reader::hasServer() const {
+inline bool PromptPartReport::Reader::hasQuarantined() const {
   return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline bool ServerLife::Builder::hasServer() {
+inline bool PromptPartReport::Builder::hasQuarantined() {
   return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::Text::Reader ServerLife::Reader::getServer() const {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptPartReport::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::Text::Builder ServerLife::Builder::getServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptPartReport::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void ServerLife::Builder::setServer( ::capnp::Text::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+inline void PromptPartReport::Builder::setQuarantined( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::Text::Builder ServerLife::Builder::initServer(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+inline void PromptPartReport::Builder::setQuarantined(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline void ServerLife::Builder::adoptServer(
-    ::capnp::Orphan< ::capnp::Text>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptPartReport::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
-inline ::capnp::Orphan< ::capnp::Text> ServerLife::Builder::disownServer() {
-  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+inline void PromptPartReport::Builder::adoptQuarantined(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptPartReport::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
-inline  ::int64_t ServerLife::Reader::getStartedAt() const {
-  return _reader.getDataField< ::int64_t>(
+inline  ::uint64_t SuspectPart::Reader::getPart() const {
+  return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::int64_t ServerLife::Builder::getStartedAt() {
-  return _builder.getDataField< ::int64_t>(
+inline  ::uint64_t SuspectPart::Builder::getPart() {
+  return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void ServerLife::Builder::setStartedAt( ::int64_t value) {
-  _builder.setDataField< ::int64_t>(
+inline void SuspectPart::Builder::setPart( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SuspectPart::Reader::getIsQuarantined() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool SuspectPart::Builder::getIsQuarantined() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setIsQuarantined(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t SuspectPart::Reader::getNanosecondsUntilTrial() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t SuspectPart::Builder::getNanosecondsUntilTrial() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setNanosecondsUntilTrial( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2054,6 +2862,79 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline bool FollowRequest::Reader::hasPromptParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasPromptParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::hemlockchute::fleetwire::PromptPartReport::Reader FollowRequest::Reader::getPromptParts() const {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::PromptPartReport>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::hemlockchute::fleetwire::PromptPartReport::Builder FollowRequest::Builder::getPromptParts() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::PromptPartReport>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::hemlockchute::fleetwire::PromptPartReport::Pipeline FollowRequest::Pipeline::getPromptParts() {
+  return  ::hemlockchute::fleetwire::PromptPartReport::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void FollowRequest::Builder::setPromptParts( ::hemlockchute::fleetwire::PromptPartReport::Reader value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::PromptPartReport>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::hemlockchute::fleetwire::PromptPartReport::Builder FollowRequest::Builder::initPromptParts() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::PromptPartReport>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::adoptPromptParts(
+    ::capnp::Orphan< ::hemlockchute::fleetwire::PromptPartReport>&& value) {
+  ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::PromptPartReport>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::hemlockchute::fleetwire::PromptPartReport> FollowRequest::Builder::disownPromptParts() {
+  return ::capnp::_::PointerHelpers< ::hemlockchute::fleetwire::PromptPartReport>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool FollowRequest::Reader::hasEnded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasEnded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getEnded() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getEnded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setEnded( ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initEnded(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptEnded(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownEnded() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::ServerLife,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
 inline bool HeldModel::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2945,6 +3826,78 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FollowReply::Reader::hasSuspectParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasSuspectParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getSuspectParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getSuspectParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setSuspectParts( ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initSuspectParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptSuspectParts(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownSuspectParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool FollowReply::Reader::hasTrialParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasTrialParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader FollowReply::Reader::getTrialParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FollowReply::Builder::getTrialParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setTrialParts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void FollowReply::Builder::setTrialParts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder FollowReply::Builder::initTrialParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptTrialParts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> FollowReply::Builder::disownTrialParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t ConfigurationBody::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -122,6 +122,66 @@
     to.setRevision(departure.revision);
 }
 
+template <typename Builder>
+void writeLives(Builder to, const std::vector<ServerIncarnation>& from)
+{
+    for (unsigned i = 0; i < from.size(); ++i) {
+        to[i].setServer(from[i].server.text());
+        to[i].setStartedAt(from[i].startedAt);
+    }
+}
+
+ServerIncarnation read(fleetwire::ServerLife::Reader from)
+{
+    return { BackendServerName(textOf(from.getServer())), from.getStartedAt() };
+}
+
+void write(capnp::List<std::uint64_t>::Builder to, const std::vector<PromptPartKey>& from)
+{
+    for (unsigned i = 0; i < from.size(); ++i)
+        to.set(i, from[i].value());
+}
+
+std::vector<PromptPartKey> read(capnp::List<std::uint64_t>::Reader from)
+{
+    std::vector<PromptPartKey> all;
+    for (std::uint64_t part : from)
+        all.emplace_back(part);
+    return all;
+}
+
+void write(fleetwire::PromptPartReport::Builder to, const PromptPartReport& report, Instant now)
+{
+    auto crashes = to.initCrashes(sizeOf(report.crashes));
+    for (unsigned i = 0; i < report.crashes.size(); ++i) {
+        const ServerCrash& crash = report.crashes[i];
+        crashes[i].initServer().setServer(crash.server.server.text());
+        crashes[i].getServer().setStartedAt(crash.server.startedAt);
+        write(crashes[i].initParts(sizeOf(crash.parts)), crash.parts);
+        crashes[i].setSentNanosecondsAgo((now - crash.sent).count());
+        crashes[i].setEndedNanosecondsAgo((now - crash.ended).count());
+    }
+    auto progress = to.initProgress(sizeOf(report.progress));
+    for (unsigned i = 0; i < report.progress.size(); ++i) {
+        progress[i].setPart(report.progress[i].part.value());
+        progress[i].setNanosecondsAgo((now - report.progress[i].at).count());
+    }
+    write(to.initRefused(sizeOf(report.refused)), report.refused);
+    write(to.initQuarantined(sizeOf(report.quarantined)), report.quarantined);
+}
+
+PromptPartReport read(fleetwire::PromptPartReport::Reader from, Instant now)
+{
+    PromptPartReport report;
+    for (auto crash : from.getCrashes())
+        report.crashes.push_back({ read(crash.getServer()), read(crash.getParts()), now - Duration(crash.getSentNanosecondsAgo()), now - Duration(crash.getEndedNanosecondsAgo()) });
+    for (auto progress : from.getProgress())
+        report.progress.push_back({ PromptPartKey(progress.getPart()), now - Duration(progress.getNanosecondsAgo()) });
+    report.refused = read(from.getRefused());
+    report.quarantined = read(from.getQuarantined());
+    return report;
+}
+
 /** The list age on the wire when a coordinator has no list. */
 constexpr std::int64_t noList = -1;
 
@@ -142,11 +202,9 @@
     write(root.initLoads(), request.outstanding);
     root.setGateways(request.gateways);
     root.setIsLast(request.isLast);
-    auto leaving = root.initLeaving(sizeOf(request.leaving));
-    for (unsigned i = 0; i < request.leaving.size(); ++i) {
-        leaving[i].setServer(request.leaving[i].server.text());
-        leaving[i].setStartedAt(request.leaving[i].startedAt);
-    }
+    writeLives(root.initLeaving(sizeOf(request.leaving)), request.leaving);
+    writeLives(root.initEnded(sizeOf(request.ended)), request.ended);
+    write(root.initPromptParts(), request.promptParts, currentTime());
     root.setRelay(request.relay.value());
     root.setDataCentre(request.dataCentre.text());
     return messageBytes(message);
@@ -169,7 +227,10 @@
         request.gateways = root.getGateways();
         request.isLast = root.getIsLast();
         for (auto life : root.getLeaving())
-            request.leaving.push_back({ BackendServerName(textOf(life.getServer())), life.getStartedAt() });
+            request.leaving.push_back(read(life));
+        for (auto life : root.getEnded())
+            request.ended.push_back(read(life));
+        request.promptParts = read(root.getPromptParts(), currentTime());
         request.relay = KeeperId(root.getRelay());
         request.dataCentre = DataCentreName(textOf(root.getDataCentre()));
         return request;
@@ -214,6 +275,13 @@
         relays[i].setCoordinator(reply.relays[i].coordinator.value());
         relays[i].setDataCentre(reply.relays[i].dataCentre.text());
     }
+    auto suspects = root.initSuspectParts(sizeOf(reply.suspectParts));
+    for (unsigned i = 0; i < reply.suspectParts.size(); ++i) {
+        suspects[i].setPart(reply.suspectParts[i].part.value());
+        suspects[i].setIsQuarantined(reply.suspectParts[i].isQuarantined);
+        suspects[i].setNanosecondsUntilTrial(reply.suspectParts[i].untilTrial.count());
+    }
+    write(root.initTrialParts(sizeOf(reply.trialParts)), reply.trialParts);
     return messageBytes(message);
 }
 
@@ -252,6 +320,9 @@
         reply.age = Duration(root.getAgeNanoseconds());
         for (auto relay : root.getRelays())
             reply.relays.push_back({ KeeperId(relay.getCoordinator()), DataCentreName(textOf(relay.getDataCentre())) });
+        for (auto suspect : root.getSuspectParts())
+            reply.suspectParts.push_back({ PromptPartKey(suspect.getPart()), suspect.getIsQuarantined(), Duration(suspect.getNanosecondsUntilTrial()) });
+        reply.trialParts = read(root.getTrialParts());
         return reply;
     });
 }
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -4,6 +4,7 @@
 #include "hemlockchute/core/ServerIncarnation.h"
 #include "hemlockchute/core/Units.h"
 #include "hemlockchute/fleet/ListedServer.h"
+#include "hemlockchute/fleet/PromptPartQuarantine.h"
 #include "hemlockchute/fleet/RouteConfiguration.h"
 #include "hemlockchute/fleet/ServerChooser.h"
 
@@ -88,6 +89,10 @@
     std::vector<ServerOutstanding> outstanding;
     /** Servers that announced that they leave, while the known list does not show it yet. */
     std::vector<ServerIncarnation> leaving;
+    /** Listed servers that refuse connections. */
+    std::vector<ServerIncarnation> ended;
+    /** Times are sent as ages. */
+    PromptPartReport promptParts;
 };
 
 /** Time until a requested model that no server holds is expected to be loaded. */
@@ -130,6 +135,10 @@
     /** Gateways that reported recently, to all coordinators and to the one that replies. */
     unsigned gateways = 0;
     unsigned followers = 0;
+    /** All prompt parts that are quarantined or likely to be soon. */
+    std::vector<SuspectPart> suspectParts;
+    /** Quarantined parts of which the receiver may let one request through. */
+    std::vector<PromptPartKey> trialParts;
 };
 
 /** A configuration and its version, as replicated by the coordinators. */
--- /dev/null
+++ b/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
@@ -0,0 +1,154 @@
+#pragma once
+
+#include "hemlockchute/core/Clock.h"
+#include "hemlockchute/core/Identifiers.h"
+#include "hemlockchute/core/ServerIncarnation.h"
+#include "hemlockchute/fleet/RequestMetadata.h"
+
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace hemlockchute {
+
+/** A hash of a prompt part's id. */
+using PromptPartKey = NumberId<struct PromptPartKeyTag>;
+
+/** The keys of the parts that the request may share with others: all except the last. Thread safety: any thread. */
+std::vector<PromptPartKey> sharedPartKeys(const RequestMetadata&);
+
+/** A request that was at a server when that server ended, and had not begun to be answered. */
+struct ServerCrash {
+    ServerIncarnation server;
+    std::vector<PromptPartKey> parts;
+    /** When the request was sent to the server, and when its connection broke. */
+    Instant sent {};
+    Instant ended {};
+};
+
+/** A prompt part with which the server began to write an answer. */
+struct PartProgress {
+    PromptPartKey part;
+    Instant at {};
+};
+
+/** A prompt part under suspicion. */
+struct SuspectPart {
+    PromptPartKey part;
+    /** True if requests with it must not be sent; false if they must not be resent. */
+    bool isQuarantined = false;
+    /** Time until a request with it may be let through as a trial. */
+    Duration untilTrial {};
+
+    friend bool operator==(const SuspectPart&, const SuspectPart&) = default;
+};
+
+/** What hosts report about prompt parts to the leader. */
+struct PromptPartReport {
+    std::vector<ServerCrash> crashes;
+    std::vector<PartProgress> progress;
+    /** Quarantined parts of requests that were refused because of this part alone. */
+    std::vector<PromptPartKey> refused;
+    /** Parts that the host knows to be quarantined, from which a new leader learns of them. */
+    std::vector<PromptPartKey> quarantined;
+};
+
+//==============================================================================
+/**
+    Finds prompt parts that crash every server that begins to answer them, and quarantines them.
+
+    Load pattern: one kind of request ends one server after the other, since it is retried by hosts
+    and callers. A part is quarantined after several crashes in a row, on different servers, each of a
+    request that was sent after the crash before. Requests that were at several servers when all of
+    them ended count once. An answer that is begun after the last crash clears each part of its
+    request, so parts that are common in sound requests are cleared by the other requests with them.
+
+    A quarantine ends with a trial: one request with the part is let through. Trials of parts that keep
+    crashing servers become rarer, over all parts together.
+
+    Thread safety: one thread at a time.
+*/
+class PromptPartQuarantine {
+public:
+    struct Options {
+        /** Consecutive crashes after which a part is quarantined, and after which its requests are not resent. */
+        unsigned crashesUntilQuarantine = 3;
+        unsigned crashesUntilSuspect = 2;
+        /** Evidence against a part is dropped after this time without another crash. */
+        Duration evidenceLifetime = 60s;
+        /** A quarantine is dropped after this time without a request with the part. */
+        Duration quarantineLifetime = 10min;
+        /** The first trial of a part comes soon, since the part may have stood beside the one at fault. */
+        Duration firstTrialDelay = 500ms;
+        /** Time from a trial that crashed its server to the next one of any part; doubles with each further one that fails. */
+        Duration trialInterval = 8s;
+        /** Time from a trial without an outcome, as when no server ran it, to the next one of its part; doubles with each of them. */
+        Duration openTrialInterval = 2s;
+        Duration maximumTrialInterval = 5min;
+        /** How long an answer that was begun is remembered. Reports of earlier crashes are ignored, since an answer after them may be forgotten. */
+        Duration progressLifetime = 10s;
+        /** Bound on the parts that are remembered. */
+        std::size_t maximumParts = 16384;
+    };
+
+    explicit PromptPartQuarantine(Options options)
+        : m_options(options)
+    {
+    }
+
+    /** Records a crash; returns the parts that are quarantined because of it. */
+    std::vector<PromptPartKey> noteCrash(const ServerCrash&, Instant now);
+    /** Records that an answer was begun; true if that ends a quarantine. */
+    bool noteProgress(const PartProgress&, Instant now);
+    /** Takes over a quarantine from another host's records, unless an answer was begun since; true if it is new. */
+    bool adopt(PromptPartKey, Instant now);
+
+    bool isQuarantined(PromptPartKey) const;
+    /** True if the part is quarantined or likely to be soon. */
+    bool isSuspect(PromptPartKey) const;
+    /** All suspect parts, in order of their keys. */
+    std::vector<SuspectPart> suspects(Instant now) const;
+    /** Notes that a request with a quarantined part was refused; true if one with it may be let through now as a trial. */
+    bool takeTrial(PromptPartKey, Instant now);
+    /** When a request with the part may be served; nothing if it is not quarantined. */
+    std::optional<Instant> nextTrial(PromptPartKey) const;
+    /** Drops outdated records. */
+    void expire(Instant now);
+
+private:
+    struct Record {
+        struct Crash {
+            ServerIncarnation server;
+            Instant sent {};
+            Instant ended {};
+        };
+
+        std::vector<Crash> crashes;
+        Instant lastCrash {};
+        /** The number of crashes that followed each other. */
+        unsigned consecutiveCrashes = 0;
+        bool isQuarantined = false;
+        /** Trials without an outcome since the last one that failed, and when the last of them was permitted. */
+        unsigned openTrials = 0;
+        Instant lastTrial {};
+        bool hasFailedTrial = false;
+        Instant nextTrial {};
+        Instant lastSeen {};
+    };
+
+    static unsigned countConsecutive(std::vector<Record::Crash>&);
+    void quarantine(Record&, Instant now) const;
+    void delayTrials(Record&, Instant ended);
+    Duration trialInterval() const;
+    static Duration doubled(Duration, unsigned times, Duration maximum);
+    void limitSize();
+
+    Options m_options;
+    std::map<PromptPartKey, Record> m_records;
+    std::map<PromptPartKey, Instant> m_progress;
+    /** Trials that failed after the first failed trial of their part. */
+    unsigned m_failedTrials = 0;
+    Instant m_nextRepeatedTrial {};
+};
+
+} // namespace hemlockchute
--- a/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
@@ -3,7 +3,7 @@
 
     Route configurations, the list of backend servers, request metadata, the interface of platform
     plug-ins, the messages between gateways and coordinators, and the policies for model placement,
-    server choice and retries. Only ListingPoller does I/O.
+    server choice, retries and prompt parts that crash servers. Only ListingPoller does I/O.
 */
 #pragma once
 
@@ -14,6 +14,7 @@
 #include "hemlockchute/fleet/ListedServer.h"
 #include "hemlockchute/fleet/ListingPoller.h"
 #include "hemlockchute/fleet/ModelPlacer.h"
+#include "hemlockchute/fleet/PromptPartQuarantine.h"
 #include "hemlockchute/fleet/RequestMetadata.h"
 #include "hemlockchute/fleet/ResultQueue.h"
 #include "hemlockchute/fleet/RetryBudget.h"
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -19,6 +19,12 @@
     sent.gateways = 9;
     sent.isLast = true;
     sent.leaving = { { BackendServerName("s"), 77 } };
+    sent.ended = { { BackendServerName("t"), 78 } };
+    Instant now = currentTime();
+    sent.promptParts.crashes = { { { BackendServerName("t"), 78 }, { PromptPartKey(1), PromptPartKey(2) }, now - 3s, now - 2s } };
+    sent.promptParts.progress = { { PromptPartKey(3), now - 1s } };
+    sent.promptParts.refused = { PromptPartKey(4) };
+    sent.promptParts.quarantined = { PromptPartKey(5) };
     sent.relay = KeeperId(10);
     sent.dataCentre = DataCentreName("z1");
     auto read = decodeFollowRequest(encodeFollowRequest(sent));
@@ -29,13 +35,24 @@
     BOOST_TEST((demand.key == sent.demands.front().key));
     BOOST_TEST((demand.waiting == 1 && demand.active == 2 && demand.arrivals == 3 && demand.refused == 4 && demand.rank == 5));
     BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(3) && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
-    BOOST_TEST((read->leaving == sent.leaving));
+    BOOST_TEST((read->leaving == sent.leaving && read->ended == sent.ended));
+    BOOST_REQUIRE(read->promptParts.crashes.size() == 1U);
+    const ServerCrash& crash = read->promptParts.crashes.front();
+    BOOST_TEST((crash.server == sent.ended.front() && crash.parts == sent.promptParts.crashes.front().parts));
+    auto isNear = [](Instant a, Instant b) { return std::max(a, b) - std::min(a, b) < 500ms; };
+    BOOST_TEST((isNear(crash.sent, now - 3s) && isNear(crash.ended, now - 2s)));
+    BOOST_TEST((crash.ended - crash.sent == 1s));
+    BOOST_REQUIRE(read->promptParts.progress.size() == 1U);
+    BOOST_TEST((read->promptParts.progress.front().part == PromptPartKey(3) && isNear(read->promptParts.progress.front().at, now - 1s)));
+    BOOST_TEST((read->promptParts.refused == sent.promptParts.refused && read->promptParts.quarantined == sent.promptParts.quarantined));
     BOOST_TEST((read->gateways == 9 && read->isLast && read->relay == sent.relay && read->dataCentre == sent.dataCentre));
 }
 
 BOOST_AUTO_TEST_CASE(aFollowReplyRoundTrips)
 {
     FollowReply sent;
+    sent.suspectParts = { { PromptPartKey(1), true, 5s }, { PromptPartKey(2), false, {} } };
+    sent.trialParts = { PromptPartKey(1) };
     sent.isCurrent = true;
     sent.leader = KeeperId(9);
     sent.coordinators = { KeeperId(9), KeeperId(10) };
@@ -65,6 +82,7 @@
     sent.gateways = 7;
     auto read = decodeFollowReply(encodeFollowReply(sent));
     BOOST_REQUIRE(read);
+    BOOST_TEST((read->suspectParts == sent.suspectParts && read->trialParts == sent.trialParts));
     BOOST_TEST((read->isCurrent && read->leader == sent.leader && read->coordinators == sent.coordinators && read->version == sent.version));
     BOOST_TEST(read->configuration == sent.configuration);
     BOOST_TEST((read->epoch == 11 && read->revision == 12 && read->gateways == 7));
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -20,12 +20,13 @@
 } // namespace
 
 //==============================================================================
-CoordinatorLink::CoordinatorLink(asio::io_context& context, PeerClient& client, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options options, ServerTable& servers, DemandTracker& demand, Hooks hooks)
+CoordinatorLink::CoordinatorLink(asio::io_context& context, PeerClient& client, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options options, ServerTable& servers, DemandTracker& demand, PromptPartMonitor& promptParts, Hooks hooks)
     : m_client(client)
     , m_self(std::move(self))
     , m_options(options)
     , m_servers(servers)
     , m_demand(demand)
+    , m_promptParts(promptParts)
     , m_hooks(std::move(hooks))
     , m_timer(context)
     , m_selector(m_self, std::move(own), CoordinatorSelector::Options())
@@ -94,7 +95,8 @@
 {
     Endpoint target = m_selector.next(std::chrono::steady_clock::now());
     unfollowPrevious(target);
-    ByteString request = nextRequest();
+    PromptPartReport promptParts = m_promptParts.takeReport();
+    ByteString request = nextRequest(promptParts);
     auto bytes = co_await m_client.call(target, PeerMethod::FollowFleet, std::move(request), m_options.timeout);
     Instant now = std::chrono::steady_clock::now();
     std::string fault;
@@ -106,6 +108,8 @@
         fault = reply.error().detail;
         m_selector.noteFailure(target, now);
     }
+    if (!fault.empty())
+        m_promptParts.restoreReport(std::move(promptParts));
     logIfLost(target, fault, now);
 }
 
@@ -122,7 +126,7 @@
     m_client.call(*previous, PeerMethod::FollowFleet, encodeFollowRequest(last), m_options.timeout, [](const Result<ByteString, PeerErrorCode>&) {});
 }
 
-ByteString CoordinatorLink::nextRequest()
+ByteString CoordinatorLink::nextRequest(const PromptPartReport& promptParts)
 {
     FollowRequest request;
     request.host = m_self;
@@ -132,6 +136,8 @@
     request.demands = m_demand.takeReports();
     request.outstanding = m_servers.outstanding();
     request.leaving = m_servers.announcedLeaving(currentTime());
+    request.ended = m_servers.refusing(currentTime());
+    request.promptParts = promptParts;
     return encodeFollowRequest(request);
 }
 
@@ -179,6 +185,7 @@
     m_expectedReadyTimes.clear();
     for (const ModelExpectation& expectation : reply.expectations)
         m_expectedReadyTimes[{ expectation.service, expectation.model }] = now + expectation.remaining;
+    m_promptParts.applyVerdicts(reply.suspectParts, reply.trialParts, now);
     m_hooks.changed(unusedAddresses);
     return {};
 }
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -2,6 +2,7 @@
 
 #include "gateway/CoordinatorSelector.h"
 #include "gateway/DemandTracker.h"
+#include "gateway/PromptPartMonitor.h"
 #include "gateway/ServerTable.h"
 #include "hemlockchute/peer/PeerClient.h"
 
@@ -37,7 +38,7 @@
         std::function<void(const std::vector<Endpoint>& unusedAddresses)> changed;
     };
 
-    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options, ServerTable&, DemandTracker&, Hooks);
+    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options, ServerTable&, DemandTracker&, PromptPartMonitor&, Hooks);
 
     void start();
     void stop();
@@ -61,7 +62,7 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> pollOnce();
     void unfollowPrevious(const Endpoint& target);
-    ByteString nextRequest();
+    ByteString nextRequest(const PromptPartReport&);
     void logIfLost(const Endpoint& polled, const std::string& fault, Instant now);
     std::string applyReply(const Endpoint& polled, const FollowReply&, Instant now);
     void applyConfiguration(const FollowReply&, Instant now);
@@ -72,6 +73,7 @@
     Options m_options;
     ServerTable& m_servers;
     DemandTracker& m_demand;
+    PromptPartMonitor& m_promptParts;
     Hooks m_hooks;
     boost::asio::steady_timer m_timer;
     CoordinatorSelector m_selector;
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -45,6 +45,7 @@
     PeerClient m_peers;
     ServerTable m_servers;
     DemandTracker m_demand;
+    PromptPartMonitor m_promptParts { PromptPartMonitor::Options() };
     CoordinatorLink m_link;
     GatewayCore m_core;
     ListingPoller m_listing;
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -4,6 +4,7 @@
 #include "gateway/CoordinatorLink.h"
 #include "gateway/DemandTracker.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/PromptPartMonitor.h"
 #include "gateway/ResponseBufferBudget.h"
 #include "gateway/ServerAdmission.h"
 #include "gateway/ServerTable.h"
@@ -27,12 +28,13 @@
     @see RequestForwarder
 */
 struct GatewayCore {
-    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandTracker& demandLedger)
+    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandTracker& demandLedger, PromptPartMonitor& promptPartMonitor)
         : platform(fleetPlatform)
         , client(httpClient)
         , link(coordinatorLink)
         , servers(serverTable)
         , demand(demandLedger)
+        , promptParts(promptPartMonitor)
         , retries(settings.retries)
     {
     }
@@ -42,6 +44,7 @@
     CoordinatorLink& link;
     ServerTable& servers;
     DemandTracker& demand;
+    PromptPartMonitor& promptParts;
     RetryBudget retries;
     ServerAdmission admission { servers, ServerAdmission::Options() };
     AsyncConditionVariable stateChanged;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -144,6 +144,7 @@
     if (!service->engine->models.contains(m_key.model))
         return false;
     m_core.demand.noteArrival(m_key, m_route->rank);
+    m_promptParts = sharedPartKeys(m_metadata);
     return true;
 }
 
@@ -162,11 +163,17 @@
 asio::awaitable<bool> RequestForwarder::tryOnce()
 {
     auto server = takeSuccessor();
-    if (!server) {
+    bool isRefused = !server && isQuarantined();
+    if (isRefused && m_isTrialDue)
+        isRefused = !co_await awaitTrial();
+    if (!server && !isRefused) {
         server = co_await awaitServer();
         if (server)
             reserve(*server);
     }
+    // The verdict may have come while the request waited.
+    if (server && isQuarantined())
+        release(*std::exchange(server, std::nullopt));
     if (m_call->isCallerDisconnected) {
         if (server)
             release(*server);
@@ -198,6 +205,7 @@
     ++m_tries;
     m_currentServer = server;
     m_activeServers.insert(server);
+    m_brokenServer.reset();
     if (hasModel())
         m_core.demand.addActive(m_key, 1);
     Outcome outcome = co_await sendTo(server);
@@ -206,6 +214,7 @@
     notePromptRead(server);
     noteAttemptEnded(server);
     m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
+    co_await checkBrokenServer();
     co_return outcome;
 }
 
@@ -312,6 +321,8 @@
     ++m_sends;
     m_isReading = true;
     m_hasHead = false;
+    m_attemptSent = currentTime();
+    m_attemptEvents = 0;
     noteProgress();
     auto answer = co_await m_core.client.begin(server->address, std::move(request), answerDeadline(), use, m_call->handle);
     if (m_call->isCallerDisconnected)
@@ -331,6 +342,10 @@
         --m_sends;
     if (isNotSent || error.code == HttpClientErrorCode::TimedOut)
         m_core.servers.noteUnreachable(name, currentTime());
+    if (error.code == HttpClientErrorCode::ConnectionRefused)
+        noteConnectionRefused(name);
+    if (error.code == HttpClientErrorCode::ConnectionLost)
+        noteBroken(name);
     return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, error.detail);
 }
 
@@ -396,6 +411,8 @@
     response.headers = m_core.platform.forwardedAnswerHeaders(answer.headers());
     while (true) {
         auto piece = co_await answer.read(answerDeadline());
+        if (!piece && piece.error().code == HttpClientErrorCode::ConnectionLost)
+            noteBroken(name);
         if (!piece)
             co_return noteFailedAttempt(name, Outcome::Unknown, "the answer broke off: " + piece.error().detail);
         if (!*piece)
@@ -410,6 +427,7 @@
         co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(m_failure->status));
     }
     m_core.servers.noteSuccess(name);
+    noteAnswerBegun();
     m_firstByte = elapsed();
     unsigned status = response.status;
     bool isSent = co_await m_exchange.respond(std::move(response));
@@ -434,7 +452,10 @@
                 co_return *outcome;
             continue;
         }
-        if (!piece || (!*piece && splitter.hasPartialEvent()))
+        bool isBroken = (!piece && piece.error().code == HttpClientErrorCode::ConnectionLost) || (piece && !*piece && splitter.hasPartialEvent());
+        if (isBroken)
+            noteBroken(name);
+        if (!piece || isBroken)
             co_return noteFailedAttempt(name, Outcome::Unknown, piece ? "the stream ends within an event" : "the stream broke off: " + piece.error().detail);
         if (m_successor) {
             // The server has gone on before the other one was asked.
@@ -454,6 +475,9 @@
             m_silenceTimer->stop();
         if (events.lastId)
             m_lastEvent = events.lastId;
+        // A server may still end while it writes its first event.
+        if (!*piece || ++m_attemptEvents == 2)
+            noteAnswerBegun();
         bool isSent = true;
         notePromptRead(name);
         if (!m_hasBegun) {
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -84,6 +84,12 @@
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<bool> tryOnce();
     boost::asio::awaitable<Outcome> attemptAt(const BackendServerName&);
+    bool isQuarantined();
+    boost::asio::awaitable<bool> awaitTrial();
+    void noteBroken(const BackendServerName&);
+    void noteConnectionRefused(const BackendServerName&);
+    void noteAnswerBegun();
+    boost::asio::awaitable<void> checkBrokenServer();
     boost::asio::awaitable<std::optional<Outcome>> moveFrom(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     boost::asio::awaitable<std::optional<Outcome>> tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     void reserve(const BackendServerName&);
@@ -115,7 +121,7 @@
     void logCallerDisconnect();
     Outcome noteLostAttempt(const BackendServerName&, const Error<HttpClientErrorCode>&);
     Outcome noteFailedAttempt(const BackendServerName&, Outcome, std::string_view reason);
-    std::int64_t startTimeOf(const BackendServerName&) const;
+    ServerIncarnation incarnationOf(const BackendServerName&) const;
     std::string sharedPartsText() const;
     bool mayResend(Outcome);
     std::string_view resendObstacle(Outcome);
@@ -138,6 +144,13 @@
     const Route* m_route = nullptr;
     RequestMetadata m_metadata;
     ModelKey m_key;
+    /** The prompt's parts that other requests may share. */
+    std::vector<PromptPartKey> m_promptParts;
+    /** How long the caller is asked to stay away if a part of the prompt is quarantined. */
+    std::optional<Duration> m_quarantine;
+    bool m_isTrialDue = false;
+    /** True if it tests whether a quarantined part still crashes servers. */
+    bool m_isTrial = false;
     Instant m_deadline {};
     std::shared_ptr<CallState> m_call;
     /** Outlives the core. */
@@ -170,6 +183,11 @@
     BackendServerName m_currentServer;
     /** True once the head of the current server's answer was read. */
     bool m_hasHead = false;
+    Instant m_attemptSent {};
+    /** Events of the current server's answer. */
+    unsigned m_attemptEvents = 0;
+    /** The server whose connection broke before its answer had begun; it may have crashed. */
+    std::optional<ServerIncarnation> m_brokenServer;
     /** The server whose answer stays open while another server is asked to take over. */
     BackendServerName m_silentServer;
     /** The servers at which the request counts as active. */
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -62,15 +62,15 @@
     m_lastFault = std::string(outcomeName) + " at " + name.text() + ": " + std::string(reason);
     m_attemptFault = m_lastFault;
     m_core.metrics.add(attemptsMetric, { { "outcome", std::string(outcomeName) } });
-    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "started_at", startTimeOf(name) }, { "parts", sharedPartsText() }, { "outcome", outcomeName }, { "reason", reason }, { "send", m_sends }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "version", m_configuration->version() }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) } });
+    logEvent(EventId::GatewayAttemptFailed, { { "request", m_metadata.attempt }, { "server", name }, { "started_at", incarnationOf(name).startedAt }, { "parts", sharedPartsText() }, { "outcome", outcomeName }, { "reason", reason }, { "send", m_sends }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "version", m_configuration->version() }, { "after_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) } });
     return outcome;
 }
 
-/** The start of the server's current incarnation; 0 when it is not listed any more. */
-std::int64_t RequestForwarder::startTimeOf(const BackendServerName& name) const
+/** The server's current incarnation; start time 0 if it is not listed any more. */
+ServerIncarnation RequestForwarder::incarnationOf(const BackendServerName& name) const
 {
     const ListedServer* server = m_core.servers.find(name);
-    return server ? server->startedAt : 0;
+    return server ? lifeOf(*server) : ServerIncarnation { name, 0 };
 }
 
 /** The ids of the prompt's parts except the last, for the log. */
@@ -118,6 +118,10 @@
     bool isSent = outcome != Outcome::NotSent;
     if (m_isAborted)
         return "the gateway stops";
+    if (m_isTrial && mayHaveRun)
+        return "it is the trial of a quarantined prompt part";
+    if (mayHaveRun && m_core.promptParts.isSuspect(m_promptParts))
+        return "a part of its prompt may crash servers";
     if (m_tries >= maximumTries || (isSent && m_sends >= m_route->maximumAttempts))
         return "no attempt is left";
     if (timeLeft() <= minimumServiceTime)
@@ -154,6 +158,8 @@
 /** The time after which a retry by the caller is likely to succeed. */
 Duration RequestForwarder::suggestedRetryAfter()
 {
+    if (m_quarantine)
+        return std::max<Duration>(*m_quarantine, minimumRetryAfter);
     Instant now = currentTime();
     if (auto expected = m_core.link.expectedReadyTime(m_key.service, m_key.model))
         return std::max<Duration>(*expected - now, minimumRetryAfter);
--- /dev/null
+++ b/modules/hc_gateway/tests/PromptPartMonitorTests.cpp
@@ -0,0 +1,140 @@
+#include "gateway/PromptPartMonitor.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace hemlockchute;
+
+namespace {
+
+const PromptPartKey deadly(1);
+const PromptPartKey other(2);
+const std::vector<PromptPartKey> parts { deadly, other };
+
+ServerIncarnation server(unsigned number)
+{
+    return { BackendServerName("s-" + std::to_string(number)), 1 };
+}
+
+struct MonitorFixture {
+    void breakConnection(unsigned number, Duration sent, Duration ended) { monitor.noteBroken({ server(number), parts, now + sent, now + ended }); }
+
+    /** Three servers end in a row under requests with these parts. */
+    void crashThree()
+    {
+        for (unsigned i = 0; i < 3; ++i) {
+            breakConnection(i, i * 100ms, i * 100ms + 50ms);
+            monitor.noteEnded(server(i), now + i * 100ms + 60ms);
+        }
+    }
+
+    Instant now { 1h };
+    PromptPartMonitor monitor { PromptPartMonitor::Options() };
+};
+
+bool isListed(const ServerIncarnation&)
+{
+    return true;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PromptPartMonitorTests, MonitorFixture)
+
+BOOST_AUTO_TEST_CASE(aBrokenConnectionToAServerThatWentOnIsNoCrash)
+{
+    breakConnection(1, 0ms, 10ms);
+    monitor.noteAccepting(server(1), now + 20ms);
+    monitor.update(isListed, now + 5s);
+    monitor.noteEnded(server(1), now + 6s);
+    BOOST_TEST(monitor.takeReport().crashes.empty());
+}
+
+BOOST_AUTO_TEST_CASE(aServerThatLeavesTheListAfterItsConnectionBrokeHasCrashed)
+{
+    breakConnection(1, 0ms, 10ms);
+    breakConnection(2, 0ms, 10ms);
+    monitor.update([](const ServerIncarnation& life) { return life == server(2); }, now + 1s);
+    std::vector<ServerCrash> crashes = monitor.takeReport().crashes;
+    BOOST_REQUIRE(crashes.size() == 1U);
+    BOOST_TEST((crashes.front().server == server(1)));
+    BOOST_TEST((crashes.front().parts == parts));
+}
+
+BOOST_AUTO_TEST_CASE(theLeadersVerdictIsApplied)
+{
+    BOOST_TEST(!monitor.decide(parts, now).isRefused);
+    monitor.applyVerdicts({ { deadly, true, 4s } }, {}, now);
+    PromptPartMonitor::Decision decision = monitor.decide(parts, now + 1s);
+    BOOST_TEST(decision.isRefused);
+    BOOST_TEST((decision.retryAfter == 3s));
+    BOOST_TEST(!decision.isTrialDue);
+    monitor.applyVerdicts({ { deadly, true, {} } }, {}, now);
+    BOOST_TEST(monitor.decide(parts, now).isTrialDue);
+    BOOST_TEST(!monitor.decide({ other }, now).isRefused);
+    PromptPartReport report = monitor.takeReport();
+    BOOST_TEST((report.refused == std::vector<PromptPartKey> { deadly }));
+    BOOST_TEST((report.quarantined == std::vector<PromptPartKey> { deadly }));
+    monitor.applyVerdicts({}, {}, now);
+    BOOST_TEST(!monitor.decide(parts, now).isRefused);
+}
+
+BOOST_AUTO_TEST_CASE(aSuspectPartIsServedButNotResent)
+{
+    monitor.applyVerdicts({ { deadly, false, {} } }, {}, now);
+    BOOST_TEST(!monitor.decide(parts, now).isRefused);
+    BOOST_TEST(monitor.isSuspect(parts));
+    BOOST_TEST(!monitor.isSuspect({ other }));
+}
+
+BOOST_AUTO_TEST_CASE(aTrialLetsOneRequestThrough)
+{
+    monitor.applyVerdicts({ { deadly, true, {} } }, { deadly }, now);
+    BOOST_TEST(monitor.decide(parts, now).isTrial);
+    BOOST_TEST(monitor.decide(parts, now).isRefused);
+    // A permission that nobody used in time is void.
+    monitor.applyVerdicts({ { deadly, true, {} } }, { deadly }, now);
+    BOOST_TEST(monitor.decide(parts, now + 1min).isRefused);
+}
+
+BOOST_AUTO_TEST_CASE(aRequestWithTwoQuarantinedPartsIsNoTrial)
+{
+    monitor.applyVerdicts({ { deadly, true, {} }, { other, true, {} } }, { deadly, other }, now);
+    BOOST_TEST(monitor.decide(parts, now).isRefused);
+    BOOST_TEST(monitor.decide({ other }, now).isTrial);
+}
+
+BOOST_AUTO_TEST_CASE(withoutALeaderTheGatewayDecidesByItsOwnEvidence)
+{
+    monitor.applyVerdicts({}, {}, now - 1min);
+    crashThree();
+    BOOST_TEST(monitor.decide(parts, now + 300ms).isRefused);
+    monitor.update(isListed, now + 400ms);
+    // The verdict is told to the next leader.
+    BOOST_TEST(monitor.takeReport().quarantined.size() == 2U);
+    monitor.noteProgress({ other }, now + 500ms);
+    BOOST_TEST(!monitor.decide({ other }, now + 600ms).isRefused);
+    BOOST_TEST(monitor.decide(parts, now + 600ms).isRefused);
+}
+
+BOOST_AUTO_TEST_CASE(withALeaderItsVerdictCountsAndNotTheOwn)
+{
+    monitor.applyVerdicts({}, {}, now);
+    crashThree();
+    BOOST_TEST(!monitor.decide(parts, now + 300ms).isRefused);
+    BOOST_TEST(monitor.isSuspect(parts));
+    BOOST_TEST(monitor.takeReport().crashes.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(aReportThatWasLostIsSentAgain)
+{
+    crashThree();
+    monitor.noteProgress({ other }, now);
+    PromptPartReport lost = monitor.takeReport();
+    BOOST_TEST(monitor.takeReport().crashes.empty());
+    monitor.restoreReport(std::move(lost));
+    PromptPartReport again = monitor.takeReport();
+    BOOST_TEST(again.crashes.size() == 3U);
+    BOOST_TEST(again.progress.size() == 1U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
