Forward nothing but events after the events of a stream

Callers found the text of an error in the middle of their stream, or a broken stream that ended as if it were complete. Cause: after a stream had begun and broken off, the next server's answer was passed on as the rest whatever its status; only 5xx were held back. Also an answer without a length that ends before any event (its server ended) was passed on as a complete empty stream, and an error instead of a stream whose text holds no event was replaced by 502.

The rest of a begun stream is now taken from a 200 only, and only a 200 on a stream route is read as events.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -10,6 +10,7 @@
 
 namespace asio = boost::asio;
 
+constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
 constexpr unsigned firstFailure = 500;
@@ -322,7 +323,7 @@
     m_isReading = true;
     m_hasHead = false;
     m_attemptSent = currentTime();
-    m_attemptEvents = 0;
+    m_eventBatches = 0;
     noteProgress();
     auto answer = co_await m_core.client.begin(server->address, std::move(request), answerDeadline(), use, m_call->handle);
     if (m_call->isCallerDisconnected)
@@ -391,13 +392,14 @@
     }
     if (std::find(std::begin(refusalStatuses), std::end(refusalStatuses), status) != std::end(refusalStatuses))
         co_return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
+    // Only events can follow the events that the caller has; an error would become part of them.
+    bool isRestMissing = m_hasBegun && status != statusOk;
     // The silent server is a better prospect than the rest of an error response.
-    if (status >= firstFailure && m_call->silentAnswer)
+    if (isRestMissing || (status >= firstFailure && m_call->silentAnswer))
         co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(status));
-    if (status >= firstFailure)
-        co_return co_await receiveBuffered(name, answer);
-    leaveSilentServer();
-    if (m_route->kind == RequestKind::Stream)
+    if (status < firstFailure)
+        leaveSilentServer();
+    if (m_route->kind == RequestKind::Stream && status == statusOk)
         co_return co_await forwardEvents(name, answer);
     co_return co_await receiveBuffered(name, answer);
 }
@@ -452,11 +454,13 @@
                 co_return *outcome;
             continue;
         }
-        bool isBroken = (!piece && piece.error().code == HttpClientErrorCode::ConnectionLost) || (piece && !*piece && splitter.hasPartialEvent());
+        // An end without any event, marked by nothing but the end of the connection, is that of the server.
+        bool isCutOff = piece && !*piece && (splitter.hasPartialEvent() || (m_eventBatches == 0 && answer.endsWithConnection()));
+        bool isBroken = isCutOff || (!piece && piece.error().code == HttpClientErrorCode::ConnectionLost);
         if (isBroken)
             noteBroken(name);
         if (!piece || isBroken)
-            co_return noteFailedAttempt(name, Outcome::Unknown, piece ? "the stream ends within an event" : "the stream broke off: " + piece.error().detail);
+            co_return noteFailedAttempt(name, Outcome::Unknown, piece ? "the stream ends within or before an event" : "the stream broke off: " + piece.error().detail);
         if (m_successor) {
             // The server has gone on before the other one was asked.
             releaseSuccessor();
@@ -476,7 +480,7 @@
         if (events.lastId)
             m_lastEvent = events.lastId;
         // A server may still end while it writes its first event.
-        if (!*piece || ++m_attemptEvents == 2)
+        if (!*piece || ++m_eventBatches == 2)
             noteAnswerBegun();
         bool isSent = true;
         notePromptRead(name);
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -184,8 +184,8 @@
     /** True once the head of the current server's answer was read. */
     bool m_hasHead = false;
     Instant m_attemptSent {};
-    /** Events of the current server's answer. */
-    unsigned m_attemptEvents = 0;
+    /** Pieces of the current server's answer that completed an event. */
+    unsigned m_eventBatches = 0;
     /** The server whose connection broke before its answer had begun; it may have crashed. */
     std::optional<ServerIncarnation> m_brokenServer;
     /** The server whose answer stays open while another server is asked to take over. */
--- a/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
@@ -69,7 +69,7 @@
     m_brokenServer = incarnationOf(name);
     const ListedServer* server = m_core.servers.find(name);
     bool isPlanned = !server || server->isLeaving;
-    if (m_attemptEvents < 2 && !isPlanned)
+    if (m_eventBatches < 2 && !isPlanned)
         m_core.promptParts.noteBroken({ *m_brokenServer, m_promptParts, m_attemptSent, currentTime() });
 }
 
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -281,6 +281,7 @@
 
     unsigned status() const override { return m_parser.get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
+    bool endsWithConnection() const override { return m_parser.need_eof(); }
     bool isOnReusedConnection() const override { return m_isOnReusedConnection; }
 
     asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) override
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -51,6 +51,8 @@
     virtual boost::asio::awaitable<Result<void, HttpClientErrorCode>> readHead(Instant deadline) = 0;
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
+    /** True if neither a length nor chunks delimit the body, which then ends with its connection. Precondition: the head was read. */
+    virtual bool endsWithConnection() const = 0;
     /** True if the connection carried another request before, so that bytes of that request's answer may be left on it. */
     virtual bool isOnReusedConnection() const = 0;
     /** The next piece, or std::nullopt at the end of the body. A truncated body is an error. */
