Send no request to a third engine after two were lost before its first token

The router has the same class of fault as the gateway: a request that ends its engine was sent to up to four of them. It knows no prompt parts, so it bounds the damage of one request. aRequestThatLosesTwoServersBeforeATokenGoesToNoThird failed before (Retry).

--- a/modules/hc_router/include/hemlockchute/router/RequestLifecycle.h
+++ b/modules/hc_router/include/hemlockchute/router/RequestLifecycle.h
@@ -58,6 +58,8 @@
         Instant deadline;
         /** Maximum number of attempts that may have run. */
         unsigned maximumAttempts = 4;
+        /** Maximum number of attempts that lose their server before the first token. The request may crash each server that begins to answer it, and must not go on to the next. */
+        unsigned maximumLostBeforeToken = 2;
         /** Maximum number of attempts that certainly have not run. */
         unsigned maximumNotRun = 200;
 
@@ -101,6 +103,7 @@
     std::optional<AttemptId> m_current;
     unsigned m_attempts = 0;
     unsigned m_notRun = 0;
+    unsigned m_lostBeforeToken = 0;
     std::uint64_t m_tokens = 0;
     bool m_mayHaveRun = false;
     bool m_ended = false;
--- a/modules/hc_router/router/RequestLifecycle.cpp
+++ b/modules/hc_router/router/RequestLifecycle.cpp
@@ -48,6 +48,7 @@
     bool notRun = hasCertainlyNotRun(code);
     m_mayHaveRun |= !notRun;
     m_notRun += notRun ? 1 : 0;
+    m_lostBeforeToken += m_tokens == 0 && code == BackendErrorCode::Lost ? 1 : 0;
     if ((notRun || mayRetry) && mayBegin(now))
         return { LifecycleDecision::Kind::Retry };
     bool isLate = m_tokens == 0 && now >= m_options.deadline;
@@ -84,7 +85,7 @@
 
 bool RequestLifecycle::mayBegin(Instant now) const
 {
-    if (m_ended || m_notRun >= m_options.maximumNotRun || m_attempts - m_notRun >= m_options.maximumAttempts)
+    if (m_ended || m_notRun >= m_options.maximumNotRun || m_attempts - m_notRun >= m_options.maximumAttempts || (m_tokens == 0 && m_lostBeforeToken >= m_options.maximumLostBeforeToken))
         return false;
     if (m_mayHaveRun && !m_options.isRepeatable)
         return false;
--- a/modules/hc_router/tests/RequestLifecycleTests.cpp
+++ b/modules/hc_router/tests/RequestLifecycleTests.cpp
@@ -174,4 +174,25 @@
     BOOST_TEST((life.fail(attemptId(2), BackendErrorCode::Lost, false, start()).kind == LifecycleDecision::Kind::Refuse));
 }
 
+BOOST_AUTO_TEST_CASE(aRequestThatLosesTwoServersBeforeATokenGoesToNoThird)
+{
+    RequestLifecycle life(RequestLifecycle::Options().withDeadline(start() + requestTimeout));
+    BOOST_TEST(life.begin(attemptId(1), start()));
+    BOOST_TEST((life.fail(attemptId(1), BackendErrorCode::Lost, true, start()).kind == LifecycleDecision::Kind::Retry));
+    BOOST_TEST(life.begin(attemptId(2), start()));
+    LifecycleDecision decision = life.fail(attemptId(2), BackendErrorCode::Lost, true, start());
+    BOOST_TEST((decision.kind == LifecycleDecision::Kind::Refuse && decision.outcome == RefusalOutcome::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(aStreamThatHasBegunIsResumedAfterLostServers)
+{
+    RequestLifecycle life(RequestLifecycle::Options().withDeadline(start() + requestTimeout));
+    for (unsigned attempt = 1; attempt <= 3; ++attempt) {
+        BOOST_TEST(life.begin(attemptId(attempt), start()));
+        if (attempt == 1)
+            BOOST_TEST(life.acceptToken(attemptId(attempt), 0));
+        BOOST_TEST((life.fail(attemptId(attempt), BackendErrorCode::Lost, true, start()).kind == LifecycleDecision::Kind::Retry));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
