Count a server that falls silent and leaves the list as crashed, and only 200s as begun answers

Found in review: a server that ends without closing its connections (its host is gone) gave no evidence, and a 4xx for a request cleared its prompt parts. Also limits how often all records of prompt parts are searched for outdated ones: with hundreds of gateways the leader would do it hundreds of times a second.

--- a/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
+++ b/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
@@ -9,6 +9,8 @@
 
 /** More crashes of one part tell nothing new. */
 constexpr std::size_t maximumCrashes = 16;
+/** Many hosts report several times a second, and expiry reads all records. */
+constexpr Duration expiryInterval = 1s;
 
 } // namespace
 
@@ -185,6 +187,9 @@
 
 void PromptPartQuarantine::expire(Instant now)
 {
+    if (now < m_nextExpiry)
+        return;
+    m_nextExpiry = now + expiryInterval;
     std::erase_if(m_progress, [&](const auto& item) { return now - item.second > m_options.progressLifetime; });
     std::erase_if(m_records, [&](const auto& item) {
         return now - item.second.lastSeen > (item.second.isQuarantined ? m_options.quarantineLifetime : m_options.evidenceLifetime);
--- a/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
@@ -112,7 +112,7 @@
     bool takeTrial(PromptPartKey, Instant now);
     /** When a request with the part may be served; nothing if it is not quarantined. */
     std::optional<Instant> nextTrial(PromptPartKey) const;
-    /** Drops outdated records. */
+    /** Drops outdated records, at most once a second. */
     void expire(Instant now);
 
 private:
@@ -149,6 +149,7 @@
     /** Trials that failed after the first failed trial of their part. */
     unsigned m_failedTrials = 0;
     Instant m_nextRepeatedTrial {};
+    Instant m_nextExpiry {};
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -107,7 +107,7 @@
     }
     m_link.start();
     m_listing.start();
-    checkListSource();
+    checkServers();
     closeBrokenConnections();
     return {};
 }
@@ -228,8 +228,8 @@
         m_client.closeIdleConnections(endpoint);
 }
 
-/** Polls the platform's list only while no coordinator provides a recent one, and checks which servers have left the list. */
-void Gateway::checkListSource()
+/** Polls the platform's list only while no coordinator provides a recent one, and treats servers that have left the list as ended. */
+void Gateway::checkServers()
 {
     Instant now = std::chrono::steady_clock::now();
     m_listing.setActive(!m_link.hasCurrentList(now));
@@ -241,7 +241,7 @@
     m_listTimer.expires_after(listCheckInterval);
     m_listTimer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
-            checkListSource();
+            checkServers();
     });
 }
 
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -33,7 +33,7 @@
     void applyConfiguration(ConfigurationVersion, const ByteString&);
     void updateListing(std::vector<ListedServer>);
     void closeConnections(const std::vector<Endpoint>&);
-    void checkListSource();
+    void checkServers();
     void closeBrokenConnections();
     bool isReady() const;
     void abortRequests();
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -429,9 +429,10 @@
         co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(m_failure->status));
     }
     m_core.servers.noteSuccess(name);
-    noteAnswerBegun();
-    m_firstByte = elapsed();
     unsigned status = response.status;
+    if (status == statusOk)
+        noteAnswerBegun();
+    m_firstByte = elapsed();
     bool isSent = co_await m_exchange.respond(std::move(response));
     if (!isSent)
         co_return Outcome::CallerDisconnected;
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -87,6 +87,7 @@
     bool isQuarantined();
     boost::asio::awaitable<bool> awaitTrial();
     void noteBroken(const BackendServerName&);
+    void noteUnanswered(const BackendServerName&);
     void noteConnectionRefused(const BackendServerName&);
     void noteAnswerBegun();
     boost::asio::awaitable<void> checkBrokenServer();
--- a/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
@@ -61,16 +61,22 @@
     m_core.link.pollSoon();
 }
 
-/** The connection to a server broke; if its answer had not begun, the request may have crashed it. */
+/** The connection to a server broke, so that it may have ended. */
 void RequestForwarder::noteBroken(const BackendServerName& name)
 {
     if (m_call->isCallerDisconnected || m_isAborted || !hasModel())
         return;
     m_brokenServer = incarnationOf(name);
+    noteUnanswered(name);
+}
+
+/** If the server turns out to have ended, and its answer had not begun, the request may have crashed it. */
+void RequestForwarder::noteUnanswered(const BackendServerName& name)
+{
     const ListedServer* server = m_core.servers.find(name);
     bool isPlanned = !server || server->isLeaving;
     if (m_eventBatches < 2 && !isPlanned)
-        m_core.promptParts.noteBroken({ *m_brokenServer, m_promptParts, m_attemptSent, currentTime() });
+        m_core.promptParts.noteBroken({ lifeOf(*server), m_promptParts, m_attemptSent, currentTime() });
 }
 
 /** The server has survived the begin of an answer with this prompt. */
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -85,6 +85,8 @@
     Instant now = currentTime();
     logEvent(EventId::GatewayServerSilent, { { "request", m_metadata.attempt }, { "server", m_currentServer }, { "silent_ms", milliseconds(now - m_lastProgress) }, { "last_event", m_lastEvent.value_or(0) }, { "send", m_sends }, { "left_ms", milliseconds(timeLeft()) } });
     m_core.servers.noteFailure(m_currentServer, now);
+    // It counts as a crash only if the server leaves the list or refuses connections.
+    noteUnanswered(m_currentServer);
     if (!m_hasHead)
         m_core.servers.noteUnreachable(m_currentServer, now);
     if (const ListedServer* server = m_core.servers.find(m_currentServer))
