Hold a request's time-out against its prompt if its server leaves the list

A server whose host is gone sends no end of its connections: only the silence and then the list tell of its crash. serversThatFallSilentUnderARequestAndLeaveTheListCountAsCrashed failed before: a request that waited until its deadline, and one whose server had left the list by then, gave no evidence.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -323,6 +323,7 @@
     m_isReading = true;
     m_hasHead = false;
     m_attemptSent = currentTime();
+    m_attemptStartedAt = incarnation.startedAt;
     m_eventBatches = 0;
     noteProgress();
     auto answer = co_await m_core.client.begin(server->address, std::move(request), answerDeadline(), use, m_call->handle);
@@ -347,6 +348,8 @@
         noteConnectionRefused(name);
     if (error.code == HttpClientErrorCode::ConnectionLost)
         noteBroken(name);
+    if (error.code == HttpClientErrorCode::TimedOut)
+        noteUnanswered(name);
     return noteFailedAttempt(name, isNotSent ? Outcome::NotSent : Outcome::Unknown, error.detail);
 }
 
@@ -460,6 +463,8 @@
         bool isBroken = isCutOff || (!piece && piece.error().code == HttpClientErrorCode::ConnectionLost);
         if (isBroken)
             noteBroken(name);
+        else if (!piece && piece.error().code == HttpClientErrorCode::TimedOut)
+            noteUnanswered(name);
         if (!piece || isBroken)
             co_return noteFailedAttempt(name, Outcome::Unknown, piece ? "the stream ends within or before an event" : "the stream broke off: " + piece.error().detail);
         if (m_successor) {
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -185,6 +185,8 @@
     /** True once the head of the current server's answer was read. */
     bool m_hasHead = false;
     Instant m_attemptSent {};
+    /** When the current server's incarnation started, in milliseconds since 1970. */
+    std::int64_t m_attemptStartedAt = 0;
     /** Pieces of the current server's answer that completed an event. */
     unsigned m_eventBatches = 0;
     /** The server whose connection broke before its answer had begun; it may have crashed. */
--- a/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
@@ -66,7 +66,7 @@
 {
     if (m_call->isCallerDisconnected || m_isAborted || !hasModel())
         return;
-    m_brokenServer = incarnationOf(name);
+    m_brokenServer = ServerIncarnation { name, m_attemptStartedAt };
     noteUnanswered(name);
 }
 
@@ -74,9 +74,9 @@
 void RequestForwarder::noteUnanswered(const BackendServerName& name)
 {
     const ListedServer* server = m_core.servers.find(name);
-    bool isPlanned = !server || server->isLeaving;
+    bool isPlanned = server && server->isLeaving;
     if (m_eventBatches < 2 && !isPlanned)
-        m_core.promptParts.noteBroken({ lifeOf(*server), m_promptParts, m_attemptSent, currentTime() });
+        m_core.promptParts.noteBroken({ { name, m_attemptStartedAt }, m_promptParts, m_attemptSent, currentTime() });
 }
 
 /** The server has survived the begin of an answer with this prompt. */
