--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -164,7 +164,7 @@
 asio::awaitable<bool> RequestForwarder::tryOnce()
 {
     auto server = takeSuccessor();
-    bool isRefused = !server && isQuarantined();
+    bool isRefused = !server && checkQuarantine();
     if (isRefused && m_isTrialDue)
         isRefused = !co_await awaitTrial();
     if (!server && !isRefused) {
@@ -173,7 +173,7 @@
             reserve(*server);
     }
     // The verdict may have come while the request waited.
-    if (server && isQuarantined())
+    if (server && checkQuarantine())
         release(*std::exchange(server, std::nullopt));
     if (m_call->isCallerDisconnected) {
         if (server)
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -84,7 +84,7 @@
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<bool> tryOnce();
     boost::asio::awaitable<Outcome> attemptAt(const BackendServerName&);
-    bool isQuarantined();
+    bool checkQuarantine();
     boost::asio::awaitable<bool> awaitTrial();
     void noteBroken(const BackendServerName&);
     void noteUnanswered(const BackendServerName&);
@@ -148,7 +148,7 @@
     /** The prompt's parts that other requests may share. */
     std::vector<PromptPartKey> m_promptParts;
     /** How long the caller is asked to stay away if a part of the prompt is quarantined. */
-    std::optional<Duration> m_quarantine;
+    std::optional<Duration> m_retryAfterQuarantine;
     bool m_isTrialDue = false;
     /** True if it tests whether a quarantined part still crashes servers. */
     bool m_isTrial = false;
--- a/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
@@ -19,8 +19,8 @@
 //==============================================================================
 // Prompt parts that crash servers
 
-/** True if the request must not be sent, because a part of its prompt crashes servers. Sets the reason. */
-bool RequestForwarder::isQuarantined()
+/** True if the request must not be sent, because a part of its prompt crashes servers; sets the reason. Otherwise it may have become a trial of that part. */
+bool RequestForwarder::checkQuarantine()
 {
     if (m_isTrial || m_promptParts.empty())
         return false;
@@ -29,10 +29,10 @@
     m_isTrialDue = decision.isTrialDue;
     if (m_isTrial)
         logEvent(EventId::GatewayPromptPartTrial, { { "request", m_metadata.attempt }, { "parts", sharedPartsText() } });
-    m_quarantine.reset();
+    m_retryAfterQuarantine.reset();
     if (!decision.isRefused)
         return false;
-    m_quarantine = decision.retryAfter;
+    m_retryAfterQuarantine = decision.retryAfter;
     m_lastFault = "a part of its prompt crashes servers";
     return true;
 }
@@ -44,7 +44,7 @@
     m_core.link.pollSoon();
     while (m_isTrialDue && currentTime() < end && !m_call->isCallerDisconnected && !m_isAborted) {
         co_await m_core.stateChanged.wait(end);
-        if (!isQuarantined())
+        if (!checkQuarantine())
             co_return true;
     }
     co_return false;
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -158,8 +158,8 @@
 /** The time after which a retry by the caller is likely to succeed. */
 Duration RequestForwarder::suggestedRetryAfter()
 {
-    if (m_quarantine)
-        return std::max<Duration>(*m_quarantine, minimumRetryAfter);
+    if (m_retryAfterQuarantine)
+        return std::max<Duration>(*m_retryAfterQuarantine, minimumRetryAfter);
     Instant now = currentTime();
     if (auto expected = m_core.link.expectedReadyTime(m_key.service, m_key.model))
         return std::max<Duration>(*expected - now, minimumRetryAfter);
