Keep the models of a server that only a gateway cannot reach

The server now counts as in the plan until a report request fails, as after an order without an answer. theModelsOfAServerThatOnlyAGatewayCannotReachAreNotLoadedElsewhere failed before (one load at a third server, three runs of three) and passes now; theModelsOfAServerThatHasEndedAreLoadedElsewhereBeforeTheListDropsIt fails with the report of the gateway ignored.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -293,7 +293,7 @@
     Server* server = find(life.server, life.startedAt);
     if (!server || !server->isKnown || server->isBusy)
         return;
-    server->isKnown = false;
+    markUnknown(*server);
     server->nextReport = currentTime();
 }
 
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -311,6 +311,8 @@
         else
             m_unlisted.insert(number);
     }
+    /** Has a gateway report that a server refuses connections. */
+    void reportRefused(unsigned number) { m_refused = { lifeOf(server(number).listed()) }; }
     /** Runs until the list has been read that often. */
     void runUntilListsAreRead(unsigned count)
     {
@@ -342,6 +344,7 @@
             readList(now);
         FollowRequest request;
         request.host = HostName("gateway");
+        request.ended = std::exchange(m_refused, {});
         for (const auto& [model, requests] : m_requests) {
             bool isHeld = std::any_of(m_servers.begin(), m_servers.end(), [&model = model](const auto& server) { return server->models().contains(model); });
             request.demands.push_back({ { service, ModelName(model), AdapterName() }, isHeld ? 0 : requests, isHeld ? requests : 0, 1, 0, 1 });
@@ -368,6 +371,7 @@
     asio::io_context m_context;
     std::vector<std::unique_ptr<FaultyEngine>> m_servers;
     std::set<unsigned> m_unlisted;
+    std::vector<ServerIncarnation> m_refused;
     unsigned m_ticks = 0;
     unsigned m_listsRead = 0;
     PlainPlatform m_platform;
@@ -510,4 +514,39 @@
     BOOST_TEST(placement.server(2).loads("a") == 1U);
 }
 
+//==============================================================================
+// Servers that refuse connections
+
+/** The list still names the server, which answers nobody. */
+BOOST_AUTO_TEST_CASE(theModelsOfAServerThatHasEndedAreLoadedElsewhereBeforeTheListDropsIt)
+{
+    SteadyPlacement placement(15ms, 15ms);
+    placement.server(0).replace("s0", { "a" });
+    placement.server(1).replace("s1", { "a" });
+    placement.setRequests("a", 4);
+    placement.run(100ms);
+    placement.server(0).silence(10s);
+    placement.reportRefused(0);
+    placement.run(1s, [&] { return placement.server(2).models().contains("a"); });
+    BOOST_TEST(placement.server(2).loads("a") == 1U);
+}
+
+/** Only the gateway's link to the server is cut. */
+BOOST_AUTO_TEST_CASE(theModelsOfAServerThatOnlyAGatewayCannotReachAreNotLoadedElsewhere)
+{
+    SteadyPlacement placement(15ms, 15ms);
+    placement.server(0).replace("s0", { "a" });
+    placement.server(1).replace("s1", { "a" });
+    placement.setRequests("a", 4);
+    placement.run(100ms);
+    placement.reportRefused(0);
+    bool isAlwaysShown = true;
+    placement.run(300ms, [&] {
+        isAlwaysShown = isAlwaysShown && placement.isShown(0, "a");
+        return false;
+    });
+    BOOST_TEST(isAlwaysShown);
+    BOOST_TEST(placement.server(2).loads("a") == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
