--- a/modules/hc_backend/backend/HemlockHttpProtocol.cpp
+++ b/modules/hc_backend/backend/HemlockHttpProtocol.cpp
@@ -184,9 +184,11 @@
         if (!stream)
             co_return fromHttp(stream.error());
         if ((*stream)->status() != statusOk) {
-            unsigned status = (*stream)->status();
-            co_await (*stream)->read(std::chrono::steady_clock::now() + bodyEndTimeout);
-            co_return fromStatus(inferStatuses, status);
+            // The connection is closed: a faulty engine could repeat the refusal on it for the next request.
+            auto attempt = (*stream)->headers().find("X-Attempt-Id");
+            if (attempt && *attempt != request.attempt.text())
+                co_return failure(BackendErrorCode::Malformed, "the answer belongs to another attempt");
+            co_return fromStatus(inferStatuses, (*stream)->status());
         }
         co_return std::make_unique<HttpTokenStream>(client, server, request, std::move(*stream));
     }
--- a/modules/hc_backend/tests/BackendTests.cpp
+++ b/modules/hc_backend/tests/BackendTests.cpp
@@ -5,8 +5,10 @@
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 #include <thread>
@@ -157,6 +159,71 @@
     }
 }
 
+/** An engine that refuses its first request, and repeats the refusal before its answer to a second one on the same connection. */
+class RepeatingEngine {
+public:
+    RepeatingEngine()
+        : m_acceptor(m_context, { asio::ip::address_v4::loopback(), 0 })
+        , m_thread([this] { serve(); })
+    {
+    }
+    ~RepeatingEngine() { m_thread.join(); }
+    RepeatingEngine(const RepeatingEngine&) = delete;
+    RepeatingEngine& operator=(const RepeatingEngine&) = delete;
+
+    asio::ip::tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+
+private:
+    void serve()
+    {
+        const std::string refusal = "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+        asio::ip::tcp::socket first = m_acceptor.accept();
+        readRequest(first);
+        asio::write(first, asio::buffer(refusal));
+        if (readRequest(first)) {
+            asio::write(first, asio::buffer(refusal));
+            return;
+        }
+        asio::ip::tcp::socket second = m_acceptor.accept();
+        readRequest(second);
+        std::string events = "data: " + hello + "\n\ndata: " + world + "\n\ndata: " + done + "\n\n";
+        asio::write(second, asio::buffer("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(events.size()) + "\r\n\r\n" + events));
+    }
+
+    /** Reads a request, whose body ends with its only closing brace; false if the connection was closed. */
+    static bool readRequest(asio::ip::tcp::socket& socket)
+    {
+        std::string request;
+        boost::system::error_code error;
+        asio::read_until(socket, asio::dynamic_buffer(request), '}', error);
+        return !error;
+    }
+
+    asio::io_context m_context;
+    asio::ip::tcp::acceptor m_acceptor;
+    std::thread m_thread;
+};
+
+BOOST_AUTO_TEST_CASE(aRepeatedRefusalIsNotTakenForTheNextRequest)
+{
+    RepeatingEngine engine;
+    backend.endpoint = engine.endpoint();
+    auto refused = infer();
+    BOOST_REQUIRE(!refused);
+    BOOST_TEST(hasCertainlyNotRun(refused.error().code));
+    auto served = infer();
+    BOOST_REQUIRE_MESSAGE(served, "the second request ran and was reported as refused");
+    BOOST_TEST(*served == "Hello world");
+}
+
+BOOST_AUTO_TEST_CASE(aRefusalOfAnotherAttemptDoesNotMeanThatThisOneHasNotRun)
+{
+    response = { 503, { { "X-Attempt-Id", "B" } }, "" };
+    auto result = infer();
+    BOOST_REQUIRE(!result);
+    BOOST_TEST(!hasCertainlyNotRun(result.error().code));
+}
+
 BOOST_AUTO_TEST_CASE(orderStatusCodesMapToErrorCodes)
 {
     EngineOrder order;
