Send a refused request to the same server again on a new connection only

What callers saw: 503, not run, for an unsafe request that a server was running.

Cause: a server that refuses a request and asks for a short pause gets it again, with the same attempt id. The connection that carried the refusal is closed, but the next attempt may use another kept one. If the server writes the refusal there once more, its id matches, and the gateway takes it for the outcome of the second attempt.

Evidence: TroubledServerTests/aRefusalRepeatedOnAnotherConnectionIsNotTakenForTheNextAttempt failed before (503 although the server ran it) and passes now, two runs. The test written before it keeps one connection only, which the refusal closes.

Why this works: a new connection carries no answer to an earlier attempt.

--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -318,6 +318,9 @@
     const ListedServer* server = m_core.servers.find(name);
     HttpRequest request = m_core.platform.forwardedRequest(m_exchange.request(), termsFor(name));
     HttpClient::ConnectionUse use = m_route->isRepeatable() ? HttpClient::ConnectionUse::Pooled : HttpClient::ConnectionUse::RecentlyUsed;
+    // On a kept connection, a faulty server could repeat its refusal of the earlier attempt, which has the same id.
+    if (m_refusedBy.contains(name))
+        use = HttpClient::ConnectionUse::Fresh;
     ServerIncarnation incarnation = lifeOf(*server);
     ++m_sends;
     m_isReading = true;
@@ -391,6 +394,7 @@
     if (metadata.isNotRun || status == statusWrongServer) {
         if (hasModel() && !metadata.notice.pause)
             m_core.servers.noteModelMissing(name, m_key, currentTime());
+        m_refusedBy.insert(name);
         co_return noteFailedAttempt(name, Outcome::NotRun, "status " + std::to_string(status));
     }
     if (std::find(std::begin(refusalStatuses), std::end(refusalStatuses), status) != std::end(refusalStatuses))
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -157,6 +157,8 @@
     /** Outlives the core. */
     std::shared_ptr<std::set<RequestForwarder*>> m_requests;
     std::set<BackendServerName> m_triedServers;
+    /** The servers that answered that they have not run this request. */
+    std::set<BackendServerName> m_refusedBy;
     unsigned m_sends = 0;
     unsigned m_tries = 0;
     /** True once a server may have run the request. */
