Keep the trials of quarantined parts across leaders, and try parts that come together

Two faults in the trials that end a quarantine. They share a record and a message, so that they are one commit.

Cause: a new leader adopted the quarantined parts but neither their next trial nor how many had failed, so that the growing pause between trials began anew with each leader. A relay that had not heard from its gateways since told a new leader nothing, nor did a relay use what it knew when it became the leader. Now gateways and relays report each part with its next trial and the failed trials.

Cause: only requests with one quarantined part could be a trial. Now a request with up to four may be one, 2 s later for each further part, so that a part that also comes alone is tried alone first.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -252,6 +252,8 @@
         m_leadingSince = now;
         m_director.beginEpoch(status.term.value() * epochsPerTerm);
         m_quarantine = PromptPartQuarantine(PromptPartQuarantine::Options());
+        for (const SuspectPart& known : m_relay.quarantined(currentTime()))
+            m_quarantine.adopt(known, currentTime());
     }
     m_listing.setActive(status.isLeader);
     bool gives = authority().has_value();
@@ -364,15 +366,15 @@
         for (PromptPartKey part : m_quarantine.noteCrash(crash, now))
             logEvent(EventId::CoordinatorPromptPartQuarantined, { { "part", part }, { "told_by", request.host }, { "server", crash.server.server } });
     }
-    for (PromptPartKey part : report.quarantined) {
-        if (m_quarantine.adopt(part, now))
-            logEvent(EventId::CoordinatorPromptPartQuarantined, { { "part", part }, { "told_by", request.host }, { "server", "" } });
+    for (const SuspectPart& known : report.quarantined) {
+        if (m_quarantine.adopt(known, now))
+            logEvent(EventId::CoordinatorPromptPartQuarantined, { { "part", known.part }, { "told_by", request.host }, { "server", "" } });
     }
-    for (PromptPartKey part : report.refused) {
-        if (!m_quarantine.takeTrial(part, now))
+    for (const std::vector<PromptPartKey>& parts : report.refused) {
+        if (!m_quarantine.takeTrial(parts, now))
             continue;
-        reply.trialParts.push_back(part);
-        logEvent(EventId::CoordinatorPromptPartTrial, { { "part", part }, { "at", request.host } });
+        reply.trialParts.insert(reply.trialParts.end(), parts.begin(), parts.end());
+        logEvent(EventId::CoordinatorPromptPartTrial, { { "parts", partsText(parts) }, { "at", request.host } });
     }
     reply.suspectParts = m_quarantine.suspects(now);
 }
--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -18,6 +18,8 @@
 constexpr Duration leaderCheckInterval = 50ms;
 /** Bound on each list of records of prompt parts that waits for the leader. */
 constexpr std::size_t maximumRecords = 8192;
+/** Longer than a failover; older verdicts of a leader may have been lifted since. */
+constexpr Duration verdictLifetime = 1min;
 
 template <typename Item>
 void append(std::vector<Item>& to, const std::vector<Item>& from)
@@ -101,11 +103,8 @@
     reply.suspectParts = m_lastReply.suspectParts;
     for (SuspectPart& suspect : reply.suspectParts)
         suspect.untilTrial = std::max<Duration>(suspect.untilTrial - reply.age, Duration::zero());
-    for (PromptPartKey part : request.promptParts.refused) {
-        auto trial = m_trialParts.extract(part);
-        if (!trial.empty() && now < trial.mapped())
-            reply.trialParts.push_back(part);
-    }
+    for (const std::vector<PromptPartKey>& parts : request.promptParts.refused)
+        passTrialOn(reply, parts, now);
     std::map<ServerHandle, ServerLoad> all = m_otherOutstanding;
     for (const auto& [server, load] : m_gateways.outstanding())
         all[server] = all[server] + load;
@@ -193,7 +192,7 @@
     m_leaving.clear();
     request.ended.assign(m_ended.begin(), m_ended.end());
     m_ended.clear();
-    request.promptParts = takePromptParts();
+    request.promptParts = takePromptParts(now);
     m_hasReportedDemand = !request.demands.empty();
     // Handles are valid within one epoch only, so none are reported while the list of a new epoch arrives.
     m_reportedOutstanding.clear();
@@ -204,6 +203,20 @@
     return request;
 }
 
+/** Leaves a trial of exactly these parts to the gateway that is answered, if the leader left it to this relay. */
+void FleetRelay::passTrialOn(FollowReply& reply, const std::vector<PromptPartKey>& parts, Instant now)
+{
+    bool isPermitted = std::all_of(parts.begin(), parts.end(), [&](PromptPartKey part) {
+        auto trial = m_trialParts.find(part);
+        return trial != m_trialParts.end() && now < trial->second;
+    });
+    if (!isPermitted)
+        return;
+    reply.trialParts.insert(reply.trialParts.end(), parts.begin(), parts.end());
+    for (PromptPartKey part : parts)
+        m_trialParts.erase(part);
+}
+
 void FleetRelay::collectPromptParts(const PromptPartReport& report)
 {
     append(m_promptParts.crashes, report.crashes);
@@ -213,7 +226,7 @@
 }
 
 /** The collected report, with one entry per part. */
-PromptPartReport FleetRelay::takePromptParts()
+PromptPartReport FleetRelay::takePromptParts(Instant now)
 {
     PromptPartReport report = std::exchange(m_promptParts, {});
     std::map<PromptPartKey, Instant> progress;
@@ -224,13 +237,35 @@
     report.progress.clear();
     for (const auto& [part, at] : progress)
         report.progress.push_back({ part, at });
-    for (auto* parts : { &report.refused, &report.quarantined }) {
-        std::sort(parts->begin(), parts->end());
-        parts->erase(std::unique(parts->begin(), parts->end()), parts->end());
+    std::sort(report.refused.begin(), report.refused.end());
+    report.refused.erase(std::unique(report.refused.begin(), report.refused.end()), report.refused.end());
+    // What the last leader said is known here even if no gateway has repeated it yet.
+    append(report.quarantined, quarantined(now));
+    std::map<PromptPartKey, SuspectPart> latest;
+    for (const SuspectPart& each : report.quarantined) {
+        SuspectPart& kept = latest.try_emplace(each.part, each).first->second;
+        kept.failedTrials = std::max(kept.failedTrials, each.failedTrials);
+        kept.untilTrial = std::max(kept.untilTrial, each.untilTrial);
     }
+    report.quarantined.clear();
+    for (const auto& [part, suspect] : latest)
+        report.quarantined.push_back(suspect);
     return report;
 }
 
+std::vector<SuspectPart> FleetRelay::quarantined(Instant now) const
+{
+    std::vector<SuspectPart> all;
+    if (!m_replyRequestedAt || now - *m_replyRequestedAt > verdictLifetime)
+        return all;
+    for (SuspectPart suspect : m_lastReply.suspectParts) {
+        suspect.untilTrial = std::max<Duration>(suspect.untilTrial - (now - *m_replyRequestedAt), Duration::zero());
+        if (suspect.isQuarantined)
+            all.push_back(suspect);
+    }
+    return all;
+}
+
 void FleetRelay::applyReply(FollowReply reply, Instant asked)
 {
     if (reply.listAge)
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -64,6 +64,8 @@
     bool isCurrent(Instant now) const;
     /** Fills in the leader's last reply except the configuration. Precondition: isCurrent(). */
     void fill(FollowReply&, const FollowRequest&, Instant now);
+    /** The quarantined prompt parts of the leader's last reply, for the next leader. */
+    std::vector<SuspectPart> quarantined(Instant now) const;
     /** The latest configuration body received from the leader; version 0 before the first. */
     const ConfigurationBody& configuration() const { return m_configuration; }
     /** True once this process has had the leader's configuration version as of one of its replies. */
@@ -80,7 +82,8 @@
     boost::asio::awaitable<void> pollOnce(KeeperId leader);
     FollowRequest nextRequest(Instant now);
     void collectPromptParts(const PromptPartReport&);
-    PromptPartReport takePromptParts();
+    PromptPartReport takePromptParts(Instant now);
+    void passTrialOn(FollowReply&, const std::vector<PromptPartKey>&, Instant now);
     void applyReply(FollowReply, Instant asked);
     void applyServers(const FollowReply&);
     void pollSoon();
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -42,13 +42,15 @@
   crashes @0 :List(ServerCrash);
   progress @1 :List(PartProgress);
   refused @2 :List(UInt64);
-  quarantined @3 :List(UInt64);
+  quarantined @3 :List(SuspectPart);
+  refusedTogether @4 :List(List(UInt64));
 }
 
 struct SuspectPart {
   part @0 :UInt64;
   isQuarantined @1 :Bool;
   nanosecondsUntilTrial @2 :Int64;
+  failedTrials @3 :UInt32;
 }
 
 struct FollowRequest {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -121,7 +121,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(8b12e2af1dd37e37, 0, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(8b12e2af1dd37e37, 0, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -792,7 +792,10 @@
   inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getRefused() const;
 
   inline bool hasQuarantined() const;
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getQuarantined() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader getQuarantined() const;
+
+  inline bool hasRefusedTogether() const;
+  inline  ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Reader getRefusedTogether() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -845,12 +848,19 @@
   inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownRefused();
 
   inline bool hasQuarantined();
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getQuarantined();
-  inline void setQuarantined( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
-  inline void setQuarantined(::kj::ArrayPtr<const  ::uint64_t> value);
-  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initQuarantined(unsigned int size);
-  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownQuarantined();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder getQuarantined();
+  inline void setQuarantined( ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder initQuarantined(unsigned int size);
+  inline void adoptQuarantined(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>> disownQuarantined();
+
+  inline bool hasRefusedTogether();
+  inline  ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Builder getRefusedTogether();
+  inline void setRefusedTogether( ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Reader value);
+  inline void setRefusedTogether(::kj::ArrayPtr<const  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader> value);
+  inline  ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Builder initRefusedTogether(unsigned int size);
+  inline void adoptRefusedTogether(::capnp::Orphan< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>> disownRefusedTogether();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -901,6 +911,8 @@
 
   inline  ::int64_t getNanosecondsUntilTrial() const;
 
+  inline  ::uint32_t getFailedTrials() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -938,6 +950,9 @@
   inline  ::int64_t getNanosecondsUntilTrial();
   inline void setNanosecondsUntilTrial( ::int64_t value);
 
+  inline  ::uint32_t getFailedTrials();
+  inline void setFailedTrials( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2531,36 +2546,70 @@
   return !_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader PromptPartReport::Reader::getQuarantined() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader PromptPartReport::Reader::getQuarantined() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptPartReport::Builder::getQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder PromptPartReport::Builder::getQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
-inline void PromptPartReport::Builder::setQuarantined( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
-      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
-}
-inline void PromptPartReport::Builder::setQuarantined(::kj::ArrayPtr<const  ::uint64_t> value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+inline void PromptPartReport::Builder::setQuarantined( ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), value);
 }
-inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder PromptPartReport::Builder::initQuarantined(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+inline  ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>::Builder PromptPartReport::Builder::initQuarantined(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), size);
 }
 inline void PromptPartReport::Builder::adoptQuarantined(
-    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> PromptPartReport::Builder::disownQuarantined() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>> PromptPartReport::Builder::disownQuarantined() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::SuspectPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline bool PromptPartReport::Reader::hasRefusedTogether() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool PromptPartReport::Builder::hasRefusedTogether() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Reader PromptPartReport::Reader::getRefusedTogether() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Builder PromptPartReport::Builder::getRefusedTogether() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void PromptPartReport::Builder::setRefusedTogether( ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline void PromptPartReport::Builder::setRefusedTogether(::kj::ArrayPtr<const  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>::Builder PromptPartReport::Builder::initRefusedTogether(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void PromptPartReport::Builder::adoptRefusedTogether(
+    ::capnp::Orphan< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>> PromptPartReport::Builder::disownRefusedTogether() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>,  ::capnp::Kind::LIST>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
 inline  ::uint64_t SuspectPart::Reader::getPart() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2603,6 +2652,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SuspectPart::Reader::getFailedTrials() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SuspectPart::Builder::getFailedTrials() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void SuspectPart::Builder::setFailedTrials( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -150,6 +150,24 @@
     return all;
 }
 
+void write(capnp::List<fleetwire::SuspectPart>::Builder to, const std::vector<SuspectPart>& from)
+{
+    for (unsigned i = 0; i < from.size(); ++i) {
+        to[i].setPart(from[i].part.value());
+        to[i].setIsQuarantined(from[i].isQuarantined);
+        to[i].setNanosecondsUntilTrial(from[i].untilTrial.count());
+        to[i].setFailedTrials(from[i].failedTrials);
+    }
+}
+
+std::vector<SuspectPart> read(capnp::List<fleetwire::SuspectPart>::Reader from)
+{
+    std::vector<SuspectPart> all;
+    for (auto suspect : from)
+        all.push_back({ PromptPartKey(suspect.getPart()), suspect.getIsQuarantined(), Duration(suspect.getNanosecondsUntilTrial()), suspect.getFailedTrials() });
+    return all;
+}
+
 void write(fleetwire::PromptPartReport::Builder to, const PromptPartReport& report, Instant now)
 {
     auto crashes = to.initCrashes(sizeOf(report.crashes));
@@ -166,7 +184,18 @@
         progress[i].setPart(report.progress[i].part.value());
         progress[i].setNanosecondsAgo((now - report.progress[i].at).count());
     }
-    write(to.initRefused(sizeOf(report.refused)), report.refused);
+    std::vector<PromptPartKey> alone;
+    std::vector<std::vector<PromptPartKey>> together;
+    for (const std::vector<PromptPartKey>& parts : report.refused) {
+        if (parts.size() == 1)
+            alone.push_back(parts.front());
+        else
+            together.push_back(parts);
+    }
+    write(to.initRefused(sizeOf(alone)), alone);
+    auto sets = to.initRefusedTogether(sizeOf(together));
+    for (unsigned i = 0; i < together.size(); ++i)
+        write(sets.init(i, sizeOf(together[i])), together[i]);
     write(to.initQuarantined(sizeOf(report.quarantined)), report.quarantined);
 }
 
@@ -177,7 +206,10 @@
         report.crashes.push_back({ read(crash.getServer()), read(crash.getParts()), now - Duration(crash.getSentNanosecondsAgo()), now - Duration(crash.getEndedNanosecondsAgo()) });
     for (auto progress : from.getProgress())
         report.progress.push_back({ PromptPartKey(progress.getPart()), now - Duration(progress.getNanosecondsAgo()) });
-    report.refused = read(from.getRefused());
+    for (PromptPartKey part : read(from.getRefused()))
+        report.refused.push_back({ part });
+    for (auto parts : from.getRefusedTogether())
+        report.refused.push_back(read(parts));
     report.quarantined = read(from.getQuarantined());
     return report;
 }
@@ -275,12 +307,7 @@
         relays[i].setCoordinator(reply.relays[i].coordinator.value());
         relays[i].setDataCentre(reply.relays[i].dataCentre.text());
     }
-    auto suspects = root.initSuspectParts(sizeOf(reply.suspectParts));
-    for (unsigned i = 0; i < reply.suspectParts.size(); ++i) {
-        suspects[i].setPart(reply.suspectParts[i].part.value());
-        suspects[i].setIsQuarantined(reply.suspectParts[i].isQuarantined);
-        suspects[i].setNanosecondsUntilTrial(reply.suspectParts[i].untilTrial.count());
-    }
+    write(root.initSuspectParts(sizeOf(reply.suspectParts)), reply.suspectParts);
     write(root.initTrialParts(sizeOf(reply.trialParts)), reply.trialParts);
     return messageBytes(message);
 }
@@ -320,8 +347,7 @@
         reply.age = Duration(root.getAgeNanoseconds());
         for (auto relay : root.getRelays())
             reply.relays.push_back({ KeeperId(relay.getCoordinator()), DataCentreName(textOf(relay.getDataCentre())) });
-        for (auto suspect : root.getSuspectParts())
-            reply.suspectParts.push_back({ PromptPartKey(suspect.getPart()), suspect.getIsQuarantined(), Duration(suspect.getNanosecondsUntilTrial()) });
+        reply.suspectParts = read(root.getSuspectParts());
         reply.trialParts = read(root.getTrialParts());
         return reply;
     });
--- a/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
+++ b/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
@@ -9,6 +9,8 @@
 
 /** More crashes of one part tell nothing new. */
 constexpr std::size_t maximumCrashes = 16;
+/** More failed trials delay the next one no further. */
+constexpr unsigned maximumFailedTrials = 16;
 /** Many hosts report several times a second, and expiry reads all records. */
 constexpr Duration expiryInterval = 1s;
 
@@ -32,6 +34,7 @@
     std::vector<PromptPartKey> quarantined;
     if (now - crash.ended > m_options.progressLifetime)
         return quarantined;
+    std::vector<Record*> tried;
     for (PromptPartKey part : crash.parts) {
         auto progress = m_progress.find(part);
         if (progress != m_progress.end() && progress->second > crash.ended)
@@ -46,13 +49,14 @@
             record.crashes.erase(record.crashes.begin());
         record.crashes.push_back({ crash.server, crash.sent, crash.ended });
         record.consecutiveCrashes = countConsecutive(record.crashes);
-        if (record.isQuarantined)
-            delayTrials(record, crash.ended);
+        if (record.isQuarantined && delayTrials(record, crash.ended))
+            tried.push_back(&record);
         if (record.isQuarantined || record.consecutiveCrashes < m_options.crashesUntilQuarantine)
             continue;
         quarantine(record, now);
         quarantined.push_back(part);
     }
+    noteFailedTrial(tried, crash.ended);
     limitSize();
     return quarantined;
 }
@@ -80,18 +84,28 @@
     record.nextTrial = now + m_options.firstTrialDelay;
 }
 
-/** After a crash by a trial, or by a request that was sent before the quarantine was known everywhere. */
-void PromptPartQuarantine::delayTrials(Record& record, Instant ended)
+/** After a crash by a trial, or by a request that was sent before the quarantine was known everywhere; true if it was a trial. */
+bool PromptPartQuarantine::delayTrials(Record& record, Instant ended)
 {
     bool isTrial = std::exchange(record.openTrials, 0) > 0 && ended > record.lastTrial;
-    if (!isTrial) {
+    if (!isTrial)
         record.nextTrial = std::max(record.nextTrial, ended + m_options.firstTrialDelay);
+    return isTrial;
+}
+
+/** One request may have been the trial of several parts. */
+void PromptPartQuarantine::noteFailedTrial(const std::vector<Record*>& tried, Instant ended)
+{
+    if (tried.empty())
         return;
-    }
-    if (std::exchange(record.hasFailedTrial, true))
+    bool isRepeated = std::any_of(tried.begin(), tried.end(), [](const Record* record) { return record->hasFailedTrial; });
+    if (isRepeated)
         ++m_failedTrials;
-    record.nextTrial = ended + trialInterval();
-    m_nextRepeatedTrial = std::max(m_nextRepeatedTrial, record.nextTrial);
+    for (Record* record : tried) {
+        record->hasFailedTrial = true;
+        record->nextTrial = ended + trialInterval();
+        m_nextRepeatedTrial = std::max(m_nextRepeatedTrial, record->nextTrial);
+    }
 }
 
 Duration PromptPartQuarantine::trialInterval() const
@@ -115,26 +129,30 @@
     if (found == m_records.end() || progress.at <= found->second.lastCrash)
         return false;
     bool wasQuarantined = found->second.isQuarantined;
+    bool hadFailedTrial = found->second.hasFailedTrial;
     m_records.erase(found);
-    if (wasQuarantined) {
+    if (wasQuarantined && hadFailedTrial) {
         m_failedTrials = 0;
         m_nextRepeatedTrial = std::min(m_nextRepeatedTrial, now + m_options.trialInterval);
     }
     return wasQuarantined;
 }
 
-bool PromptPartQuarantine::adopt(PromptPartKey part, Instant now)
+bool PromptPartQuarantine::adopt(const SuspectPart& reported, Instant now)
 {
-    if (m_progress.contains(part))
+    if (m_progress.contains(reported.part))
         return false;
-    Record& record = m_records[part];
+    Record& record = m_records[reported.part];
     record.lastSeen = now;
     if (record.isQuarantined)
         return false;
     quarantine(record, now);
-    // As far as this host knows, a trial has just failed.
-    record.hasFailedTrial = true;
-    record.nextTrial = now + trialInterval();
+    record.hasFailedTrial = reported.failedTrials > 0;
+    if (record.hasFailedTrial)
+        m_failedTrials = std::max(m_failedTrials, std::min(reported.failedTrials, maximumFailedTrials) - 1);
+    // The outcome of a trial that the host was told of may be lost with the former leader.
+    Duration delay = record.hasFailedTrial ? trialInterval() : m_options.openTrialInterval;
+    record.nextTrial = now + std::clamp(reported.untilTrial, delay, m_options.maximumTrialInterval);
     limitSize();
     return true;
 }
@@ -156,24 +174,30 @@
     std::vector<SuspectPart> all;
     for (const auto& [part, record] : m_records) {
         if (isSuspect(part))
-            all.push_back({ part, record.isQuarantined, std::max<Duration>(nextTrial(part).value_or(now) - now, Duration::zero()) });
+            all.push_back({ part, record.isQuarantined, std::max<Duration>(nextTrial(part).value_or(now) - now, Duration::zero()), record.hasFailedTrial ? m_failedTrials + 1 : 0 });
     }
     return all;
 }
 
-bool PromptPartQuarantine::takeTrial(PromptPartKey part, Instant now)
+bool PromptPartQuarantine::takeTrial(const std::vector<PromptPartKey>& parts, Instant now)
 {
-    auto found = m_records.find(part);
-    if (found == m_records.end() || !found->second.isQuarantined)
+    if (parts.empty() || parts.size() > m_options.maximumJointParts || !std::all_of(parts.begin(), parts.end(), [this](PromptPartKey part) { return isQuarantined(part); }))
         return false;
-    Record& record = found->second;
-    record.lastSeen = now;
-    if (now < *nextTrial(part))
+    Duration delay = m_options.jointTrialDelay * (parts.size() - 1);
+    bool isDue = true;
+    for (PromptPartKey part : parts) {
+        m_records[part].lastSeen = now;
+        isDue = isDue && now >= *nextTrial(part) + delay;
+    }
+    if (!isDue)
         return false;
-    record.lastTrial = now;
-    record.nextTrial = now + doubled(m_options.openTrialInterval, record.openTrials++, m_options.maximumTrialInterval);
-    if (record.hasFailedTrial)
-        m_nextRepeatedTrial = std::max(m_nextRepeatedTrial, record.nextTrial);
+    for (PromptPartKey part : parts) {
+        Record& record = m_records[part];
+        record.lastTrial = now;
+        record.nextTrial = now + doubled(m_options.openTrialInterval, record.openTrials++, m_options.maximumTrialInterval);
+        if (record.hasFailedTrial)
+            m_nextRepeatedTrial = std::max(m_nextRepeatedTrial, record.nextTrial);
+    }
     return true;
 }
 
--- a/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
@@ -39,6 +39,8 @@
     bool isQuarantined = false;
     /** Time until a request with it may be let through as a trial. */
     Duration untilTrial {};
+    /** Trials that failed so far, over all parts; 0 if none of this part did. */
+    unsigned failedTrials = 0;
 
     friend bool operator==(const SuspectPart&, const SuspectPart&) = default;
 };
@@ -47,10 +49,10 @@
 struct PromptPartReport {
     std::vector<ServerCrash> crashes;
     std::vector<PartProgress> progress;
-    /** Quarantined parts of requests that were refused because of this part alone. */
-    std::vector<PromptPartKey> refused;
-    /** Parts that the host knows to be quarantined, from which a new leader learns of them. */
-    std::vector<PromptPartKey> quarantined;
+    /** The quarantined parts of each request that was refused because of them, once each. */
+    std::vector<std::vector<PromptPartKey>> refused;
+    /** Parts that the host knows to be quarantined, from which a new leader learns of them and of their trials. */
+    std::vector<SuspectPart> quarantined;
 };
 
 //==============================================================================
@@ -64,7 +66,8 @@
     request, so parts that are common in sound requests are cleared by the other requests with them.
 
     A quarantine ends with a trial: one request with the part is let through. Trials of parts that keep
-    crashing servers become rarer, over all parts together.
+    crashing servers become rarer, over all parts together. Parts that no request holds without the
+    other are tried together, later than parts that come alone.
 
     Thread safety: one thread at a time.
 */
@@ -85,6 +88,10 @@
         /** Time from a trial without an outcome, as when no server ran it, to the next one of its part; doubles with each of them. */
         Duration openTrialInterval = 2s;
         Duration maximumTrialInterval = 5min;
+        /** A request with several quarantined parts waits this much longer for each further part, since a crash would not tell which of them is at fault. */
+        Duration jointTrialDelay = 2s;
+        /** Requests with more quarantined parts than this are no trials. */
+        std::size_t maximumJointParts = 4;
         /** How long an answer that was begun is remembered. Reports of earlier crashes are ignored, since an answer after them may be forgotten. */
         Duration progressLifetime = 10s;
         /** Bound on the parts that are remembered. */
@@ -100,16 +107,16 @@
     std::vector<PromptPartKey> noteCrash(const ServerCrash&, Instant now);
     /** Records that an answer was begun; true if that ends a quarantine. */
     bool noteProgress(const PartProgress&, Instant now);
-    /** Takes over a quarantine from another host's records, unless an answer was begun since; true if it is new. */
-    bool adopt(PromptPartKey, Instant now);
+    /** Takes over a quarantine and its trials from another host's records, unless an answer was begun since; true if it is new. */
+    bool adopt(const SuspectPart&, Instant now);
 
     bool isQuarantined(PromptPartKey) const;
     /** True if the part is quarantined or likely to be soon. */
     bool isSuspect(PromptPartKey) const;
     /** All suspect parts, in order of their keys. */
     std::vector<SuspectPart> suspects(Instant now) const;
-    /** Notes that a request with a quarantined part was refused; true if one with it may be let through now as a trial. */
-    bool takeTrial(PromptPartKey, Instant now);
+    /** Notes that a request was refused because of these quarantined parts; true if one with exactly these may be let through now as a trial. */
+    bool takeTrial(const std::vector<PromptPartKey>&, Instant now);
     /** When a request with the part may be served; nothing if it is not quarantined. */
     std::optional<Instant> nextTrial(PromptPartKey) const;
     /** Drops outdated records, at most once a second. */
@@ -138,7 +145,8 @@
 
     static unsigned countConsecutive(std::vector<Record::Crash>&);
     void quarantine(Record&, Instant now) const;
-    void delayTrials(Record&, Instant ended);
+    bool delayTrials(Record&, Instant ended);
+    void noteFailedTrial(const std::vector<Record*>& tried, Instant ended);
     Duration trialInterval() const;
     static Duration doubled(Duration, unsigned times, Duration maximum);
     void limitSize();
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -95,7 +95,7 @@
 {
     Endpoint target = m_selector.next(std::chrono::steady_clock::now());
     unfollowPrevious(target);
-    PromptPartReport promptParts = m_promptParts.takeReport();
+    PromptPartReport promptParts = m_promptParts.takeReport(currentTime());
     ByteString request = nextRequest(promptParts);
     auto bytes = co_await m_client.call(target, PeerMethod::FollowFleet, std::move(request), m_options.timeout);
     Instant now = std::chrono::steady_clock::now();
--- a/modules/hc_gateway/gateway/PromptPartMonitor.cpp
+++ b/modules/hc_gateway/gateway/PromptPartMonitor.cpp
@@ -11,11 +11,9 @@
     std::copy_if(parts.begin(), parts.end(), std::back_inserter(quarantined), [&](PromptPartKey part) { return isQuarantined(part, now); });
     if (quarantined.empty())
         return decision;
-    // With two such parts, a crash would not tell which of them is at fault.
-    bool mayBeTrial = quarantined.size() == 1;
-    if (mayBeTrial)
-        m_refused.insert(quarantined.front());
-    decision.isTrial = mayBeTrial && takeTrial(quarantined.front(), now);
+    if (m_refused.size() < m_options.maximumRecords)
+        m_refused.insert(quarantined);
+    decision.isTrial = takeTrial(quarantined, now);
     decision.isRefused = !decision.isTrial;
     for (PromptPartKey part : quarantined) {
         auto verdict = m_verdicts.find(part);
@@ -25,7 +23,8 @@
         else if (next)
             decision.retryAfter = std::max<Duration>(decision.retryAfter, *next - now);
     }
-    decision.isTrialDue = decision.isRefused && mayBeTrial && decision.retryAfter == Duration::zero() && !isAlone(now);
+    decision.retryAfter += m_options.quarantine.jointTrialDelay * (quarantined.size() - 1);
+    decision.isTrialDue = decision.isRefused && quarantined.size() == 1 && decision.retryAfter == Duration::zero() && !isAlone(now);
     return decision;
 }
 
@@ -41,12 +40,17 @@
     return isByLeader || (isAlone(now) && m_own.isQuarantined(part));
 }
 
-bool PromptPartMonitor::takeTrial(PromptPartKey part, Instant now)
+bool PromptPartMonitor::takeTrial(const std::vector<PromptPartKey>& parts, Instant now)
 {
-    auto permitted = m_trials.extract(part);
-    if (!permitted.empty())
-        return now < permitted.mapped();
-    return isAlone(now) && m_own.takeTrial(part, now);
+    bool isPermitted = std::all_of(parts.begin(), parts.end(), [&](PromptPartKey part) {
+        auto permitted = m_trials.find(part);
+        return permitted != m_trials.end() && now < permitted->second;
+    });
+    if (!isPermitted)
+        return isAlone(now) && m_own.takeTrial(parts, now);
+    for (PromptPartKey part : parts)
+        m_trials.erase(part);
+    return true;
 }
 
 //==============================================================================
@@ -112,17 +116,20 @@
 }
 
 //==============================================================================
-PromptPartReport PromptPartMonitor::takeReport()
+PromptPartReport PromptPartMonitor::takeReport(Instant now)
 {
     PromptPartReport report;
     report.crashes = std::exchange(m_crashes, {});
     for (const auto& [part, at] : std::exchange(m_progress, {}))
         report.progress.push_back({ part, at });
-    std::set<PromptPartKey> refused = std::exchange(m_refused, {});
+    std::set<std::vector<PromptPartKey>> refused = std::exchange(m_refused, {});
     report.refused.assign(refused.begin(), refused.end());
     for (const auto& [part, verdict] : m_verdicts) {
-        if (verdict.isQuarantined)
-            report.quarantined.push_back(part);
+        if (!verdict.isQuarantined)
+            continue;
+        report.quarantined.push_back(verdict);
+        Instant trial = m_lastVerdicts + verdict.untilTrial;
+        report.quarantined.back().untilTrial = std::max<Duration>(trial - now, Duration::zero());
     }
     return report;
 }
--- a/modules/hc_gateway/gateway/PromptPartMonitor.h
+++ b/modules/hc_gateway/gateway/PromptPartMonitor.h
@@ -41,7 +41,7 @@
     struct Decision {
         /** True if a part of its prompt is quarantined. */
         bool isRefused = false;
-        /** True if it is let through as the trial of a quarantined part; it must not be resent. */
+        /** True if it is let through as the trial of its quarantined parts; it must not be resent. */
         bool isTrial = false;
         /** True if it is refused but could be a trial now, if the leader leaves the trial to this gateway. */
         bool isTrialDue = false;
@@ -75,7 +75,7 @@
 
     //==============================================================================
     /** Takes the records for the next report. */
-    PromptPartReport takeReport();
+    PromptPartReport takeReport(Instant now);
     /** Returns a report that did not reach a leader. */
     void restoreReport(PromptPartReport);
     /** Applies the leader's verdicts, and the trials that it leaves to this gateway. */
@@ -89,7 +89,7 @@
 
     bool isAlone(Instant now) const { return now - m_lastVerdicts > m_options.leaderTimeout; }
     bool isQuarantined(PromptPartKey, Instant now) const;
-    bool takeTrial(PromptPartKey, Instant now);
+    bool takeTrial(const std::vector<PromptPartKey>&, Instant now);
 
     Options m_options;
     /** Decides by this gateway's own evidence. */
@@ -102,7 +102,7 @@
     std::map<PromptPartKey, Instant> m_trials;
     std::vector<ServerCrash> m_crashes;
     std::map<PromptPartKey, Instant> m_progress;
-    std::set<PromptPartKey> m_refused;
+    std::set<std::vector<PromptPartKey>> m_refused;
 };
 
 } // namespace hemlockchute
