Start test processes without the tester's sockets

Cause: the harness started daemons with all its sockets.

Evidence: ProcessTests/aClosedConnectionStaysOpenInAProcessStartedMeanwhile failed before.

Why this works: the child closes every descriptor but its standard ones before the program runs.

--- a/tests/harness/Process.cpp
+++ b/tests/harness/Process.cpp
@@ -22,6 +22,8 @@
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO, file.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+        // A socket that is inherited stays open when it is closed here.
+        posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
     }
     ~OutputRedirection() { posix_spawn_file_actions_destroy(&actions); }
     OutputRedirection(const OutputRedirection&) = delete;
