Drop crashes before an answer that was begun between them and reported later

Cause: hosts report crashes at once and begun answers with their next report. An answer that was begun between two crashes was ignored when it was reported after the second one, so that the crashes still counted as being in a row.

Evidence: PromptPartQuarantineTests/ anAnswerThatBeganBetweenTwoCrashesAndIsReportedAfterThemClearsTheEarlierOnes failed before.

Why this works: the part was sound when that answer began, so the crashes before it say nothing about the part; the verdict no longer depends on the order in which reports arrive. No answer is begun with a part that crashes servers, so its own crashes stay.

--- a/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
+++ b/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
@@ -126,16 +126,26 @@
     last = std::max(last, progress.at);
     limitSize();
     auto found = m_records.find(progress.part);
-    if (found == m_records.end() || progress.at <= found->second.lastCrash)
+    if (found == m_records.end())
         return false;
-    bool wasQuarantined = found->second.isQuarantined;
-    bool hadFailedTrial = found->second.hasFailedTrial;
-    m_records.erase(found);
-    if (wasQuarantined && hadFailedTrial) {
+    Record& record = found->second;
+    std::size_t known = record.crashes.size();
+    std::erase_if(record.crashes, [&](const Record::Crash& crash) { return crash.ended < progress.at; });
+    bool isCleared = progress.at > record.lastCrash;
+    if (!isCleared && record.crashes.size() == known)
+        return false;
+    record.consecutiveCrashes = countConsecutive(record.crashes);
+    bool isReleased = record.isQuarantined && (isCleared || record.consecutiveCrashes < m_options.crashesUntilQuarantine);
+    bool hadFailedTrial = record.hasFailedTrial;
+    if (isReleased)
+        record.isQuarantined = record.hasFailedTrial = false;
+    if (isCleared)
+        m_records.erase(found);
+    if (isReleased && hadFailedTrial) {
         m_failedTrials = 0;
         m_nextRepeatedTrial = std::min(m_nextRepeatedTrial, now + m_options.trialInterval);
     }
-    return wasQuarantined;
+    return isReleased;
 }
 
 bool PromptPartQuarantine::adopt(const SuspectPart& reported, Instant now)
--- a/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
@@ -62,8 +62,8 @@
     Load pattern: one kind of request ends one server after the other, since it is retried by hosts
     and callers. A part is quarantined after several crashes in a row, on different servers, each of a
     request that was sent after the crash before. Requests that were at several servers when all of
-    them ended count once. An answer that is begun after the last crash clears each part of its
-    request, so parts that are common in sound requests are cleared by the other requests with them.
+    them ended count once. An answer that is begun clears each part of its request of the crashes
+    before it, so parts that are common in sound requests are cleared by the other requests with them.
 
     A quarantine ends with a trial: one request with the part is let through. Trials of parts that keep
     crashing servers become rarer, over all parts together. Parts that no request holds without the
--- a/modules/hc_fleet/tests/PromptPartQuarantineTests.cpp
+++ b/modules/hc_fleet/tests/PromptPartQuarantineTests.cpp
@@ -98,6 +98,21 @@
     BOOST_TEST(!quarantine.isSuspect(rare));
 }
 
+/** Crashes are reported at once, begun answers with the next report of their host. */
+BOOST_AUTO_TEST_CASE(anAnswerThatBeganBetweenTwoCrashesAndIsReportedAfterThemClearsTheEarlierOnes)
+{
+    crash(1, { deadly, rare }, 0ms, 50ms);
+    crash(2, { deadly, rare }, 60ms, 100ms);
+    crash(3, { deadly, rare }, 110ms, 150ms);
+    BOOST_TEST((quarantine.isQuarantined(deadly) && quarantine.isQuarantined(rare)));
+    BOOST_TEST(progress(rare, 105ms));
+    BOOST_TEST(!quarantine.isSuspect(rare));
+    BOOST_TEST(quarantine.isQuarantined(deadly));
+    crash(4, { rare }, 160ms, 200ms);
+    BOOST_TEST(!quarantine.isQuarantined(rare));
+    BOOST_TEST((crash(5, { rare }, 210ms, 250ms) == std::vector<PromptPartKey> { rare }));
+}
+
 BOOST_AUTO_TEST_CASE(anOutdatedCrashReportHasNoEffect)
 {
     quarantineDeadly();
