--- a/tests/harness/ProcessTests.cpp
+++ b/tests/harness/ProcessTests.cpp
@@ -1,5 +1,5 @@
-#include "Process.h"
 #include "../TemporaryFolder.h"
+#include "Process.h"
 
 #include <array>
 #include <boost/test/unit_test.hpp>
