Poll more often while a verdict on a prompt part is expected

Cause: gateways learn of a verdict with their next poll, up to 150 ms later, and send requests with the part meanwhile.

Why this works: for a second after a server has crashed under a request, gateways and relays poll each 40 ms, and while a part is suspect but not quarantined; with many followers less often, as where requests wait for a model. PromptPartMonitorTests/aVerdictIsExpectedForAWhileAfterACrash covers the new condition.

--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -77,6 +77,8 @@
     m_leaving.insert(request.leaving.begin(), request.leaving.end());
     m_ended.insert(request.ended.begin(), request.ended.end());
     collectPromptParts(request.promptParts);
+    if (!request.promptParts.crashes.empty())
+        m_lastCrash = now;
     isUrgent = isUrgent || !request.promptParts.crashes.empty() || !request.promptParts.refused.empty();
     m_gateways.recordReport(request, now);
     if (isUrgent)
@@ -141,6 +143,8 @@
 {
     m_gateways.expire(now);
     Duration interval = m_gateways.followers() > 0 || m_hasReportedDemand ? m_options.interval : m_options.idleInterval;
+    if (m_lastCrash && now - *m_lastCrash < verdictExpectationTime)
+        interval = std::min(interval, minimumVerdictInterval);
     if (m_isPollRequested)
         interval = urgentFollowInterval;
     if (m_incoming)
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -103,6 +103,8 @@
     std::set<ServerIncarnation> m_ended;
     /** What gateways of this relay saw of prompt parts, not yet reported to the leader. */
     PromptPartReport m_promptParts;
+    /** When a gateway last reported a crash. */
+    std::optional<Instant> m_lastCrash;
     /** Trials of quarantined parts that the leader leaves to one gateway of this relay, and until when. */
     std::map<PromptPartKey, Instant> m_trialParts;
     FleetTable m_table;
--- a/modules/hc_fleet/include/hemlockchute/fleet/FollowIntervals.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FollowIntervals.h
@@ -17,6 +17,10 @@
 /** The same bounds for a gateway where requests wait for a model. */
 inline constexpr Duration minimumWaitingInterval = 100ms;
 inline constexpr Duration waitingIntervalPerFollower = 2ms;
+/** How long after a server crashed under a request a verdict on its prompt is expected. */
+inline constexpr Duration verdictExpectationTime = 1s;
+/** Polling interval of a relay, and shortest of a gateway, meanwhile: more servers crash until all hosts know the verdict. */
+inline constexpr Duration minimumVerdictInterval = 40ms;
 /** Minimum time between two polls when something urgent came up. */
 inline constexpr Duration urgentFollowInterval = 20ms;
 /** Allowance for the round trip of a poll. */
@@ -36,6 +40,12 @@
     return std::max<Duration>(minimumWaitingInterval, followers * waitingIntervalPerFollower);
 }
 
+/** Polling interval of a gateway that expects a verdict on a prompt. */
+inline Duration verdictInterval(unsigned followers)
+{
+    return std::max<Duration>(minimumVerdictInterval, followers * waitingIntervalPerFollower);
+}
+
 /** Time for a change at the leader to reach every gateway, given its followers and the gateways behind the busiest relay, 0 without relays. */
 inline Duration propagationTime(unsigned followers, unsigned behindRelay)
 {
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -87,8 +87,11 @@
 {
     if (m_hasMore)
         return Duration::zero();
+    Instant now = std::chrono::steady_clock::now();
     Duration interval = m_demand.isWaiting() ? waitingInterval(m_followers) : followInterval(m_followers);
-    return lastPoll + (m_isPollRequested ? urgentFollowInterval : interval) - std::chrono::steady_clock::now();
+    if (m_promptParts.expectsVerdict(now))
+        interval = std::min(interval, verdictInterval(m_followers));
+    return lastPoll + (m_isPollRequested ? urgentFollowInterval : interval) - now;
 }
 
 asio::awaitable<void> CoordinatorLink::pollOnce()
--- a/modules/hc_gateway/gateway/PromptPartMonitor.cpp
+++ b/modules/hc_gateway/gateway/PromptPartMonitor.cpp
@@ -1,5 +1,7 @@
 #include "gateway/PromptPartMonitor.h"
 
+#include "hemlockchute/fleet/FollowIntervals.h"
+
 #include <algorithm>
 
 namespace hemlockchute {
@@ -68,6 +70,7 @@
     for (Suspicion& suspicion : m_suspicions) {
         if (suspicion.crash.server != server)
             continue;
+        m_lastCrash = now;
         std::vector<PromptPartKey> more = m_own.noteCrash(suspicion.crash, now);
         quarantined.insert(quarantined.end(), more.begin(), more.end());
         if (m_crashes.size() < m_options.maximumRecords)
@@ -97,6 +100,12 @@
     }
 }
 
+bool PromptPartMonitor::expectsVerdict(Instant now) const
+{
+    bool hasCrashed = m_lastCrash && now - *m_lastCrash < verdictExpectationTime;
+    return hasCrashed || std::any_of(m_verdicts.begin(), m_verdicts.end(), [](const auto& item) { return !item.second.isQuarantined; });
+}
+
 void PromptPartMonitor::update(const std::function<bool(const ServerIncarnation&)>& isListed, Instant now)
 {
     std::erase_if(m_suspicions, [&](const Suspicion& suspicion) { return now >= suspicion.expires; });
--- a/modules/hc_gateway/gateway/PromptPartMonitor.h
+++ b/modules/hc_gateway/gateway/PromptPartMonitor.h
@@ -70,6 +70,8 @@
     void noteAccepting(const ServerIncarnation&, Instant now);
     /** Records that an answer to a request with these parts was begun. */
     void noteProgress(const std::vector<PromptPartKey>&, Instant now);
+    /** True for a while after a server has crashed under a request, or while a part is suspect but not quarantined. */
+    bool expectsVerdict(Instant now) const;
     /** Treats servers as ended for which `isListed` is false, and drops outdated records. */
     void update(const std::function<bool(const ServerIncarnation&)>& isListed, Instant now);
 
@@ -98,6 +100,7 @@
     std::map<PromptPartKey, SuspectPart> m_verdicts;
     /** When the verdicts were received; the epoch of the clock before the first. */
     Instant m_lastVerdicts {};
+    std::optional<Instant> m_lastCrash;
     /** Until when a trial of the part may be used. */
     std::map<PromptPartKey, Instant> m_trials;
     std::vector<ServerCrash> m_crashes;
--- a/modules/hc_gateway/tests/PromptPartMonitorTests.cpp
+++ b/modules/hc_gateway/tests/PromptPartMonitorTests.cpp
@@ -60,6 +60,20 @@
     BOOST_TEST((crashes.front().parts == parts));
 }
 
+BOOST_AUTO_TEST_CASE(aVerdictIsExpectedForAWhileAfterACrash)
+{
+    BOOST_TEST(!monitor.expectsVerdict(now));
+    breakConnection(1, 0ms, 10ms);
+    BOOST_TEST(!monitor.expectsVerdict(now));
+    monitor.noteEnded(server(1), now);
+    BOOST_TEST(monitor.expectsVerdict(now + 500ms));
+    BOOST_TEST(!monitor.expectsVerdict(now + 5s));
+    monitor.applyVerdicts({ { deadly, false, {} } }, {}, now + 5s);
+    BOOST_TEST(monitor.expectsVerdict(now + 5s));
+    monitor.applyVerdicts({ { deadly, true, {} } }, {}, now + 5s);
+    BOOST_TEST(!monitor.expectsVerdict(now + 5s));
+}
+
 BOOST_AUTO_TEST_CASE(theLeadersVerdictIsApplied)
 {
     BOOST_TEST(!monitor.decide(parts, now).isRefused);
