Try quarantined parts also without a leader if no trial of them has failed

What callers saw: a gateway that lost its leader just after a part was quarantined refused every request with the part until it was in contact again. Parts of sound requests are quarantined beside the deadly one at times and released by their first trial, half a second later; without a leader there was none, since the gateway tried only parts that its own evidence had convicted.

Evidence: PromptPartMonitorTests/withoutALeaderAPartOfWhichNoTrialFailedStaysQuarantined failed before.

Why this works: such a gateway adopts the verdict, and its trials follow the same rules as a new leader's. Parts of which a trial has failed are still left to the next leader, since each gateway that is alone would crash servers by itself. The Retry-After there is now that of the gateway's own trial.

--- a/modules/hc_gateway/gateway/PromptPartMonitor.cpp
+++ b/modules/hc_gateway/gateway/PromptPartMonitor.cpp
@@ -20,10 +20,10 @@
     for (PromptPartKey part : quarantined) {
         auto verdict = m_verdicts.find(part);
         auto next = m_own.nextTrial(part);
-        if (verdict != m_verdicts.end())
-            decision.retryAfter = std::max(decision.retryAfter, m_lastVerdicts + verdict->second.untilTrial - now);
-        else if (next)
+        if (isAlone(now) && next)
             decision.retryAfter = std::max<Duration>(decision.retryAfter, *next - now);
+        else if (verdict != m_verdicts.end())
+            decision.retryAfter = std::max(decision.retryAfter, m_lastVerdicts + verdict->second.untilTrial - now);
     }
     decision.retryAfter += m_options.quarantine.jointTrialDelay * (quarantined.size() - 1);
     decision.isTrialDue = decision.isRefused && quarantined.size() == 1 && decision.retryAfter == Duration::zero() && !isAlone(now);
@@ -118,6 +118,11 @@
         noteEnded(server, now);
     m_own.expire(now);
     if (isAlone(now)) {
+        for (const auto& [part, verdict] : m_verdicts) {
+            // Of the others, each gateway that is alone would crash servers with trials of its own.
+            if (verdict.isQuarantined && verdict.failedTrials == 0)
+                m_own.adopt(verdict, now);
+        }
         for (const SuspectPart& suspect : m_own.suspects(now))
             m_verdicts.insert_or_assign(suspect.part, suspect);
     }
--- a/modules/hc_gateway/tests/PromptPartMonitorTests.cpp
+++ b/modules/hc_gateway/tests/PromptPartMonitorTests.cpp
@@ -143,6 +143,21 @@
     BOOST_TEST(monitor.decide(parts, now + 600ms).isRefused);
 }
 
+/** A part that was quarantined just before the contact was lost may have stood beside the one at fault. */
+BOOST_AUTO_TEST_CASE(withoutALeaderAPartOfWhichNoTrialFailedStaysQuarantined)
+{
+    monitor.applyVerdicts({ { other, true, 400ms, 0 }, { deadly, true, 400ms, 1 } }, {}, now);
+    monitor.update(isListed, now + 3s);
+    BOOST_TEST(monitor.decide({ other }, now + 3s).isRefused);
+    BOOST_TEST((monitor.decide({ other }, now + 3s).retryAfter > Duration::zero()));
+    BOOST_TEST(monitor.decide({ other }, now + 6s).isTrial);
+    BOOST_TEST(monitor.decide({ other }, now + 6s).isRefused);
+    monitor.noteProgress({ other }, now + 6s);
+    BOOST_TEST(!monitor.decide({ other }, now + 6s).isRefused);
+    // One of which a trial has failed is left to the next leader.
+    BOOST_TEST(monitor.decide({ deadly }, now + 1min).isRefused);
+}
+
 BOOST_AUTO_TEST_CASE(withALeaderItsVerdictCountsAndNotTheOwn)
 {
     monitor.applyVerdicts({}, {}, now);
