Repeat a load's order only at the server incarnation that it was given to

What callers saw: nothing by itself; a server that ended while it loaded a model got the same load again at once after its start, beside what was planned for it.

Cause: the order of a load is repeated until the server holds the model, and each time the server was looked up by its name alone. Once the list showed a new incarnation, the order was made out for that one, with its number of accepted orders, and so was accepted.

Why this works: an order is only sent to the incarnation for which it was decided.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -335,16 +335,15 @@
     return handle;
 }
 
-asio::awaitable<std::optional<OrderOutcome>> PlacementDirector::sendOrder(const BackendServerName& id, const PlacementStep& step)
+asio::awaitable<std::optional<OrderOutcome>> PlacementDirector::sendOrder(ServerIncarnation life, const PlacementStep& step)
 {
-    auto found = m_servers.find(id);
+    Server* server = find(life.server, life.startedAt);
     auto fence = m_authority();
-    if (found == m_servers.end() || found->second.isUnlisted || !fence)
+    if (!server || server->isUnlisted || !fence)
         co_return std::nullopt;
-    PlacementOrder order = orderFor(found->second, step, *fence);
+    PlacementOrder order = orderFor(*server, step, *fence);
     HttpRequest request = m_platform.orderRequest(order);
-    Endpoint address = found->second.listed.address;
-    ServerIncarnation life = lifeOf(found->second.listed);
+    Endpoint address = server->listed.address;
     Instant sent = currentTime();
     // Answers do not identify their order; on a shared connection a late answer to an earlier order could be mistaken for this one.
     auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::SingleUse, whileAuthorized(*fence));
@@ -360,6 +359,7 @@
 asio::awaitable<void> PlacementDirector::executeStep(BackendServerName id, PlacementStep step)
 {
     std::int64_t incarnation = m_servers.at(id).listed.startedAt;
+    ServerIncarnation life { id, incarnation };
     if (step.operation == PlacementStep::Operation::Unload) {
         Server& server = m_servers.at(id);
         server.withdrawn = step.model;
@@ -368,7 +368,7 @@
         if (step.waitsForWithdrawal)
             co_await pause(withdrawalDelay(currentTime()));
     }
-    auto outcome = co_await sendOrder(id, step);
+    auto outcome = co_await sendOrder(life, step);
     Server* server = find(id, incarnation);
     if (!server)
         co_return;
@@ -449,6 +449,7 @@
 asio::awaitable<void> PlacementDirector::awaitCompletion(BackendServerName id, std::int64_t incarnation, PlacementStep step)
 {
     Instant acceptedAt = currentTime();
+    ServerIncarnation life { id, incarnation };
     bool isLoad = step.operation == PlacementStep::Operation::Load;
     Server* server = find(id, incarnation);
     if (!step.adapter.isEmpty()) {
@@ -478,11 +479,11 @@
         publish(*server);
     }
     co_await pause(time + loadSlack);
-    auto outcome = co_await sendOrder(id, step);
+    auto outcome = co_await sendOrder(life, step);
     bool isLate = isLoad && step.source != PlacementStep::Source::Store && isInProgress(outcome);
     while (isInProgress(outcome) && currentTime() - acceptedAt < m_options.maximumOrderTime) {
         co_await pause(std::max<Duration>(m_options.completionPollInterval, (currentTime() - acceptedAt) / pollBackOffDivisor));
-        outcome = co_await sendOrder(id, step);
+        outcome = co_await sendOrder(life, step);
         server = find(id, incarnation);
         if (isLate && server && currentTime() - acceptedAt > lateLoadFactor * time)
             isLate = markLoadingFromStore(*server, step.model, acceptedAt);
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -106,7 +106,7 @@
     boost::asio::awaitable<void> executeStep(BackendServerName, PlacementStep);
     boost::asio::awaitable<void> awaitCompletion(BackendServerName, std::int64_t incarnation, PlacementStep);
     boost::asio::awaitable<void> fetchReport(BackendServerName);
-    boost::asio::awaitable<std::optional<OrderOutcome>> sendOrder(const BackendServerName&, const PlacementStep&);
+    boost::asio::awaitable<std::optional<OrderOutcome>> sendOrder(ServerIncarnation, const PlacementStep&);
     std::shared_ptr<HttpCallHandle> whileAuthorized(FencingNumber) const;
     boost::asio::awaitable<void> pause(Duration) const;
     PlacementOrder orderFor(const Server&, const PlacementStep&, FencingNumber) const;
