Postpone loads of a model under which servers keep crashing

A model whose weights end each server that loads them costs one server after the other, since its requests keep asking for it and nothing remembers what ended the servers.

Why this works: LoadCrashes counts servers that ended in a row while they loaded a model, each ordered after the end before, so that a power loss counts once. After three the model is not loaded for 8 s, then twice as long each time; a completed load clears it. While no server holds the model, gateways are told that time, and refuse what can't be served in time at once. A copy beside a sound one is loaded as before.

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -108,6 +108,8 @@
     for (const ListedServer& listed : listing) {
         auto known = m_servers.extract(listed.id);
         bool isSame = !known.empty() && known.mapped().listed.startedAt == listed.startedAt && known.mapped().listed.address == listed.address;
+        if (!known.empty() && !isSame)
+            noteEnded(known.mapped(), asked);
         Server server = isSame ? std::move(known.mapped()) : Server();
         server.listed = listed;
         server.isUnlisted = false;
@@ -119,10 +121,39 @@
         m_table.remove(id);
         if (!isLeaving(server) && !std::exchange(server.isUnlisted, true))
             servers.try_emplace(id, std::move(server));
+        else
+            noteEnded(server, asked);
     }
     m_servers = std::move(servers);
 }
 
+/** The server is not listed any more, or in another incarnation. */
+void PlacementDirector::noteEnded(const Server& server, Instant now)
+{
+    auto service = m_services.find(server.listed.service);
+    if (server.orderedModel.isEmpty() || isLeaving(server) || service == m_services.end())
+        return;
+    bool isPostponed = service->second.loadCrashes.noteCrash(server.orderedModel, server.orderedAt, now);
+    logEvent(EventId::CoordinatorLoadCrash, { { "service", server.listed.service }, { "model", server.orderedModel }, { "server", server.listed.id }, { "started_at", server.listed.startedAt }, { "ordered_ago_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now - server.orderedAt).count() }, { "postponed", isPostponed } });
+}
+
+/** The server has reported what it holds, so the load that was ordered last has ended. */
+void PlacementDirector::noteOrderedLoad(Server& server)
+{
+    auto service = m_services.find(server.listed.service);
+    if (service != m_services.end() && server.state.models.contains(server.orderedModel))
+        service->second.loadCrashes.noteLoaded(server.orderedModel);
+    server.orderedModel = ModelName();
+}
+
+/** Until when a model must not be loaded since servers crash under it; nothing if a server holds it, whose requests the placer must know. */
+std::optional<Instant> PlacementDirector::postponedUntil(const ServiceName& name, const Service& service, const ModelName& model, Instant now) const
+{
+    auto until = service.loadCrashes.postponedUntil(model, now);
+    bool isHeld = until && std::any_of(m_servers.begin(), m_servers.end(), [&](const auto& item) { return item.second.listed.service == name && presumedModels(item.second).contains(model); });
+    return isHeld ? std::nullopt : until;
+}
+
 void PlacementDirector::recordDemand(const FollowRequest& request, Instant now)
 {
     m_demand.recordReport(request, now);
@@ -140,6 +171,7 @@
     for (auto& [id, server] : m_servers) {
         markUnknown(server);
         server.hasReported = false;
+        server.orderedModel = ModelName();
         publish(server);
     }
     for (auto& [name, service] : m_services)
@@ -165,7 +197,9 @@
         if (service == m_services.end() || !told.emplace(demand.key.service, demand.key.model).second)
             continue;
         auto at = service->second.placer.expectedReadyTimes().find(demand.key.model);
-        if (at != service->second.placer.expectedReadyTimes().end())
+        if (auto postponed = postponedUntil(service->first, service->second, demand.key.model, now))
+            reply.expectations.push_back({ demand.key.service, demand.key.model, *postponed - now });
+        else if (at != service->second.placer.expectedReadyTimes().end())
             reply.expectations.push_back({ demand.key.service, demand.key.model, std::max<Duration>(at->second - now, Duration::zero()) });
     }
 }
@@ -249,7 +283,10 @@
         each.outstanding = load == outstanding.end() ? 0 : load->second.requests;
         placed.push_back(std::move(each));
     }
-    for (const PlacementStep& step : service.placer.decide(engine, placed, m_demand.demands(name, now), now)) {
+    ModelPlacer::Demands demands = m_demand.demands(name, now);
+    service.loadCrashes.expire(now);
+    std::erase_if(demands, [&](const auto& demand) { return postponedUntil(name, service, demand.first.first, now).has_value(); });
+    for (const PlacementStep& step : service.placer.decide(engine, placed, demands, now)) {
         m_servers.at(step.server).isBusy = true;
         asio::co_spawn(m_context, executeStep(step.server, step), asio::detached);
     }
@@ -328,13 +365,29 @@
 }
 
 /** Cancels the call if this host loses its authority before the first byte is sent, since connecting takes time. */
-std::shared_ptr<HttpCallHandle> PlacementDirector::whileAuthorized(FencingNumber fence) const
+std::shared_ptr<HttpCallHandle> PlacementDirector::whileAuthorized(FencingNumber fence, ServerIncarnation life, PlacementStep step)
 {
     auto handle = std::make_shared<HttpCallHandle>();
-    handle->setSendCondition([this, fence] { return m_authority() == fence; });
+    handle->setSendCondition([this, fence, life = std::move(life), step = std::move(step)] {
+        bool isAuthorized = m_authority() == fence;
+        if (isAuthorized)
+            noteOrderSent(life, step);
+        return isAuthorized;
+    });
     return handle;
 }
 
+/** An order of a load is repeated until the server holds the model; the first one counts. */
+void PlacementDirector::noteOrderSent(const ServerIncarnation& life, const PlacementStep& step)
+{
+    Server* server = find(life.server, life.startedAt);
+    bool isFirst = server && step.operation == PlacementStep::Operation::Load && step.adapter.isEmpty() && server->orderedModel != step.model;
+    if (!isFirst)
+        return;
+    server->orderedModel = step.model;
+    server->orderedAt = currentTime();
+}
+
 asio::awaitable<std::optional<OrderOutcome>> PlacementDirector::sendOrder(ServerIncarnation life, const PlacementStep& step)
 {
     Server* server = find(life.server, life.startedAt);
@@ -346,7 +399,7 @@
     Endpoint address = server->listed.address;
     Instant sent = currentTime();
     // Answers do not identify their order; on a shared connection a late answer to an earlier order could be mistaken for this one.
-    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::SingleUse, whileAuthorized(*fence));
+    auto answer = co_await m_client.send(address, std::move(request), sent + m_options.orderTimeout, HttpClient::ConnectionUse::SingleUse, whileAuthorized(*fence, life, step));
     std::optional<OrderOutcome> outcome;
     if (answer) {
         outcome = m_platform.decodeOrderAnswer(answer->status);
@@ -509,6 +562,7 @@
     if (!isLoad)
         co_return;
     server->state.models.try_emplace(step.model);
+    noteOrderedLoad(*server);
     recordCopies(*server, step.model);
     logLoadCompleted(id, step, currentTime() - acceptedAt);
 }
@@ -549,6 +603,7 @@
         server->hasReported = true;
         server->isKnown = true;
         server->loading = ModelName();
+        noteOrderedLoad(*server);
         publish(*server);
         co_return;
     }
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordinator/DemandAggregator.h"
+#include "coordinator/LoadCrashes.h"
 #include "hemlockchute/fleet/FleetPlatform.h"
 #include "hemlockchute/fleet/FleetTable.h"
 #include "hemlockchute/fleet/WeightCacheEstimate.h"
@@ -85,6 +86,9 @@
         ModelName withdrawn;
         AdapterName withdrawnAdapter;
         ModelName loading;
+        /** The last model that this host ordered to be loaded, until the server has said whether it holds it, and when. */
+        ModelName orderedModel;
+        Instant orderedAt {};
         bool isLoadingFromStore = false;
         /** Concurrent loads from the store when this one had started, itself included. */
         unsigned concurrentStoreLoads = 0;
@@ -99,6 +103,7 @@
         }
 
         ModelPlacer placer;
+        LoadCrashes loadCrashes { LoadCrashes::Options() };
         Instant decided {};
     };
 
@@ -107,7 +112,8 @@
     boost::asio::awaitable<void> awaitCompletion(BackendServerName, std::int64_t incarnation, PlacementStep);
     boost::asio::awaitable<void> fetchReport(BackendServerName);
     boost::asio::awaitable<std::optional<OrderOutcome>> sendOrder(ServerIncarnation, const PlacementStep&);
-    std::shared_ptr<HttpCallHandle> whileAuthorized(FencingNumber) const;
+    std::shared_ptr<HttpCallHandle> whileAuthorized(FencingNumber, ServerIncarnation, PlacementStep);
+    void noteOrderSent(const ServerIncarnation&, const PlacementStep&);
     boost::asio::awaitable<void> pause(Duration) const;
     PlacementOrder orderFor(const Server&, const PlacementStep&, FencingNumber) const;
     void logOrder(const PlacementOrder&, const PlacementStep&, std::optional<OrderOutcome>, Duration took) const;
@@ -121,6 +127,9 @@
     void checkIfEnded(const ServerIncarnation&);
     void markUnknown(Server&);
     void recordCopies(Server&, const ModelName&);
+    void noteEnded(const Server&, Instant now);
+    void noteOrderedLoad(Server&);
+    std::optional<Instant> postponedUntil(const ServiceName&, const Service&, const ModelName&, Instant now) const;
     void noteStoreLoad(const Server&, const ModelName&, Duration took);
     unsigned storeLoads(const ServiceName&) const;
     bool markLoadingFromStore(Server&, const ModelName&, Instant acceptedAt);
--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -61,6 +61,8 @@
     /** Number of loads of a model that were accepted. */
     unsigned loads(const std::string& model) const { return static_cast<unsigned>(m_loads.count(model)); }
     bool isLoading() const { return !m_loading.empty() && std::chrono::steady_clock::now() < m_loadedAt; }
+    /** True while this model is being loaded. */
+    bool isLoading(const std::string& model) const { return isLoading() && m_loading == model; }
     /** True when a load was accepted for which there was no room. */
     bool wasOverloaded() const { return m_isOverloaded; }
     unsigned ordersAccepted() const { return m_allAccepted; }
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -2,6 +2,8 @@
 #include "PropertyCheck.h"
 #include "coordinator/PlacementDirector.h"
 
+#include <numeric>
+
 using namespace hemlockchute;
 using namespace hemlockchute::testing;
 
@@ -311,6 +313,22 @@
         else
             m_unlisted.insert(number);
     }
+    /** From now on, servers end and start again, empty, when they load this model. */
+    void crashUnder(const std::string& model) { m_crashingModel = model; }
+    unsigned loadsOf(const std::string& model) const
+    {
+        return std::accumulate(m_servers.begin(), m_servers.end(), 0U, [&](unsigned all, const auto& server) { return all + server->loads(model); });
+    }
+    /** The time until a model that requests wait for is expected, as gateways are told. */
+    std::optional<Duration> expectedIn(const std::string& model)
+    {
+        FollowRequest request;
+        request.demands.push_back({ { service, ModelName(model), AdapterName() }, 1, 0, 0, 0, 1 });
+        FollowReply reply;
+        m_director.fill(reply, request, currentTime());
+        return reply.expectations.empty() ? std::nullopt : std::optional(reply.expectations.front().remaining);
+    }
+
     /** Has a gateway report that a server refuses connections. */
     void reportRefused(unsigned number) { m_refused = { lifeOf(server(number).listed()) }; }
     /** Runs until the list has been read that often. */
@@ -340,6 +358,10 @@
     void tick()
     {
         Instant now = currentTime();
+        for (const auto& server : m_servers) {
+            if (server->isLoading(m_crashingModel))
+                server->replace(server->listed().id.text(), {});
+        }
         if (m_ticks++ % ticksPerList == 0)
             readList(now);
         FollowRequest request;
@@ -372,6 +394,7 @@
     std::vector<std::unique_ptr<FaultyEngine>> m_servers;
     std::set<unsigned> m_unlisted;
     std::vector<ServerIncarnation> m_refused;
+    std::string m_crashingModel;
     unsigned m_ticks = 0;
     unsigned m_listsRead = 0;
     PlainPlatform m_platform;
@@ -395,6 +418,22 @@
     BOOST_TEST(simulation.violations() == "");
 }
 
+BOOST_AUTO_TEST_CASE(aModelWhoseLoadsCrashServersIsLoadedAgainAndAgain)
+{
+    SteadyPlacement placement(40ms, 40ms);
+    placement.crashUnder("a");
+    placement.setRequests("a", 3);
+    placement.run(1s);
+    BOOST_TEST(placement.loadsOf("a") >= 2U);
+    BOOST_TEST(placement.loadsOf("a") <= 4U);
+    // Callers are told, and the other models are loaded.
+    BOOST_TEST((placement.expectedIn("a") && *placement.expectedIn("a") > 2s));
+    placement.setRequests("b", 3);
+    placement.run(1s, [&] { return placement.isShown(0, "b") || placement.isShown(1, "b") || placement.isShown(2, "b"); });
+    BOOST_TEST(placement.loadsOf("b") >= 1U);
+    BOOST_TEST(placement.loadsOf("a") <= 4U);
+}
+
 /** Three changes of leader while models are missing: a new leader does not know the loads that its predecessors started. */
 BOOST_AUTO_TEST_CASE(aNewLeaderDoesNotExceedTheStoreLimit)
 {
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -112,6 +112,7 @@
     { EventId::CoordinatorPromptPartQuarantined, Warning, "coordinator.prompt_part_quarantined", "Requests with a part of a prompt crashed several servers in a row, and no server began to answer one since; gateways refuse such requests." },
     { EventId::CoordinatorPromptPartReleased, Info, "coordinator.prompt_part_released", "A server began to answer a request with a quarantined prompt part; such requests are served again." },
     { EventId::CoordinatorPromptPartTrial, Info, "coordinator.prompt_part_trial", "A gateway, or the gateways behind a relay, may let one request with a quarantined prompt part through." },
+    { EventId::CoordinatorLoadCrash, Info, "coordinator.load_crash", "A server ended while it loaded a model; whether the model's next load is postponed, since several servers in a row ended so, is given.", Failure },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -115,7 +115,8 @@
     CoordinatorServerCrash = 2113,
     CoordinatorPromptPartQuarantined = 2114,
     CoordinatorPromptPartReleased = 2115,
-    CoordinatorPromptPartTrial = 2116
+    CoordinatorPromptPartTrial = 2116,
+    CoordinatorLoadCrash = 2117
 };
 
 /** What a record reports; when the log is full, failures are kept. */
