--- a/review/build.sh
+++ b/review/build.sh
@@ -12,3 +12,4 @@
 }
 
 build 1/LostChange.h case-1
+build 2/LostQuorum.h case-2
