--- a/review/build.sh
+++ b/review/build.sh
@@ -14,3 +14,4 @@
 build 1/LostChange.h case-1
 build 2/LostQuorum.h case-2
 build 4/EndlessChunk.h case-4
+build 5/LongBodies.h case-5
