--- a/modules/hc_agreement/agreement/KeeperDisk.cpp
+++ b/modules/hc_agreement/agreement/KeeperDisk.cpp
@@ -7,7 +7,6 @@
 constexpr std::string_view hardStateName = "hard-state";
 constexpr std::string_view snapshotName = "state";
 constexpr std::string_view probeName = "probe";
-constexpr ByteCount segmentSize = ByteCount::mebibytes(1);
 
 tl::unexpected<Error<StorageErrorCode>> unreadable(std::string_view name, const Error<AgreementErrorCode>& error)
 {
@@ -37,7 +36,7 @@
 {
 }
 
-StorageResult<std::unique_ptr<KeeperDisk>> KeeperDisk::open(FileSystem& fileSystem, const std::filesystem::path& folder, IncarnationId newIncarnation)
+StorageResult<std::unique_ptr<KeeperDisk>> KeeperDisk::open(FileSystem& fileSystem, const std::filesystem::path& folder, IncarnationId newIncarnation, ByteCount segmentSize)
 {
     std::unique_ptr<KeeperDisk> disk(new KeeperDisk(fileSystem, folder));
     if (auto created = fileSystem.createFolder(folder); !created)
@@ -105,27 +104,35 @@
     return recoverEntries();
 }
 
-/** Entries after the snapshot are valid only if the log adjoins it without a gap and agrees with its last term. */
+/**
+    Entries after the snapshot are valid only if the log adjoins it without a gap and agrees with its last term.
+
+    A log that does not agree was left by a crash before the log was cut, or by an earlier version, which
+    cut it after the snapshot's end only. The entries appended after such a cut are valid. They differ from
+    those of the abandoned log: none is older than the snapshot, and the first has not the conflicting term.
+*/
 StorageResult<void> KeeperDisk::recoverEntries()
 {
     LogIndex base = m_recovered.snapshot ? m_recovered.snapshot->lastIndex : LogIndex();
     AgreementTerm baseTerm = m_recovered.snapshot ? m_recovered.snapshot->lastTerm : AgreementTerm();
-    bool adjoinsSnapshot = m_log->records().empty() || m_log->records().front().index <= base.next();
+    std::vector<LogEntry>& entries = m_recovered.entries;
+    std::optional<AgreementTerm> conflictingTerm;
     for (const LogRecord& record : m_log->records()) {
         auto entry = decodeEntry(record.payload);
         if (!entry)
             return unreadable("log entry " + std::to_string(record.index.value()), entry.error());
         if (entry->index == base && entry->term != baseTerm)
-            adjoinsSnapshot = false;
+            conflictingTerm = entry->term;
         if (entry->index > base)
-            m_recovered.entries.push_back(std::move(*entry));
+            entries.push_back(std::move(*entry));
     }
-    bool coversSnapshot = !m_log->records().empty() && m_log->records().back().index >= base;
-    if (adjoinsSnapshot && coversSnapshot)
-        return {};
-    m_recovered.entries.clear();
     if (m_log->records().empty())
         return {};
+    bool adjoinsSnapshot = m_log->records().front().index <= base.next() && m_log->records().back().index >= base;
+    bool wasCutAfterSnapshot = !entries.empty() && entries.front().term >= baseTerm && entries.front().term != conflictingTerm;
+    if (adjoinsSnapshot && (!conflictingTerm || wasCutAfterSnapshot))
+        return {};
+    entries.clear();
     if (auto cut = m_log->truncateFrom(m_log->records().front().index); !cut)
         return cut;
     return m_log->sync();
--- a/modules/hc_agreement/agreement/ReplicaSnapshots.cpp
+++ b/modules/hc_agreement/agreement/ReplicaSnapshots.cpp
@@ -55,7 +55,7 @@
     send(message.from, hardState.term, AppendReply { true, committed, chunk.sentAt });
 }
 
-/** Keeps the entries after the snapshot only when the log holds the snapshot's last entry. */
+/** Keeps the entries after the snapshot only when the log holds the snapshot's last entry; otherwise none of the log is left. */
 void Replica::Impl::install(ReplicaSnapshot snapshot)
 {
     LogIndex through = snapshot.lastIndex;
@@ -64,7 +64,7 @@
     std::erase_if(effects.append, [&](const LogEntry& entry) { return !keepsTail || entry.index <= through; });
     std::erase_if(effects.committed, [&](const LogEntry& entry) { return entry.index <= through; });
     if (!keepsTail)
-        effects.truncateFrom = std::min(through.next(), effects.truncateFrom.value_or(through.next()));
+        effects.truncateFrom = LogIndex(1);
     committed = through;
     durable = keepsTail ? std::max(durable, through) : through;
     persisting = keepsTail ? std::max(persisting, through) : through;
--- a/modules/hc_agreement/include/hemlockchute/agreement/KeeperDisk.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/KeeperDisk.h
@@ -18,7 +18,7 @@
 class KeeperDisk {
 public:
     /** Opens the folder; initialises an empty one with the given incarnation. */
-    static StorageResult<std::unique_ptr<KeeperDisk>> open(FileSystem&, const std::filesystem::path& folder, IncarnationId newIncarnation);
+    static StorageResult<std::unique_ptr<KeeperDisk>> open(FileSystem&, const std::filesystem::path& folder, IncarnationId newIncarnation, ByteCount segmentSize = ByteCount::mebibytes(1));
 
     const KeeperIdentity& identity() const { return m_identity; }
     /** Persists the initial membership of the cluster. */
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -37,7 +37,7 @@
 /** The work that a Replica hands to its caller, to be done in this order: persist and sync, send, apply. */
 struct Effects {
     std::optional<HardState> hardState;
-    /** Drop the entries from this index on before appending. */
+    /** Drop the entries from this index on before appending; 1 when an installed snapshot replaces the whole log. */
     std::optional<LogIndex> truncateFrom;
     std::vector<LogEntry> append;
     /** Replace the state machine, and the log up to the snapshot, with this snapshot. */
--- a/modules/hc_agreement/tests/AgreementFuzz.cpp
+++ b/modules/hc_agreement/tests/AgreementFuzz.cpp
@@ -38,7 +38,8 @@
         using Fault = void (AgreementRun::*)();
         static constexpr Fault faults[] = { &AgreementRun::crash, &AgreementRun::startAll, &AgreementRun::startAll, &AgreementRun::restart,
             &AgreementRun::restart, &AgreementRun::pause, &AgreementRun::isolate, &AgreementRun::randomiseLinks, &AgreementRun::randomiseLinks, &AgreementRun::heal,
-            &AgreementRun::makeNetworkChaotic, &AgreementRun::makeNetworkStable, &AgreementRun::loseDisk, &AgreementRun::removeVoter, &AgreementRun::compact, &AgreementRun::slowDisk, &AgreementRun::stepDown, &AgreementRun::stepDown };
+            &AgreementRun::makeNetworkChaotic, &AgreementRun::makeNetworkStable, &AgreementRun::loseDisk, &AgreementRun::removeVoter, &AgreementRun::compact, &AgreementRun::slowDisk, &AgreementRun::stepDown, &AgreementRun::stepDown,
+            &AgreementRun::cutOffLeader, &AgreementRun::cutOffLeader, &AgreementRun::returnToSnapshot, &AgreementRun::returnToSnapshot };
         (this->*faults[*rc::gen::inRange<std::size_t>(0, std::size(faults))])();
     }
 
@@ -57,6 +58,25 @@
     void stepDown() { m_cluster.stepDown(anyKeeper()); }
     void pause() { m_cluster.pause(anyKeeper(), milliseconds(10, 400)); }
     void isolate() { m_cluster.isolate(anyKeeper()); }
+    /** Leaves entries on the leader's disk that conflict with those of the next one. */
+    void cutOffLeader()
+    {
+        if (m_cluster.leaderCount() == 0)
+            return;
+        KeeperId leader = m_cluster.latestLeader();
+        m_cluster.isolate(leader);
+        for (int count = *rc::gen::inRange(1, 12); count > 0; --count)
+            m_cluster.propose(leader);
+    }
+    /** Members that return meanwhile get a snapshot, which may end anywhere in their own logs, and restart soon. */
+    void returnToSnapshot()
+    {
+        for (std::uint64_t keeper = 1; keeper <= m_keepers; ++keeper)
+            m_cluster.compact(KeeperId(keeper));
+        m_cluster.heal();
+        m_cluster.advance(milliseconds(2, 200));
+        restart();
+    }
     void randomiseLinks() { m_cluster.randomiseLinks(); }
     void heal() { m_cluster.heal(); }
     void makeNetworkChaotic() { m_cluster.setChaotic(true); }
--- a/modules/hc_agreement/tests/SimulatedCluster.cpp
+++ b/modules/hc_agreement/tests/SimulatedCluster.cpp
@@ -26,44 +26,31 @@
 
 } // namespace
 
-//==============================================================================
-void SimulatedDisk::store(const Effects& effects)
-{
-    if (effects.hardState)
-        hardState = *effects.hardState;
-    if (effects.install) {
-        snapshot = *effects.install;
-        std::erase_if(entries, [&](const LogEntry& entry) { return entry.index <= snapshot->lastIndex; });
-    }
-    if (effects.truncateFrom)
-        std::erase_if(entries, [&](const LogEntry& entry) { return entry.index >= *effects.truncateFrom; });
-    for (const LogEntry& entry : effects.append) {
-        require(entries.empty() || entry.index == entries.back().index.next(), "the log has a gap");
-        entries.push_back(entry);
-    }
-}
-
 //==============================================================================
 SimulatedCluster::SimulatedCluster(unsigned keepers, std::uint64_t seed)
     : m_random(seed)
 {
     Membership initial;
     for (unsigned i = 1; i <= keepers; ++i) {
-        Node& node = m_nodes[KeeperId(i)];
-        node.disk.incarnation = IncarnationId(m_nextIncarnation++);
-        initial.voters.insert(idOf(KeeperId(i), node));
+        m_nodes.try_emplace(KeeperId(i));
+        initial.voters.insert({ KeeperId(i), IncarnationId(i) });
     }
     for (auto& [id, node] : m_nodes) {
-        node.disk.initialMembership = initial;
+        insertEmptyDisk(node, initial);
         node.drift = static_cast<int>(m_random() % (2 * largestDriftPerMille + 1)) - largestDriftPerMille;
         node.offset = Duration(m_random() % 1'000'000'000);
         start(id);
     }
 }
 
+void SimulatedCluster::insertEmptyDisk(Node& node, const Membership& initial)
+{
+    node.disk = std::make_unique<SimulatedDisk>(IncarnationId(m_nextIncarnation++), initial, m_random());
+}
+
 ReplicaId SimulatedCluster::idOf(KeeperId keeper, const Node& node) const
 {
-    return { keeper, node.disk.incarnation };
+    return { keeper, node.disk->incarnation() };
 }
 
 Instant SimulatedCluster::localTime(const Node& node) const
@@ -117,7 +104,8 @@
 void SimulatedCluster::carryOut(KeeperId, Node& node)
 {
     Effects effects = *std::exchange(node.pendingEffects, std::nullopt);
-    node.disk.store(effects);
+    require(!effects.isOutdated, "a replica lacks entries that it has acknowledged");
+    node.disk->store(effects);
     if (effects.install) {
         node.applied = effects.install->lastIndex;
         node.state = effects.install->state;
@@ -187,8 +175,10 @@
 void SimulatedCluster::crash(KeeperId id)
 {
     Node& node = m_nodes.at(id);
+    if (!node.replica)
+        return;
     node.replica.reset();
-    node.pendingEffects.reset();
+    node.disk->interrupt(std::exchange(node.pendingEffects, std::nullopt).value_or(Effects()));
 }
 
 void SimulatedCluster::start(KeeperId id)
@@ -196,9 +186,9 @@
     Node& node = m_nodes.at(id);
     if (node.replica)
         return;
-    node.applied = node.disk.snapshot ? node.disk.snapshot->lastIndex : LogIndex();
-    node.state = node.disk.snapshot ? node.disk.snapshot->state : std::string();
-    RecoveredState recovered { node.disk.hardState, node.disk.snapshot, node.disk.entries, node.disk.initialMembership };
+    RecoveredState recovered = node.disk->reopen();
+    node.applied = recovered.snapshot ? recovered.snapshot->lastIndex : LogIndex();
+    node.state = recovered.snapshot ? recovered.snapshot->state : std::string();
     node.replica = std::make_unique<Replica>(idOf(id, node), optionsFor(m_random()), recovered, localTime(node));
     node.pausedUntil = m_now;
 }
@@ -212,8 +202,7 @@
 {
     crash(id);
     Node& node = m_nodes.at(id);
-    node.disk = {};
-    node.disk.incarnation = IncarnationId(m_nextIncarnation++);
+    insertEmptyDisk(node, {});
     start(id);
 }
 
@@ -303,8 +292,7 @@
     auto snapshot = node.replica->compact(node.applied, node.state);
     if (!snapshot)
         return;
-    node.disk.snapshot = std::move(*snapshot);
-    std::erase_if(node.disk.entries, [&](const LogEntry& entry) { return entry.index <= node.applied; });
+    node.disk->compact(*snapshot);
 }
 
 //==============================================================================
@@ -400,7 +388,7 @@
     std::ostringstream text;
     text << " committed " << m_committedEntries.size();
     for (const auto& [id, node] : m_nodes) {
-        text << "; keeper " << id << '/' << node.disk.incarnation << " term " << node.replica->term() << " last " << node.replica->lastIndex()
+        text << "; keeper " << id << '/' << node.disk->incarnation() << " term " << node.replica->term() << " last " << node.replica->lastIndex()
              << " applied " << node.applied << (node.replica->isLeader() ? " leads" : "") << " voters";
         for (const ReplicaId& voter : node.replica->membership().voters)
             text << ' ' << voter.keeper << '/' << voter.incarnation;
--- a/modules/hc_agreement/tests/SimulatedCluster.h
+++ b/modules/hc_agreement/tests/SimulatedCluster.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "hemlockchute/agreement/agreement.h"
+#include "SimulatedDisk.h"
 
 #include <deque>
 #include <map>
@@ -9,17 +9,6 @@
 
 namespace hemlockchute {
 
-/** The durable state of a simulated keeper. */
-struct SimulatedDisk {
-    IncarnationId incarnation;
-    HardState hardState;
-    std::optional<ReplicaSnapshot> snapshot;
-    std::vector<LogEntry> entries;
-    Membership initialMembership;
-
-    void store(const Effects&);
-};
-
 //==============================================================================
 /**
     Keepers in virtual time on a network that loses, delays, duplicates and reorders messages.
@@ -45,7 +34,7 @@
     void heal() { m_links.clear(); }
     /** Sets the longest time that a write to a keeper's disk takes. */
     void slowDisk(KeeperId keeper, Duration duration) { m_nodes.at(keeper).maximumWriteDuration = duration; }
-    /** Crashes a process; its unsynced writes are lost. */
+    /** Crashes a process, also while it writes: what was not synced may be lost in part. */
     void crash(KeeperId);
     void start(KeeperId);
     /** Pauses a process; messages to it are delivered afterwards. */
@@ -78,7 +67,7 @@
 
 private:
     struct Node {
-        SimulatedDisk disk;
+        std::unique_ptr<SimulatedDisk> disk;
         std::unique_ptr<Replica> replica;
         std::optional<Effects> pendingEffects;
         Instant persistedAt;
@@ -102,6 +91,7 @@
         AgreementMessage message;
     };
 
+    void insertEmptyDisk(Node&, const Membership& initial);
     Instant localTime(const Node&) const;
     void step();
     void stepNode(KeeperId, Node&);
