--- a/modules/hc_agreement/agreement/KeeperDisk.cpp
+++ b/modules/hc_agreement/agreement/KeeperDisk.cpp
@@ -155,11 +155,14 @@
 
 StorageResult<void> KeeperDisk::storeEntries(const Effects& effects)
 {
-    LogIndex last = m_log->records().empty() ? LogIndex() : m_log->records().back().index;
+    LogIndex kept = m_log->records().empty() ? LogIndex() : m_log->records().back().index;
     std::optional<LogIndex> cut = effects.truncateFrom;
-    bool leavesGap = effects.install && last < effects.install->lastIndex;
+    if (cut && kept >= *cut)
+        kept = LogIndex(cut->value() - 1);
+    // Entries after the snapshot adjoin nothing that ends before it.
+    bool leavesGap = effects.install && kept < effects.install->lastIndex;
     if (leavesGap)
-        cut = LogIndex();
+        cut = LogIndex(1);
     if (cut) {
         if (auto done = m_log->truncateFrom(*cut); !done)
             return done;
--- a/modules/hc_agreement/tests/KeeperDiskRecoveryTests.cpp
+++ b/modules/hc_agreement/tests/KeeperDiskRecoveryTests.cpp
@@ -153,4 +153,22 @@
     }
 }
 
+/** Guards against a folder that can't be read again, as one batch replaced a tail and installed a snapshot that ends within it. */
+BOOST_AUTO_TEST_CASE(aBatchThatReplacesATailAndInstallsASnapshotWithinItLeavesNoGap)
+{
+    for (std::uint64_t snapshotEnd = 3; snapshotEnd <= 9; ++snapshotEnd) {
+        BOOST_TEST_CONTEXT("six entries, replaced from the third on, and a snapshot through " << snapshotEnd)
+        {
+            Follower follower;
+            follower.append(1, 1, 6, 0);
+            follower.store();
+            follower.append(2, 3, 8, 1);
+            follower.installSnapshot(2, snapshotEnd);
+            LogIndex acknowledged = follower.store();
+            follower.start();
+            BOOST_TEST((follower.lastIndex() >= acknowledged));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
