Let a voter that stops be replaced by its caught-up successor before it ends

Cause: a voter that got SIGTERM stayed a voter until 4 s of silence had passed and two changes were made; its caught-up successor stayed a learner for so long.

Why it works: the voter asks the leader to be replaced and ends when it does not vote any more. The successor votes first, so that four running voters stand for three and one may be lost at each step. Without a learner nobody waits.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -151,27 +151,6 @@
     m_seeds.insert(settings.seeds.begin(), settings.seeds.end());
 }
 
-void Coordinator::stop(std::function<void()> done)
-{
-    m_isStopping = true;
-    m_timer.cancel();
-    m_relay.stop();
-    m_listing.stop();
-    m_group.stepDown();
-    // Gives the message that releases leadership time to leave before the connections are closed.
-    m_timer.expires_after(m_settings.heartbeatInterval);
-    m_timer.async_wait([this, done = std::move(done)](const boost::system::error_code&) mutable { drainOperators(std::move(done)); });
-}
-
-void Coordinator::drainOperators(std::function<void()> done)
-{
-    m_operators.drain([this, done = std::move(done)] {
-        m_group.stop();
-        m_server.close();
-        done();
-    });
-}
-
 //==============================================================================
 // The group
 
@@ -306,6 +285,7 @@
     m_server.handle(PeerMethod::Agreement, [this](PeerCall call) { serveAgreement(std::move(call)); });
     m_server.handle(PeerMethod::FollowFleet, [this](PeerCall call) { serveFollow(std::move(call)); });
     m_server.handle(PeerMethod::JoinGroup, [this](PeerCall call) { serveJoin(std::move(call)); });
+    m_server.handle(PeerMethod::LeaveGroup, [this](PeerCall call) { serveLeave(std::move(call)); });
     m_server.handle(PeerMethod::SubmitConfiguration, [this](PeerCall call) { servePropose(std::move(call)); });
     m_server.handle(PeerMethod::ReadConfiguration, [this](PeerCall call) { serveRead(std::move(call)); });
 }
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -41,6 +41,7 @@
     Result<void, RoleErrorCode> start();
     /** Applies the settings that may change while the process runs: the seeds. */
     void reload(const CoordinatorSettings&);
+    /** Leaves the group first, for 2 s at most, if another coordinator stands ready to vote in its place. */
     void stop(std::function<void()> done);
 
     /** The incarnation of a coordinator that bootstraps the group with an empty disk. */
@@ -63,6 +64,10 @@
     struct Attempt;
     using Attempts = ResultQueue<Attempt>;
 
+    // The stop
+    void leaveGroup(std::function<void()> done);
+    void askToLeave(const Endpoint& leader);
+    void serveLeave(PeerCall);
     void drainOperators(std::function<void()> done);
 
     // The group
@@ -136,6 +141,9 @@
     Instant m_nextJoinRequest {};
     Instant m_nextMembershipUpdate {};
     bool m_isStopping = false;
+    Instant m_stoppedAt {};
+    /** The membership agreed on, as the leader has answered since the stop. */
+    std::optional<Membership> m_leaderMembership;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_coordinator/coordinator/VoterPolicy.cpp
+++ b/modules/hc_coordinator/coordinator/VoterPolicy.cpp
@@ -24,7 +24,7 @@
     trackMembers(status, now);
     if (!status.isMembershipCommitted)
         return std::nullopt;
-    static constexpr Step (VoterPolicy::*rules[])(const GroupStatus&, Instant) const = { &VoterPolicy::dropLearner, &VoterPolicy::promoteLearner, &VoterPolicy::addLearner };
+    static constexpr Step (VoterPolicy::*rules[])(const GroupStatus&, Instant) const = { &VoterPolicy::dropLearner, &VoterPolicy::dropSurplusVoter, &VoterPolicy::promoteLearner, &VoterPolicy::addLearner };
     for (auto rule : rules) {
         if (Step step = (this->*rule)(status, now))
             return step;
@@ -71,37 +71,70 @@
     return std::nullopt;
 }
 
-/** Promotes a learner that has caught up; if there are enough voters, or an older incarnation of it votes, that voter is removed first, provided that a majority of the rest is live. */
+/** Removes a voter whose successor has been promoted before it. */
+VoterPolicy::Step VoterPolicy::dropSurplusVoter(const GroupStatus& status, Instant now) const
+{
+    const std::set<ReplicaId>& voters = status.membership.voters;
+    if (voters.size() <= m_options.voters)
+        return std::nullopt;
+    auto dropped = std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& voter) { return voter != status.self && (isLeaving(voter, now) || hasTimedOut(voter, now)); });
+    return dropped == voters.end() ? std::nullopt : removeVoter(status, *dropped, now);
+}
+
+/**
+    Promotes a learner that has caught up. If there are enough voters, one that leaves becomes a surplus
+    voter. One that has timed out, or an older incarnation of the learner, is removed first.
+*/
 VoterPolicy::Step VoterPolicy::promoteLearner(const GroupStatus& status, Instant now) const
 {
+    const std::set<ReplicaId>& voters = status.membership.voters;
+    bool replacesLeaving = voters.size() == m_options.voters && std::any_of(voters.begin(), voters.end(), [&](const ReplicaId& voter) { return voter != status.self && isLeaving(voter, now); });
     for (const ReplicaId& learner : status.membership.learners) {
         auto matched = status.matched.find(learner);
         bool isReady = matched != status.matched.end() && matched->second >= status.committed && isLive(learner, status, now);
         if (!isReady)
             continue;
-        Membership next = status.membership;
-        auto formerIncarnation = std::find_if(next.voters.begin(), next.voters.end(), [&](const ReplicaId& voter) { return isOtherIncarnation(voter, learner); });
-        if (formerIncarnation == next.voters.end() && next.voters.size() < m_options.voters) {
+        auto replaced = std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& voter) { return isOtherIncarnation(voter, learner); });
+        if (replaced == voters.end() && (voters.size() < m_options.voters || replacesLeaving)) {
+            Membership next = status.membership;
             next.learners.erase(learner);
             next.voters.insert(learner);
             return next;
         }
-        auto replaced = formerIncarnation;
-        if (replaced == next.voters.end()) {
-            replaced = std::find_if(next.voters.begin(), next.voters.end(), [&](const ReplicaId& voter) {
-                return voter != status.self && timeSinceContact(voter, now) >= m_options.voterTimeout;
-            });
-        }
-        if (replaced == next.voters.end() || *replaced == status.self)
+        if (replaced == voters.end())
+            replaced = std::find_if(voters.begin(), voters.end(), [&](const ReplicaId& voter) { return voter != status.self && hasTimedOut(voter, now); });
+        if (replaced == voters.end() || *replaced == status.self)
             continue;
-        next.voters.erase(replaced);
-        auto live = std::count_if(next.voters.begin(), next.voters.end(), [&](const ReplicaId& voter) { return isLive(voter, status, now); });
-        if (static_cast<std::size_t>(live) > next.voters.size() / 2)
-            return next;
+        if (Step step = removeVoter(status, *replaced, now))
+            return step;
     }
     return std::nullopt;
 }
 
+/** Nothing unless a majority of the other voters is live. */
+VoterPolicy::Step VoterPolicy::removeVoter(const GroupStatus& status, const ReplicaId& voter, Instant now) const
+{
+    Membership next = status.membership;
+    next.voters.erase(voter);
+    auto live = std::count_if(next.voters.begin(), next.voters.end(), [&](const ReplicaId& id) { return isLive(id, status, now); });
+    if (static_cast<std::size_t>(live) <= next.voters.size() / 2)
+        return std::nullopt;
+    return next;
+}
+
+bool VoterPolicy::mayLeave(const ReplicaId& id, const Membership& membership) const
+{
+    bool hasSuccessor = !membership.learners.empty() || membership.voters.size() > m_options.voters;
+    return !membership.voters.contains(id) || !hasSuccessor;
+}
+
+/** Later the voter has either timed out, or it has started again and stays. */
+bool VoterPolicy::isLeaving(const ReplicaId& voter, Instant now) const
+{
+    auto leaving = m_leaving.find(voter);
+    return leaving != m_leaving.end() && now - leaving->second < m_options.voterTimeout;
+}
+
 /** Precondition: contact was recorded, or trackMembers() was called with the member. */
 Duration VoterPolicy::timeSinceContact(const ReplicaId& id, Instant now) const
 {
--- a/modules/hc_coordinator/coordinator/VoterPolicy.h
+++ b/modules/hc_coordinator/coordinator/VoterPolicy.h
@@ -15,7 +15,9 @@
     Handles hosts that are replaced under other addresses or come back with empty disks: a new replica
     joins as a learner and becomes a voter once it has caught up. A voter is removed only when a
     caught-up learner can replace it: at once if the learner is the same keeper's next incarnation,
-    otherwise after the voter has been out of contact for the time-out.
+    or if the voter says that it leaves, otherwise after the voter has been out of contact for the
+    time-out. A voter that leaves still runs, so its successor votes before it is removed: the
+    group tolerates the loss of another one at each step.
     Thread safety: one thread at a time.
 */
 class VoterPolicy {
@@ -41,6 +43,10 @@
     void noteContact(const ReplicaId& id, Instant now) { m_lastContact[id] = now; }
     /** Records that a replica asks to join; counts as contact. */
     void noteJoinRequest(const ReplicaId& id, Instant now);
+    /** Records that a voter is about to stop. */
+    void noteLeaving(const ReplicaId& id, Instant now) { m_leaving[id] = now; }
+    /** True if a replica that stops need not wait: it does not vote, or nobody is there to replace it. */
+    bool mayLeave(const ReplicaId&, const Membership&) const;
     /** The next membership, a single-member change; nothing if none is due. Precondition: the status is a leader's. */
     std::optional<Membership> nextMembership(const GroupStatus&, Instant now);
 
@@ -49,14 +55,19 @@
 
     void trackMembers(const GroupStatus&, Instant now);
     Step dropLearner(const GroupStatus&, Instant now) const;
+    Step dropSurplusVoter(const GroupStatus&, Instant now) const;
     Step addLearner(const GroupStatus&, Instant now) const;
     Step promoteLearner(const GroupStatus&, Instant now) const;
+    Step removeVoter(const GroupStatus&, const ReplicaId&, Instant now) const;
+    bool hasTimedOut(const ReplicaId& voter, Instant now) const { return timeSinceContact(voter, now) >= m_options.voterTimeout; }
+    bool isLeaving(const ReplicaId&, Instant now) const;
     Duration timeSinceContact(const ReplicaId&, Instant now) const;
     bool isLive(const ReplicaId&, const GroupStatus&, Instant now) const;
 
     Options m_options;
     std::map<ReplicaId, Instant> m_lastContact;
     std::map<ReplicaId, Instant> m_joinRequests;
+    std::map<ReplicaId, Instant> m_leaving;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -116,6 +116,7 @@
     { EventId::CoordinatorPromptPartTrial, Info, "coordinator.prompt_part_trial", "A gateway, or the gateways behind a relay, may let one request with a quarantined prompt part through." },
     { EventId::CoordinatorLoadCrash, Info, "coordinator.load_crash", "A server ended while it loaded a model; whether the model's next load is postponed, since several servers in a row ended so, is given.", Failure },
     { EventId::CoordinatorServerLimited, Info, "coordinator.server_limited", "A host reported that a server limits the requests per second from all hosts, or changed or ended its limit." },
+    { EventId::CoordinatorNotReplaced, Warning, "coordinator.not_replaced", "This host stops as a voter, though a learner was there to replace it; how long it has waited is given." },
 };
 
 } // namespace
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -119,7 +119,8 @@
     CoordinatorPromptPartReleased = 2115,
     CoordinatorPromptPartTrial = 2116,
     CoordinatorLoadCrash = 2117,
-    CoordinatorServerLimited = 2118
+    CoordinatorServerLimited = 2118,
+    CoordinatorNotReplaced = 2119
 };
 
 /** What a record reports; when the log is full, failures are kept. */
--- a/modules/hc_peer/include/hemlockchute/peer/PeerMethod.h
+++ b/modules/hc_peer/include/hemlockchute/peer/PeerMethod.h
@@ -36,6 +36,8 @@
     ReadConfiguration = 42,
     /** Coordinator to coordinator: a request to join the Raft group. */
     JoinGroup = 43,
+    /** Coordinator to coordinator: a voter that stops asks to be replaced by a learner that has caught up; answered with the membership agreed on. */
+    LeaveGroup = 44,
     /** Keeper administration: a membership change. */
     ChangeMembers = 30
 };
