Bound what the client buffers of an answer outside of its head and body

Cause: HttpClient's read buffer had no bound, and the parser asks for more bytes until a chunk's head or a trailer is complete.

Why it works: a line that does not fit into the buffer fails the answer as too large and closes its connection; the server counts as failed.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -44,12 +44,14 @@
 
 /** A connection, and bytes read from it beyond the current message. */
 struct ClientConnection {
-    explicit ClientConnection(const asio::any_io_executor& executor)
+    ClientConnection(const asio::any_io_executor& executor, std::size_t maximumBufferedBytes)
         : stream(executor)
+        , buffer(maximumBufferedBytes)
     {
     }
 
     beast::tcp_stream stream;
+    /** Its limit also bounds what the parser reads at once outside of heads and bodies: chunk heads and trailers. */
     beast::flat_buffer buffer;
     Instant idleSince;
     /** True once it has carried a request. */
@@ -94,7 +96,7 @@
     auto handle = old.release(error);
     if (error)
         return nullptr;
-    auto moved = std::make_unique<ClientConnection>(executor);
+    auto moved = std::make_unique<ClientConnection>(executor, connection->buffer.max_size());
     moved->idleSince = connection->idleSince;
     moved->keepAliveLimit = connection->keepAliveLimit;
     moved->isUsed = connection->isUsed;
@@ -220,7 +222,7 @@
             if (idleConnection)
                 co_return idleConnection;
         }
-        auto connection = std::make_unique<ClientConnection>(executor);
+        auto connection = std::make_unique<ClientConnection>(executor, options.maximumHeaderBytes + maximumPieceBytes);
         connection->isSingleUse = use == ConnectionUse::SingleUse;
         ScopedHttpCall call(handle, *connection);
         connection->stream.expires_at(std::min(deadline, std::chrono::steady_clock::now() + options.connectTimeout));
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -115,6 +115,7 @@
         Duration recentUseWindow = 300ms;
         /** TCP_USER_TIMEOUT: closes a connection on which sent bytes stay unacknowledged for this long; 0 uses the system's default. Does not apply to requests with long bodies. */
         std::chrono::milliseconds acknowledgeTimeout { 0 };
+        /** Chunk heads and trailers may have about as many bytes. */
         std::size_t maximumHeaderBytes = 16U << 10U;
         /** Applies to send() only; a caller of open() limits the body itself. */
         std::size_t maximumBodyBytes = 16U << 20U;
--- /dev/null
+++ b/modules/hc_http/tests/HttpEndlessAnswerTests.cpp
@@ -0,0 +1,101 @@
+#include "hemlockchute/http/HttpClient.h"
+
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_future.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace hemlockchute;
+namespace asio = boost::asio;
+namespace data = boost::unit_test::data;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::size_t maximumBodyBytes = 256U << 10U;
+/** The body, and what the sockets of both sides buffer. */
+constexpr std::uint64_t maximumSentBytes = 16U << 20U;
+
+/** An answer that has a beginning and repeats a piece until the peer closes the connection. */
+struct EndlessAnswer {
+    std::string name;
+    std::string begin;
+    std::string piece;
+
+    friend std::ostream& operator<<(std::ostream& stream, const EndlessAnswer& answer) { return stream << answer.name; }
+};
+
+std::vector<EndlessAnswer> endlessAnswers()
+{
+    std::string ok = "HTTP/1.1 200 OK\r\n";
+    std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+    std::string filler(64U << 10U, 'x');
+    return {
+        { "head", ok + "X-Long: ", filler },
+        { "status line", "HTTP/1.1 200 ", filler },
+        { "body with a length", ok + "Content-Length: 1000000000000\r\n\r\n", filler },
+        { "body until close", ok + "\r\n", filler },
+        { "chunks", chunked, "10000\r\n" + filler + "\r\n" },
+        { "chunk size", chunked, std::string(64U << 10U, '0') },
+        { "chunk extension", chunked + "4;x=", filler },
+        { "trailer", chunked + "4\r\nbody\r\n0\r\nX-Long: ", filler },
+        { "many trailers", chunked + "0\r\n", "X-Trailer: x\r\n" },
+    };
+}
+
+/** Accepts one connection and answers without end. */
+class EndlessServer {
+public:
+    explicit EndlessServer(EndlessAnswer answer)
+        : m_acceptor(m_context, { asio::ip::make_address("127.0.0.1"), 0 })
+        , m_thread([this, answer = std::move(answer)] { serve(answer); })
+    {
+    }
+    ~EndlessServer() { m_thread.join(); }
+
+    tcp::endpoint endpoint() const { return m_acceptor.local_endpoint(); }
+    std::uint64_t sentBytes() const { return m_sentBytes; }
+
+private:
+    void serve(const EndlessAnswer& answer)
+    {
+        tcp::socket socket = m_acceptor.accept();
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(answer.begin), error);
+        while (!error)
+            m_sentBytes += asio::write(socket, asio::buffer(answer.piece), error);
+    }
+
+    asio::io_context m_context;
+    tcp::acceptor m_acceptor;
+    std::atomic<std::uint64_t> m_sentBytes { 0 };
+    std::thread m_thread;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(HttpEndlessAnswerTests)
+
+/** Guards against a client that keeps all bytes of a faulty server until its process runs out of memory. */
+BOOST_DATA_TEST_CASE(anAnswerWithoutEndIsCutOffWhereverItDoesNotEnd, data::make(endlessAnswers()), answer)
+{
+    EndlessServer server(answer);
+    asio::io_context context;
+    HttpClient client(HttpClient::Options().withMaximumBodyBytes(maximumBodyBytes));
+    Instant begin = std::chrono::steady_clock::now();
+    HttpRequest request { "GET", "/", {}, {} };
+    auto response = asio::co_spawn(context, client.send(server.endpoint(), std::move(request), begin + 5s), asio::use_future);
+    context.run();
+    auto result = response.get();
+    BOOST_REQUIRE(!result);
+    BOOST_TEST((result.error().code == HttpClientErrorCode::TooLarge || result.error().code == HttpClientErrorCode::Malformed), result.error().detail);
+    BOOST_TEST((std::chrono::steady_clock::now() - begin < 2s));
+    BOOST_TEST(server.sentBytes() < maximumSentBytes);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
