Replace a voter that was removed without notice after 1.5 s, if a learner stands ready

Cause: a silent voter kept its vote for 4 s, though a caught-up learner stood ready.

The time-out is above the second for which a sound host may fall silent; a voter that was replaced meanwhile joins again as a learner.

--- a/modules/hc_coordinator/coordinator/VoterPolicy.h
+++ b/modules/hc_coordinator/coordinator/VoterPolicy.h
@@ -26,8 +26,8 @@
     struct Options {
         /** Target number of voters. */
         std::size_t voters = 3;
-        /** A voter without contact for this long may be replaced. */
-        Duration voterTimeout = 4s;
+        /** A voter without contact for this long is replaced, if a learner has caught up. Longer than the second for which a sound host may fall silent. */
+        Duration voterTimeout = 1500ms;
         /** A replica counts as live for this long after its last contact, a join request for this long after it came. */
         Duration livenessTimeout = 1s;
         /** A learner without contact for this long is removed. */
