Bound the bodies that a client reads whole all together

Cause: a coordinator reads the reports of all servers at about the same time and allowed 4 MB for each of them; a gateway allowed 16 MB for a page of the platform's list.

The budget of the gateway's answers moves to hc_http, takes any thread, and serves both.

Why it works: the bodies in progress have a common bound of 16 MB in a coordinator; up to 64 KB of each are read in any case, so that faulty servers do not keep a sound one's report away.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -26,6 +26,8 @@
 
 /** Limit of an answer to a list, report or order request. */
 constexpr std::size_t maximumAnswerBytes = 4U << 20U;
+/** Limit of all of them together, as the reports of all servers are read at about the same time. */
+constexpr std::size_t maximumTotalAnswerBytes = 16U << 20U;
 
 /** Distance between the first epochs of two terms; FleetTable also starts a new epoch by itself after many departures. */
 constexpr std::uint64_t epochsPerTerm = 1U << 16U;
@@ -95,7 +97,7 @@
     , m_id(keeperIdOf(settings.peers))
     , m_client(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" }, PeerClient::Options())
     , m_server(context, { settings.clusterName, settings.clusterKey, settings.host, "coordinator" })
-    , m_http(HttpClient::Options().withMaximumBodyBytes(maximumAnswerBytes))
+    , m_http(HttpClient::Options().withMaximumBodyBytes(maximumAnswerBytes).withMaximumTotalBodyBytes(maximumTotalAnswerBytes))
     , m_group(m_id, std::move(disk), groupOptions(settings, next), m_clock, m_register,
           { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { applyAgreedConfiguration(); }); }, endProcess, std::move(reopen) })
     , m_voters(voterOptions(settings))
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -18,6 +18,8 @@
 constexpr std::chrono::milliseconds acknowledgeTimeout { 2000 };
 /** The idle connections kept to each server; covers the peak of one host's requests. */
 constexpr std::size_t idleConnections = 24;
+/** Limit of a page of the platform's list; the answers to callers have a budget of their own. */
+constexpr std::size_t maximumListBytes = 4U << 20U;
 /** Two consecutive failures eject a server, for 1 s at first and at most 4 s. Only 10 % of the servers must stay usable, since two of three data centres may be cut off. */
 constexpr EjectionTable::Options ejection { 2, 1s, 4s, 100 };
 /** The time before draining, in which new connections still arrive: the platform probes readiness once per second and needs two failed probes. At most half of the grace time is used, so that the rest is left for requests in progress. */
@@ -35,7 +37,7 @@
 
 HttpClient::Options clientOptions()
 {
-    return HttpClient::Options().withConnectTimeout(connectTimeout).withMaximumIdleConnections(idleConnections).withAcknowledgeTimeout(acknowledgeTimeout);
+    return HttpClient::Options().withConnectTimeout(connectTimeout).withMaximumIdleConnections(idleConnections).withAcknowledgeTimeout(acknowledgeTimeout).withMaximumBodyBytes(maximumListBytes);
 }
 
 ServerTable::Options tableOptions(const GatewaySettings& settings)
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -5,11 +5,11 @@
 #include "gateway/DemandTracker.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/PromptPartMonitor.h"
-#include "gateway/ResponseBufferBudget.h"
 #include "gateway/ServerAdmission.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
 #include "hemlockchute/http/HttpClient.h"
+#include "hemlockchute/http/ResponseBufferBudget.h"
 #include "hemlockchute/report/Metrics.h"
 
 #include <memory>
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "hemlockchute/http/HttpClient.h"
 
+#include "hemlockchute/http/ResponseBufferBudget.h"
 #include "http/BeastMessages.h"
 
 #include <algorithm>
@@ -157,6 +158,7 @@
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
     explicit Impl(Options clientOptions)
         : options(clientOptions)
+        , bodies(std::make_shared<ResponseBufferBudget>(ResponseBufferBudget::Options().withPerResponse(options.maximumBodyBytes).withTotal(options.maximumTotalBodyBytes)))
     {
     }
 
@@ -240,6 +242,8 @@
     }
 
     Options options;
+    /** For the bodies that send() reads. */
+    std::shared_ptr<ResponseBufferBudget> bodies;
     std::mutex lock;
     std::map<tcp::endpoint, std::vector<std::unique_ptr<ClientConnection>>> idle;
 };
@@ -428,6 +432,7 @@
     if (!stream)
         co_return tl::unexpected(stream.error());
     HttpResponse response { (*stream)->status(), (*stream)->headers(), {} };
+    ResponseBufferReservation buffered(m_impl->bodies);
     while (true) {
         auto piece = co_await (*stream)->read(deadline);
         if (!piece)
@@ -435,8 +440,8 @@
         if (!*piece)
             co_return response;
         response.body += **piece;
-        if (response.body.size() > m_impl->options.maximumBodyBytes)
-            co_return failure(HttpClientErrorCode::TooLarge, "the body is too large");
+        if (!buffered.resize(response.body.size()))
+            co_return failure(HttpClientErrorCode::TooLarge, "the body is too large, or all bodies together are");
     }
 }
 
@@ -490,6 +495,13 @@
     return copy;
 }
 
+HttpClient::Options HttpClient::Options::withMaximumTotalBodyBytes(std::size_t value) const
+{
+    Options copy = *this;
+    copy.maximumTotalBodyBytes = value;
+    return copy;
+}
+
 HttpClient::Options HttpClient::Options::withMaximumBodyBytes(std::size_t value) const
 {
     Options copy = *this;
--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -119,12 +119,15 @@
         std::size_t maximumHeaderBytes = 16U << 10U;
         /** Applies to send() only; a caller of open() limits the body itself. */
         std::size_t maximumBodyBytes = 16U << 20U;
+        /** Applies to all calls of send() together; short bodies are read whatever the others take. */
+        std::size_t maximumTotalBodyBytes = 64U << 20U;
 
         Options withConnectTimeout(Duration) const;
         Options withAcknowledgeTimeout(std::chrono::milliseconds) const;
         Options withMaximumIdleConnections(std::size_t) const;
         Options withIdleTimeout(Duration) const;
         Options withMaximumBodyBytes(std::size_t) const;
+        Options withMaximumTotalBodyBytes(std::size_t) const;
     };
 
     enum class ConnectionUse {
--- a/modules/hc_gateway/gateway/ResponseBufferBudget.h
+++ b/modules/hc_http/include/hemlockchute/http/ResponseBufferBudget.h
@@ -2,17 +2,18 @@
 
 #include <cstddef>
 #include <memory>
+#include <mutex>
 #include <utility>
 
 namespace hemlockchute {
 
 //==============================================================================
 /**
-    A memory budget for response bytes that are buffered before they are forwarded.
+    A memory budget for response bytes that are buffered before they are forwarded or decoded.
 
     Bounds each response, and all of them together, against servers whose responses do not end.
     Small responses are always granted, so that one faulty server does not affect the others.
-    Thread safety: one thread at a time.
+    Thread safety: any thread.
 
     @see ResponseBufferReservation
 */
@@ -23,6 +24,19 @@
         std::size_t perResponse = 8U << 20U;
         std::size_t total = 32U << 20U;
         std::size_t alwaysGranted = 64U << 10U;
+
+        Options withPerResponse(std::size_t value) const
+        {
+            Options copy = *this;
+            copy.perResponse = value;
+            return copy;
+        }
+        Options withTotal(std::size_t value) const
+        {
+            Options copy = *this;
+            copy.total = value;
+            return copy;
+        }
     };
 
     ResponseBufferBudget() = default;
@@ -31,18 +45,26 @@
     {
     }
 
-    std::size_t reservedBytes() const { return m_reservedBytes; }
+    std::size_t reservedBytes() const
+    {
+        std::lock_guard guard(m_lock);
+        return m_reservedBytes;
+    }
 
 private:
     friend class ResponseBufferReservation;
 
-    bool canReserve(std::size_t current, std::size_t wanted) const
+    /** Changes a reservation from one size to another; false when that exceeds the budget. It is changed either way. */
+    bool exchange(std::size_t current, std::size_t wanted)
     {
-        bool fitsTotal = m_reservedBytes - current + wanted <= m_options.total;
+        std::lock_guard guard(m_lock);
+        m_reservedBytes = m_reservedBytes - current + wanted;
+        bool fitsTotal = m_reservedBytes <= m_options.total;
         return wanted <= m_options.perResponse && (fitsTotal || wanted <= m_options.alwaysGranted);
     }
 
     Options m_options;
+    mutable std::mutex m_lock;
     std::size_t m_reservedBytes = 0;
 };
 
@@ -54,18 +76,12 @@
         : m_budget(std::move(budget))
     {
     }
-    ~ResponseBufferReservation() { m_budget->m_reservedBytes -= m_bytes; }
+    ~ResponseBufferReservation() { m_budget->exchange(m_bytes, 0); }
     ResponseBufferReservation(const ResponseBufferReservation&) = delete;
     ResponseBufferReservation& operator=(const ResponseBufferReservation&) = delete;
 
     /** Sets the number of bytes buffered now; false when they exceed the budget. They count until destruction either way. */
-    bool resize(std::size_t bytes)
-    {
-        bool isGranted = m_budget->canReserve(m_bytes, bytes);
-        m_budget->m_reservedBytes += bytes - m_bytes;
-        m_bytes = bytes;
-        return isGranted;
-    }
+    bool resize(std::size_t bytes) { return m_budget->exchange(std::exchange(m_bytes, bytes), bytes); }
 
 private:
     std::shared_ptr<ResponseBufferBudget> m_budget;
--- a/modules/hc_http/include/hemlockchute/http/http.h
+++ b/modules/hc_http/include/hemlockchute/http/http.h
@@ -9,4 +9,5 @@
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/http/HttpMessage.h"
 #include "hemlockchute/http/HttpServer.h"
+#include "hemlockchute/http/ResponseBufferBudget.h"
 #include "hemlockchute/http/WatchdogTimer.h"
--- a/modules/hc_gateway/tests/ResponseBufferBudgetTests.cpp
+++ b/modules/hc_http/tests/ResponseBufferBudgetTests.cpp
@@ -1,4 +1,4 @@
-#include "gateway/ResponseBufferBudget.h"
+#include "hemlockchute/http/ResponseBufferBudget.h"
 
 #include <boost/test/unit_test.hpp>
 
