Take signals only while the handlers run, and leave none to its default action

What callers saw: on real processes the system did not start, or its processes ended by themselves (2 cases, no logs).

Cause: SIGHUP and SIGTERM had their default action until the role was started, and again once the signal handlers were gone.

Why it works: signals are blocked from the first static object to the end, and delivered to the threads that run the handlers only while these run. No thread of the role takes any. What remains is the loader's time.

--- a/modules/hc_core/core/Kernel.cpp
+++ b/modules/hc_core/core/Kernel.cpp
@@ -27,6 +27,27 @@
           "  --check          Check the settings, print every fault, and exit.\n  -h --help        Show this.\n";
 }
 
+/**
+    Blocks or unblocks the daemon's signals in the calling thread and in those that it creates.
+
+    A signal that is sent while it is blocked is delivered afterwards. Signals are handled only while the
+    role runs: at any other time their default action would end the process.
+*/
+void maskSignals(int how)
+{
+    sigset_t signals;
+    ::sigemptyset(&signals);
+    for (int signal : { SIGTERM, SIGINT, SIGHUP })
+        ::sigaddset(&signals, signal);
+    ::pthread_sigmask(how, &signals, nullptr);
+}
+
+/** Before other static objects are made, as the time until main() is some of the time in which a signal ends the process. */
+[[gnu::constructor(101)]] void blockSignalsAtStart()
+{
+    maskSignals(SIG_BLOCK);
+}
+
 int printFaults(const std::vector<std::string>& faults)
 {
     for (const std::string& fault : faults)
@@ -55,7 +76,10 @@
         }
         logEvent(EventId::DaemonStarted, { { "role", m_roleName } });
         awaitSignal();
+        // The threads of the role never take a signal, so none is left to end the process once its handlers are removed.
+        maskSignals(SIG_UNBLOCK);
         runThreads();
+        maskSignals(SIG_BLOCK);
         logEvent(EventId::DaemonStopped, { { "role", m_roleName } });
         return exitClean;
     }
@@ -85,7 +109,9 @@
 
     void reload()
     {
+        maskSignals(SIG_BLOCK);
         std::vector<std::string> faults = m_service.reload(m_settingsFile);
+        maskSignals(SIG_UNBLOCK);
         for (const std::string& fault : faults)
             logEvent(EventId::DaemonFailed, { { "role", m_roleName }, { "reason", fault } });
         if (faults.empty())
