Wait for a listening port that another socket has taken for a moment

What callers saw: suspected only: "the system didn't start" in the reports from real processes.

Cause: an outgoing connection may use a daemon's port as its own, also between its end and its restart; the daemon ended with status 1 at once.

Evidence: aPortThatIsTakenForAMomentIsListenedOnOnceItIsFree failed before the fix and passes now.

--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -1,6 +1,7 @@
 #include "hemlockchute/http/HttpServer.h"
 
 #include "hemlockchute/core/EventLog.h"
+#include "hemlockchute/core/ListenSocket.h"
 #include "http/BeastMessages.h"
 #include "http/ConnectionTable.h"
 #include "http/ReloadableOptions.h"
@@ -448,16 +449,8 @@
 
 Result<tcp::endpoint, HttpServerErrorCode> HttpServer::listen(const tcp::endpoint& endpoint)
 {
-    beast::error_code error;
-    auto step = [&](auto&& operation) {
-        if (!error)
-            operation();
-    };
     tcp::acceptor& acceptor = m_impl->acceptor;
-    step([&] { acceptor.open(endpoint.protocol(), error); });
-    step([&] { acceptor.set_option(tcp::acceptor::reuse_address(true), error); });
-    step([&] { acceptor.bind(endpoint, error); });
-    step([&] { acceptor.listen(asio::socket_base::max_listen_connections, error); });
+    beast::error_code error = openListeningSocket(acceptor, endpoint);
     if (error)
         return failure(HttpServerErrorCode::ListenFailed, endpoint.address().to_string() + ":" + std::to_string(endpoint.port()) + ": " + error.message());
     asio::co_spawn(
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -173,6 +173,23 @@
     BOOST_TEST((cut.error().code == HttpClientErrorCode::ConnectionLost));
 }
 
+/** Guards against a daemon that does not start, as an outgoing connection has its port for a moment. */
+BOOST_AUTO_TEST_CASE(aPortThatIsTakenForAMomentIsListenedOnOnceItIsFree)
+{
+    asio::io_context own;
+    tcp::socket taker(own);
+    taker.open(tcp::v4());
+    taker.bind(anyPort);
+    taker.connect(endpoint);
+    tcp::endpoint wanted = taker.local_endpoint();
+    HttpServer late(context, HttpServer::Options(), [this](HttpExchange& exchange) { return answer(exchange, callersGone); });
+    auto listening = std::async(std::launch::async, [&] { return late.listen(wanted); });
+    std::this_thread::sleep_for(300ms);
+    taker.set_option(asio::socket_base::linger(true, 0));
+    taker.close();
+    BOOST_TEST(listening.get().has_value());
+}
+
 /** Guards against a request that ends without an answer or a log line, as its handler has thrown. */
 BOOST_AUTO_TEST_CASE(aHandlerThatThrowsIsAnsweredWith500)
 {
--- a/modules/hc_peer/peer/PeerServer.cpp
+++ b/modules/hc_peer/peer/PeerServer.cpp
@@ -1,5 +1,6 @@
 #include "hemlockchute/peer/PeerServer.h"
 
+#include "hemlockchute/core/ListenSocket.h"
 #include "peer/PeerSession.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -19,14 +20,7 @@
 {
     boost::asio::io_context context;
     tcp::acceptor acceptor(context);
-    boost::system::error_code error;
-    acceptor.open(wanted.protocol(), error);
-    if (!error)
-        acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        acceptor.bind(wanted, error);
-    if (!error)
-        acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
+    boost::system::error_code error = openListeningSocket(acceptor, wanted);
     if (!error)
         bound = acceptor.local_endpoint(error);
     if (error)
