Begin to end a gateway before its grace is over

What callers saw: suspected only: processes that end otherwise than in good order in the reports from real processes.

Cause: with a request that does not end, the gateway began to end at the end of its grace, where whoever started it kills it.

Evidence: aStopEndsWithinTheGraceThoughARequestDoesNotEnd failed before the fix (still running at the end of the grace) and passes now.

Why it works: the end begins 100 ms earlier. Requests are aborted 300 ms before the end as before; their answers have 200 ms.

--- a/modules/hc_gateway/gateway/ForwardingTimes.h
+++ b/modules/hc_gateway/gateway/ForwardingTimes.h
@@ -23,6 +23,8 @@
 inline constexpr Duration minimumRetryAfter = 300ms;
 /** Requests in progress are aborted this long before the process exits, so that their callers get a response. */
 inline constexpr Duration abortLeadTime = 300ms;
+/** The process begins to end this long before the end of the grace period: whoever started it kills it there, and the end itself takes time. */
+inline constexpr Duration exitLeadTime = 100ms;
 inline constexpr unsigned statusUnavailable = 503;
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -137,7 +137,7 @@
     });
 }
 
-/** Aborts the requests in progress, and finishes at the stop deadline even if callers have not read their responses. */
+/** Aborts the requests in progress, and finishes before the stop deadline even if callers have not read their responses. */
 void Gateway::abortRequests()
 {
     std::set<RequestForwarder*> requests = *m_core.requests;
@@ -145,7 +145,7 @@
         if (m_core.requests->contains(request))
             request->abort();
     }
-    m_endTimer.expires_at(*m_core.stopDeadline);
+    m_endTimer.expires_at(*m_core.stopDeadline - exitLeadTime);
     m_endTimer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
             finishStop();
