Limit how long a coordinator that stops waits for operators' requests

What callers saw: suspected only: processes that end otherwise than in good order in the reports from real processes.

Cause: the stop waited for each operator's request in progress, and one that is sent by halves has 10 s; the grace is 8 s.

Why it works: the wait ends after 2 s; with the wait for a successor a stop takes some 4 s at most.

--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -69,6 +69,7 @@
     void askToLeave(const Endpoint& leader);
     void serveLeave(PeerCall);
     void drainOperators(std::function<void()> done);
+    void finishStop();
 
     // The group
     void tick();
@@ -142,6 +143,7 @@
     Instant m_nextMembershipUpdate {};
     bool m_isStopping = false;
     Instant m_stoppedAt {};
+    std::function<void()> m_onStopped;
     /** The membership agreed on, as the leader has answered since the stop. */
     std::optional<Membership> m_leaderMembership;
 };
--- a/modules/hc_coordinator/coordinator/CoordinatorStop.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorStop.cpp
@@ -8,6 +8,8 @@
 constexpr Duration callTimeout = 500ms;
 /** Limit of the wait for a successor. Two changes of the membership take a fraction of it. */
 constexpr Duration leaveTimeout = 2s;
+/** Limit of the wait for operators' requests in progress. Together with the other one it is well below any grace. */
+constexpr Duration drainTimeout = 2s;
 
 } // namespace
 
@@ -74,11 +76,23 @@
 
 void Coordinator::drainOperators(std::function<void()> done)
 {
-    m_operators.drain([this, done = std::move(done)] {
-        m_group.stop();
-        m_server.close();
-        done();
+    m_onStopped = std::move(done);
+    m_operators.drain([this] { finishStop(); });
+    m_timer.expires_after(drainTimeout);
+    m_timer.async_wait([this](const boost::system::error_code& error) {
+        if (!error)
+            finishStop();
     });
 }
 
+void Coordinator::finishStop()
+{
+    if (!m_onStopped)
+        return;
+    m_timer.cancel();
+    m_group.stop();
+    m_server.close();
+    std::exchange(m_onStopped, nullptr)();
+}
+
 } // namespace hemlockchute
