--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -16,8 +16,8 @@
     { EventId::DaemonStopping, Info, "daemon.stopping", "The daemon was told to stop and is finishing the work in progress." },
     { EventId::DaemonStopped, Info, "daemon.stopped", "The daemon has finished its work and exits." },
     { EventId::DaemonFailed, Error, "daemon.failed", "The daemon could not start or continue; the reason is given." },
-    { EventId::DaemonHandlerFailed, Error, "daemon.handler_failed", "An exception has left a handler; its reason is given. The daemon goes on." },
     { EventId::LogLinesLeftOut, Warning, "log.lines_left_out", "Log lines beyond the limits on the log were dropped since the last such record; their number and their events are given." },
+    { EventId::DaemonHandlerFailed, Error, "daemon.handler_failed", "An exception has left a handler; its reason is given. The daemon goes on." },
     // 1100: storage
 
     // 1200: agreement
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -21,8 +21,8 @@
     DaemonStopping = 1002,
     DaemonStopped = 1003,
     DaemonFailed = 1004,
-    DaemonHandlerFailed = 1005,
     LogLinesLeftOut = 1005,
+    DaemonHandlerFailed = 1006,
     // 1100: storage
 
     // 1200: agreement
