--- a/modules/hc_controller/include/hemlockchute/controller/LeaseKeeper.h
+++ b/modules/hc_controller/include/hemlockchute/controller/LeaseKeeper.h
@@ -14,7 +14,7 @@
     Decides whether this host may lead its data centre's placement, and until when.
 
     A lease comes from the keepers, or in a cut from the promises of every other host that was
-    listed as a seeker in this term. docs/design-notes/terms.md names the rules and says why no two
+    listed as a seeker in this term. docs/design/terms.md names the rules and says why no two
     hosts ever give orders at the same time. It does no I/O: the caller sends what nextCommand()
     and nextPromiseRound() give, and hands the answers back with the time.
 
--- a/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
+++ b/modules/hc_controller/include/hemlockchute/controller/OrderBook.h
@@ -37,7 +37,7 @@
     Memory and replicas are counted for the largest thing that may be true: what an engine's newest
     state shows, and every load whose outcome is not known. A load that may have arrived is sent
     again under its own id, which an engine does once, until the engine has certainly taken it in or
-    certainly never will. Docs: docs/design-notes/orders.md. It does no I/O and reads no clock.
+    certainly never will. Docs: docs/design/orders.md. It does no I/O and reads no clock.
 
     @code
     if (auto order = book.issue(request, permits, now)) {
--- a/modules/hc_router/router/AtMostOnceCall.h
+++ b/modules/hc_router/router/AtMostOnceCall.h
@@ -26,7 +26,7 @@
     One call of a plain service that is not idempotent; claims its idempotency key when it has one.
 
     The call runs in a coroutine of its own: a caller's disconnect or deadline does not stop it once
-    a byte may have been sent, and its outcome is still recorded. docs/design-notes/runs.md
+    a byte may have been sent, and its outcome is still recorded. docs/design/runs.md
     gives the reasoning. Thread safety: start() and wait() on the caller's strand.
 
     @see RunRegistry
--- a/modules/hc_state/state/TermTable.h
+++ b/modules/hc_state/state/TermTable.h
@@ -13,7 +13,7 @@
 
     A holder that is partitioned from the keepers may extend its lease by promises of the other
     hosts, which this table does not see. The next term therefore goes only to a host whose promise
-    the holder needs for that; docs/design-notes/terms.md explains why this is sufficient. Thread
+    the holder needs for that; docs/design/terms.md explains why this is sufficient. Thread
     safety: one thread at a time.
 
     @see StateMachine
--- a/modules/hc_state/tests/TermFuzzTests.cpp
+++ b/modules/hc_state/tests/TermFuzzTests.cpp
@@ -11,7 +11,7 @@
 constexpr unsigned hostCount = 4;
 constexpr Duration lease = 5s;
 
-/** A controller host that follows the rules of docs/design-notes/terms.md, with an exact clock. */
+/** A controller host that follows the rules of docs/design/terms.md, with an exact clock. */
 struct Host {
     HostName name;
     Duration promisedUntil {};
