--- a/modules/hc_agreement/agreement/Replica.cpp
+++ b/modules/hc_agreement/agreement/Replica.cpp
@@ -148,6 +148,11 @@
     return m_impl->committed;
 }
 
+LogIndex Replica::firstIndexOfTerm() const
+{
+    return m_impl->firstIndexOfTerm;
+}
+
 LogIndex Replica::lastIndex() const
 {
     return m_impl->log.lastIndex();
--- a/modules/hc_agreement/agreement/ReplicatedGroup.cpp
+++ b/modules/hc_agreement/agreement/ReplicatedGroup.cpp
@@ -193,6 +193,12 @@
     return !m_isSuspended && m_replica->holdsLease(m_clock.now());
 }
 
+bool ReplicatedGroup::isStateCurrent() const
+{
+    std::lock_guard guard(m_lock);
+    return !m_isSuspended && m_replica->holdsLease(m_clock.now()) && m_applied >= m_replica->firstIndexOfTerm();
+}
+
 bool ReplicatedGroup::isCaughtUp(const ReplicaId& id) const
 {
     std::lock_guard guard(m_lock);
--- a/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/Replica.h
@@ -130,6 +130,8 @@
     std::optional<ReplicaId> leader() const;
     AgreementTerm term() const;
     LogIndex committed() const;
+    /** The first entry of this replica's term; once it is committed, so is everything that earlier leaders committed. Precondition: it leads. */
+    LogIndex firstIndexOfTerm() const;
     LogIndex lastIndex() const;
     const Membership& membership() const;
     /** True when a membership change is in the log and not committed yet. */
--- a/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
+++ b/modules/hc_agreement/include/hemlockchute/agreement/ReplicatedGroup.h
@@ -139,6 +139,8 @@
     bool isLeader() const;
     /** True while this replica leads and its lease, by the group's clock, rules out any other leader. */
     bool holdsLease() const;
+    /** True while the state machine reflects every proposal that has been answered, by this leader or an earlier one; implies holdsLease(). A state that is read after this call is at least as recent as the call. */
+    bool isStateCurrent() const;
     /** True when a replica's log is known to hold every committed entry; only the leader knows. */
     bool isCaughtUp(const ReplicaId&) const;
     /** True when this replica has neither members nor entries: it waits for the bootstrap, or to be added. */
--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -102,6 +102,7 @@
           { [this](const AgreementMessage& message) { send(message); }, [this] { asio::post(m_context, [this] { applyAgreedConfiguration(); }); }, endProcess, std::move(reopen) })
     , m_voters(voterOptions(settings))
     , m_director(context, platform, m_http, m_metrics, directorOptions(settings), [this] { return authority(); })
+    , m_quotas(settings.quotas)
     , m_relay(context, m_client, { settings.host, m_id, settings.dataCentre }, FleetRelay::Options(), { [this] { return otherLeader(); }, [this] { return m_register.current()->version; } })
     , m_listing(context, platform, m_http, settings.listing, listingOptions(), [this](const std::vector<ListedServer>& servers, Instant asked) { m_director.updateListing(servers, asked); })
     , m_operators(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); })
@@ -239,6 +240,7 @@
         m_rateGrants = RateGrantPool(RateGrantPool::Options());
         for (const RateLimitNotice& known : m_relay.rateLimits())
             m_rateLimits.note(known);
+        m_quotas.beginTerm(now);
     }
     m_listing.setActive(status.isLeader);
     bool gives = authority().has_value();
@@ -261,9 +263,10 @@
     if (agreed->version.isNone())
         return;
     auto configuration = m_platform.decodeConfiguration(agreed->body);
-    if (configuration)
+    if (configuration) {
+        m_quotas.setQuotas((*configuration)->workspaces(), m_clock.now());
         m_director.setConfiguration(std::move(*configuration));
-    else
+    } else
         logEvent(EventId::GatewayConfigurationUnreadable, { { "version", agreed->version }, { "reason", configuration.error().detail } });
 }
 
@@ -328,6 +331,7 @@
         reply.relays = relays(now);
         recordPromptParts(*request, reply, now);
         recordRateLimits(*request, reply, now);
+        grantQuotas(*request, reply);
     } else if (request->relay.isNone()) {
         m_relay.recordDemand(*request, now);
         if (m_relay.isCurrent(now))
@@ -380,6 +384,18 @@
     reply.rateGrants = m_rateGrants.take(request.host, request.rateDemands, now);
 }
 
+/** A leader that has not applied everything that was acknowledged before its term neither confirms a version nor knows the quotas. */
+void Coordinator::grantQuotas(const FollowRequest& request, FollowReply& reply)
+{
+    if (!m_group.isStateCurrent())
+        return;
+    reply.confirmedAge = Duration::zero();
+    if (request.isLast)
+        m_quotas.forget(request.host);
+    else
+        reply.quotaGrants = m_quotas.take(request.host, request.quotaReports, m_clock.now());
+}
+
 /** Fills in the newest configuration known here, if it is newer than the one known to the requester. */
 void Coordinator::fillConfiguration(FollowReply& reply, ConfigurationVersion known) const
 {
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -88,6 +88,7 @@
     void fillConfiguration(FollowReply&, ConfigurationVersion known) const;
     void recordPromptParts(const FollowRequest&, FollowReply&, Instant now);
     void recordRateLimits(const FollowRequest&, FollowReply&, Instant now);
+    void grantQuotas(const FollowRequest&, FollowReply&);
     std::vector<CoordinatorLocation> relays(Instant now);
     std::optional<KeeperId> otherLeader() const;
     void serveJoin(PeerCall);
@@ -123,6 +124,7 @@
     PromptPartQuarantine m_quarantine { PromptPartQuarantine::Options() };
     ServerRateLimits m_rateLimits { ServerRateLimits::Options() };
     RateGrantPool m_rateGrants { RateGrantPool::Options() };
+    QuotaPool m_quotas;
     FleetRelay m_relay;
     ListingPoller m_listing;
     HttpServer m_operators;
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
@@ -6,6 +6,7 @@
 constexpr std::int64_t largestPort = 65535;
 constexpr std::int64_t mostLosses = 3;
 constexpr std::int64_t mostStoreLoads = 1000;
+constexpr double largestSlack = 1e9;
 /** Losing one or two heartbeats must not start an election. */
 constexpr int heartbeatsInElectionTimeout = 3;
 
@@ -54,6 +55,10 @@
     settings.operatorTimeout = file.root().table("operators").duration("patience", settings.operatorTimeout);
     settings.orderLease = placement.duration("order_lease", settings.orderLease);
     settings.storeLoadsAtOnce = static_cast<unsigned>(placement.integer("store_loads_at_once", settings.storeLoadsAtOnce, 1, mostStoreLoads));
+    SettingsTable quotas = file.root().table("quotas");
+    settings.quotas = settings.quotas.withWindow(quotas.duration("window", settings.quotas.window));
+    settings.quotas = settings.quotas.withOvershoot(quotas.number("overshoot", settings.quotas.overshoot, 0, 1));
+    settings.quotas = settings.quotas.withSlack(quotas.number("slack", settings.quotas.slack, 0, largestSlack));
     settings.log = readLogOptions(file.root().table("log"));
     faults = file.faults();
     return settings;
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.h
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockchute/fleet/QuotaPool.h"
 #include "hemlockchute/settings/settings.h"
 
 #include <optional>
@@ -43,6 +44,8 @@
     Duration orderLease = 3s;
     /** Initial limit of concurrent loads from the weight store; the limit adapts to measured load times. */
     unsigned storeLoadsAtOnce = 2;
+    /** Bounds on the use of workspaces' quotas. */
+    QuotaPool::Options quotas;
     LogOptions log;
 
     /** Reads the file and appends every error to `faults`. Thread safety: any thread. */
--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -83,6 +83,8 @@
         m_lastCrash = now;
     isUrgent = isUrgent || !request.promptParts.crashes.empty() || !request.promptParts.refused.empty();
     m_gateways.recordReport(request, now);
+    if (request.isLast)
+        m_quotas.forget(request.host);
     if (isUrgent)
         pollSoon();
 }
@@ -111,6 +113,7 @@
         passTrialOn(reply, parts, now);
     reply.rateLimits = m_rateLimits.notices();
     reply.rateGrants = m_rateGrants.take(request.host, request.rateDemands, now);
+    fillQuotas(reply, request);
     std::map<ServerHandle, ServerLoad> all = m_otherOutstanding;
     for (const auto& [server, load] : m_gateways.outstanding())
         all[server] = all[server] + load;
@@ -123,6 +126,21 @@
     }
 }
 
+/** Fills in the leader's confirmation, and units of quotas from what it granted. */
+void FleetRelay::fillQuotas(FollowReply& reply, const FollowRequest& request)
+{
+    if (!m_confirmed)
+        return;
+    Instant now = m_suspendAwareClock.now();
+    reply.confirmedAge = now - *m_confirmed;
+    reply.quotaGrants = m_quotas.take(request.host, request.quotaReports, now);
+    for (std::size_t i = 0; i < reply.quotaGrants.size(); ++i) {
+        const QuotaGrant& grant = reply.quotaGrants[i];
+        if (!grant.isExhausted && grant.granted < request.quotaReports[i].waiting)
+            pollSoon();
+    }
+}
+
 //==============================================================================
 asio::awaitable<void> FleetRelay::run()
 {
@@ -159,6 +177,7 @@
 asio::awaitable<void> FleetRelay::pollOnce(KeeperId leader)
 {
     Instant asked = currentTime();
+    Instant askedSuspendAware = m_suspendAwareClock.now();
     FollowRequest sent = nextRequest(asked);
     ByteString request = encodeFollowRequest(sent);
     auto bytes = co_await m_client.call(endpointOf(leader), PeerMethod::FollowFleet, std::move(request), m_options.timeout);
@@ -172,7 +191,7 @@
         co_return;
     }
     if (reply->isCurrent)
-        applyReply(std::move(*reply), asked);
+        applyReply(std::move(*reply), asked, askedSuspendAware);
 }
 
 FollowRequest FleetRelay::nextRequest(Instant now)
@@ -204,6 +223,7 @@
     m_rateLimits.expire(now);
     request.rateLimits = m_rateLimits.notices();
     request.rateDemands = m_rateGrants.unmetDemand(now);
+    request.quotaReports = m_quotas.reports(m_suspendAwareClock.now());
     m_hasReportedDemand = !request.demands.empty();
     // Handles are valid within one epoch only, so none are reported while the list of a new epoch arrives.
     m_reportedOutstanding.clear();
@@ -277,7 +297,7 @@
     return all;
 }
 
-void FleetRelay::applyReply(FollowReply reply, Instant asked)
+void FleetRelay::applyReply(FollowReply reply, Instant asked, Instant askedSuspendAware)
 {
     if (reply.listAge)
         applyServers(reply);
@@ -290,6 +310,9 @@
     for (const RateLimitNotice& notice : reply.rateLimits)
         m_rateLimits.note(notice);
     m_rateGrants.deposit(reply.rateGrants, asked);
+    m_confirmed = reply.confirmedAge ? std::optional(askedSuspendAware - *reply.confirmedAge) : std::nullopt;
+    if (m_confirmed)
+        m_quotas.deposit(reply.quotaGrants, askedSuspendAware);
     m_expected.clear();
     for (const ModelExpectation& expectation : reply.expectations)
         m_expected[{ expectation.service, expectation.model }] = expectation.remaining;
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -83,10 +83,11 @@
     boost::asio::awaitable<void> run();
     boost::asio::awaitable<void> pollOnce(KeeperId leader);
     FollowRequest nextRequest(Instant now);
+    void fillQuotas(FollowReply&, const FollowRequest&);
     void collectPromptParts(const PromptPartReport&);
     PromptPartReport takePromptParts(Instant now);
     void passTrialOn(FollowReply&, const std::vector<PromptPartKey>&, Instant now);
-    void applyReply(FollowReply, Instant asked);
+    void applyReply(FollowReply, Instant asked, Instant askedSuspendAware);
     void applyServers(const FollowReply&);
     void pollSoon();
     Duration timeToNextPoll(Instant asked, Instant now);
@@ -113,6 +114,12 @@
     ServerRateLimits m_rateLimits { ServerRateLimits::Options() };
     /** Divides what the leader granted among the gateways of this relay. */
     RateGrantPool m_rateGrants { RateGrantPool::Options() };
+    /** The same of the units of quotas. */
+    QuotaPool m_quotas { QuotaPool::Options() };
+    /** Confirmations and quotas must not last longer because this host was suspended. */
+    SuspendAwareClock m_suspendAwareClock;
+    /** When the leader was certain of the version in its last reply; nothing if it was not. */
+    std::optional<Instant> m_confirmed;
     FleetTable m_table;
     /** The list of a new epoch while its parts arrive. */
     std::optional<FleetTable> m_incoming;
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -96,6 +96,8 @@
     { EventId::GatewayPromptPartTrial, Info, "gateway.prompt_part_trial", "A request with a quarantined prompt part is let through, to test whether the part still crashes servers." },
     { EventId::GatewayServerLimited, Info, "gateway.server_limited", "A backend server named a limit of requests per second from all hosts, or another one than before, in an answer to this gateway." },
     { EventId::GatewayServerLimitEnded, Info, "gateway.server_limit_ended", "An answer of a backend server named no limit any more, and its request had been sent after the last that did." },
+    { EventId::GatewayKeysUnconfirmed, Warning, "gateway.keys_unconfirmed", "No leader has confirmed the configuration in time: a key may have been removed since, and requests with a key are refused." },
+    { EventId::GatewayKeysAccepted, Info, "gateway.keys_accepted", "A leader has confirmed the configuration, and requests with a key are served again." },
 
     // 2100: coordinator
     { EventId::CoordinatorStarted, Info, "coordinator.started", "The coordinator has read its data folder; identity, incarnation and version are given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -100,6 +100,8 @@
     GatewayPromptPartTrial = 2015,
     GatewayServerLimited = 2016,
     GatewayServerLimitEnded = 2017,
+    GatewayKeysUnconfirmed = 2018,
+    GatewayKeysAccepted = 2019,
 
     // 2100: coordinator
     CoordinatorStarted = 2100,
--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -14,11 +14,13 @@
   rank @7 :UInt32;
 }
 
-# Parallel lists of equal length: server handles, requests at each server, and prompt tokens still to process.
+# Parallel lists of equal length, unless empty: server handles, requests at each server, and prompt tokens still to process.
 struct Loads {
   servers @0 :List(UInt32);
   requests @1 :List(UInt32);
   unreadTokens @2 :List(UInt32);
+  # Tokens that the requests take of each server's memory; empty if the sender does not count them.
+  heldTokens @3 :List(UInt32);
 }
 
 struct ServerLife {
@@ -75,6 +77,22 @@
   waiting @4 :UInt32;
 }
 
+struct QuotaReport {
+  workspace @0 :Text;
+  held @1 :UInt64;
+  waiting @2 :UInt64;
+  refused @3 :UInt64;
+  reserve @4 :UInt64;
+  returned @5 :UInt64;
+}
+
+struct QuotaGrant {
+  workspace @0 :Text;
+  granted @1 :UInt64;
+  isExhausted @2 :Bool;
+  nanosecondsUntilRoom @3 :Int64;
+}
+
 struct FollowRequest {
   host @0 :Text;
   configuration @1 :UInt64;
@@ -91,6 +109,10 @@
   ended @12 :List(ServerLife);
   rateLimits @13 :List(RateLimit);
   rateDemands @14 :List(RateDemand);
+  quotaReports @15 :List(QuotaReport);
+  # The version of which parts have arrived, and how many of its compressed bytes.
+  configurationPartOf @16 :UInt64;
+  configurationOffset @17 :UInt64;
 }
 
 struct HeldModel {
@@ -150,6 +172,12 @@
   trialParts @19 :List(UInt64);
   rateLimits @20 :List(RateLimit);
   rateGrants @21 :List(RateGrant);
+  # Below 0 if the leader could not confirm the version.
+  confirmedNanosecondsAgo @22 :Int64 = -1;
+  quotaGrants @23 :List(QuotaGrant);
+  # Of the whole compressed body of which `configuration` is a part; 0 without one.
+  configurationSize @24 :UInt64;
+  configurationOffset @25 :UInt64;
 }
 
 struct ConfigurationBody {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -26,6 +26,8 @@
 CAPNP_DECLARE_SCHEMA(9e57605ba21a4dd8);
 CAPNP_DECLARE_SCHEMA(d35a558bcd2ad1bf);
 CAPNP_DECLARE_SCHEMA(b33609092692a197);
+CAPNP_DECLARE_SCHEMA(b3bd9091a3646f2b);
+CAPNP_DECLARE_SCHEMA(af8c7e7d3dd355e5);
 CAPNP_DECLARE_SCHEMA(cca27ee069c78981);
 CAPNP_DECLARE_SCHEMA(e9823317390a82bc);
 CAPNP_DECLARE_SCHEMA(f80cdec24f7e05b5);
@@ -64,7 +66,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c5e990f4f6e5d2b1, 0, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(c5e990f4f6e5d2b1, 0, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -191,6 +193,36 @@
   };
 };
 
+struct QuotaReport {
+  QuotaReport() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(b3bd9091a3646f2b, 5, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct QuotaGrant {
+  QuotaGrant() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(af8c7e7d3dd355e5, 3, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FollowRequest {
   FollowRequest() = delete;
 
@@ -199,7 +231,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 5, 9)
+    CAPNP_DECLARE_STRUCT_HEADER(cca27ee069c78981, 7, 10)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -289,7 +321,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 8, 11)
+    CAPNP_DECLARE_STRUCT_HEADER(a52826c2739da656, 11, 12)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -465,6 +497,9 @@
   inline bool hasUnreadTokens() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getUnreadTokens() const;
 
+  inline bool hasHeldTokens() const;
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getHeldTokens() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -517,6 +552,14 @@
   inline void adoptUnreadTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownUnreadTokens();
 
+  inline bool hasHeldTokens();
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder getHeldTokens();
+  inline void setHeldTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setHeldTokens(::kj::ArrayPtr<const  ::uint32_t> value);
+  inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder initHeldTokens(unsigned int size);
+  inline void adoptHeldTokens(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownHeldTokens();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1323,6 +1366,208 @@
 };
 #endif  // !CAPNP_LITE
 
+class QuotaReport::Reader {
+public:
+  typedef QuotaReport Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint64_t getHeld() const;
+
+  inline  ::uint64_t getWaiting() const;
+
+  inline  ::uint64_t getRefused() const;
+
+  inline  ::uint64_t getReserve() const;
+
+  inline  ::uint64_t getReturned() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaReport::Builder {
+public:
+  typedef QuotaReport Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint64_t getHeld();
+  inline void setHeld( ::uint64_t value);
+
+  inline  ::uint64_t getWaiting();
+  inline void setWaiting( ::uint64_t value);
+
+  inline  ::uint64_t getRefused();
+  inline void setRefused( ::uint64_t value);
+
+  inline  ::uint64_t getReserve();
+  inline void setReserve( ::uint64_t value);
+
+  inline  ::uint64_t getReturned();
+  inline void setReturned( ::uint64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaReport::Pipeline {
+public:
+  typedef QuotaReport Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class QuotaGrant::Reader {
+public:
+  typedef QuotaGrant Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace() const;
+  inline  ::capnp::Text::Reader getWorkspace() const;
+
+  inline  ::uint64_t getGranted() const;
+
+  inline bool getIsExhausted() const;
+
+  inline  ::int64_t getNanosecondsUntilRoom() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class QuotaGrant::Builder {
+public:
+  typedef QuotaGrant Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasWorkspace();
+  inline  ::capnp::Text::Builder getWorkspace();
+  inline void setWorkspace( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initWorkspace(unsigned int size);
+  inline void adoptWorkspace(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownWorkspace();
+
+  inline  ::uint64_t getGranted();
+  inline void setGranted( ::uint64_t value);
+
+  inline bool getIsExhausted();
+  inline void setIsExhausted(bool value);
+
+  inline  ::int64_t getNanosecondsUntilRoom();
+  inline void setNanosecondsUntilRoom( ::int64_t value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class QuotaGrant::Pipeline {
+public:
+  typedef QuotaGrant Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FollowRequest::Reader {
 public:
   typedef FollowRequest Reads;
@@ -1379,6 +1624,13 @@
   inline bool hasRateDemands() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::RateDemand,  ::capnp::Kind::STRUCT>::Reader getRateDemands() const;
 
+  inline bool hasQuotaReports() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Reader getQuotaReports() const;
+
+  inline  ::uint64_t getConfigurationPartOf() const;
+
+  inline  ::uint64_t getConfigurationOffset() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1488,6 +1740,19 @@
   inline void adoptRateDemands(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::RateDemand,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::RateDemand,  ::capnp::Kind::STRUCT>> disownRateDemands();
 
+  inline bool hasQuotaReports();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Builder getQuotaReports();
+  inline void setQuotaReports( ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Builder initQuotaReports(unsigned int size);
+  inline void adoptQuotaReports(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>> disownQuotaReports();
+
+  inline  ::uint64_t getConfigurationPartOf();
+  inline void setConfigurationPartOf( ::uint64_t value);
+
+  inline  ::uint64_t getConfigurationOffset();
+  inline void setConfigurationOffset( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2094,6 +2359,15 @@
   inline bool hasRateGrants() const;
   inline  ::capnp::List< ::hemlockchute::fleetwire::RateGrant,  ::capnp::Kind::STRUCT>::Reader getRateGrants() const;
 
+  inline  ::int64_t getConfirmedNanosecondsAgo() const;
+
+  inline bool hasQuotaGrants() const;
+  inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader getQuotaGrants() const;
+
+  inline  ::uint64_t getConfigurationSize() const;
+
+  inline  ::uint64_t getConfigurationOffset() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -2234,6 +2508,22 @@
   inline void adoptRateGrants(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::RateGrant,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::RateGrant,  ::capnp::Kind::STRUCT>> disownRateGrants();
 
+  inline  ::int64_t getConfirmedNanosecondsAgo();
+  inline void setConfirmedNanosecondsAgo( ::int64_t value);
+
+  inline bool hasQuotaGrants();
+  inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder getQuotaGrants();
+  inline void setQuotaGrants( ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder initQuotaGrants(unsigned int size);
+  inline void adoptQuotaGrants(::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>> disownQuotaGrants();
+
+  inline  ::uint64_t getConfigurationSize();
+  inline void setConfigurationSize( ::uint64_t value);
+
+  inline  ::uint64_t getConfigurationOffset();
+  inline void setConfigurationOffset( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2635,6 +2925,44 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline bool Loads::Reader::hasHeldTokens() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool Loads::Builder::hasHeldTokens() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader Loads::Reader::getHeldTokens() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::getHeldTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void Loads::Builder::setHeldTokens( ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline void Loads::Builder::setHeldTokens(::kj::ArrayPtr<const  ::uint32_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Builder Loads::Builder::initHeldTokens(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void Loads::Builder::adoptHeldTokens(
+    ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> Loads::Builder::disownHeldTokens() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool ServerLife::Reader::hasServer() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3307,6 +3635,186 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuotaReport::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaReport::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaReport::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaReport::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaReport::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaReport::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaReport::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaReport::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaReport::Reader::getHeld() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getHeld() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setHeld( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getWaiting() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getWaiting() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setWaiting( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getRefused() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getRefused() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setRefused( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getReserve() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getReserve() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setReserve( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t QuotaReport::Reader::getReturned() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getReturned() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setReturned( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaGrant::Reader::hasWorkspace() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool QuotaGrant::Builder::hasWorkspace() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader QuotaGrant::Reader::getWorkspace() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder QuotaGrant::Builder::getWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void QuotaGrant::Builder::setWorkspace( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder QuotaGrant::Builder::initWorkspace(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void QuotaGrant::Builder::adoptWorkspace(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> QuotaGrant::Builder::disownWorkspace() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t QuotaGrant::Reader::getGranted() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaGrant::Builder::getGranted() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void QuotaGrant::Builder::setGranted( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool QuotaGrant::Reader::getIsExhausted() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaGrant::Builder::getIsExhausted() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void QuotaGrant::Builder::setIsExhausted(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t QuotaGrant::Reader::getNanosecondsUntilRoom() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t QuotaGrant::Builder::getNanosecondsUntilRoom() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void QuotaGrant::Builder::setNanosecondsUntilRoom( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3707,6 +4215,68 @@
       ::capnp::bounded<8>() * ::capnp::POINTERS));
 }
 
+inline bool FollowRequest::Reader::hasQuotaReports() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowRequest::Builder::hasQuotaReports() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Reader FollowRequest::Reader::getQuotaReports() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::getQuotaReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+inline void FollowRequest::Builder::setQuotaReports( ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>::Builder FollowRequest::Builder::initQuotaReports(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), size);
+}
+inline void FollowRequest::Builder::adoptQuotaReports(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>> FollowRequest::Builder::disownQuotaReports() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaReport,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<9>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FollowRequest::Reader::getConfigurationPartOf() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getConfigurationPartOf() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setConfigurationPartOf( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowRequest::Reader::getConfigurationOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowRequest::Builder::getConfigurationOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FollowRequest::Builder::setConfigurationOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HeldModel::Reader::hasModel() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4738,6 +5308,82 @@
       ::capnp::bounded<10>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t FollowReply::Reader::getConfirmedNanosecondsAgo() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, -1ll);
+}
+
+inline  ::int64_t FollowReply::Builder::getConfirmedNanosecondsAgo() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, -1ll);
+}
+inline void FollowReply::Builder::setConfirmedNanosecondsAgo( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value, -1ll);
+}
+
+inline bool FollowReply::Reader::hasQuotaGrants() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline bool FollowReply::Builder::hasQuotaGrants() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader FollowReply::Reader::getQuotaGrants() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::getQuotaGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+inline void FollowReply::Builder::setQuotaGrants( ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>::Builder FollowReply::Builder::initQuotaGrants(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), size);
+}
+inline void FollowReply::Builder::adoptQuotaGrants(
+    ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>> FollowReply::Builder::disownQuotaGrants() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::hemlockchute::fleetwire::QuotaGrant,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<11>() * ::capnp::POINTERS));
+}
+
+inline  ::uint64_t FollowReply::Reader::getConfigurationSize() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getConfigurationSize() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setConfigurationSize( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t FollowReply::Reader::getConfigurationOffset() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t FollowReply::Builder::getConfigurationOffset() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void FollowReply::Builder::setConfigurationOffset( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t ConfigurationBody::Reader::getVersion() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -276,6 +276,47 @@
     return all;
 }
 
+void write(capnp::List<fleetwire::QuotaReport>::Builder to, const std::vector<QuotaReport>& from)
+{
+    for (unsigned i = 0; i < from.size(); ++i) {
+        to[i].setWorkspace(from[i].workspace.text());
+        to[i].setHeld(from[i].held);
+        to[i].setWaiting(from[i].waiting);
+        to[i].setRefused(from[i].refused);
+        to[i].setReserve(from[i].reserve);
+        to[i].setReturned(from[i].returned);
+    }
+}
+
+std::vector<QuotaReport> read(capnp::List<fleetwire::QuotaReport>::Reader from)
+{
+    std::vector<QuotaReport> all;
+    for (auto each : from)
+        all.push_back({ WorkspaceName(textOf(each.getWorkspace())), each.getHeld(), each.getWaiting(), each.getRefused(), each.getReserve(), each.getReturned() });
+    return all;
+}
+
+void write(capnp::List<fleetwire::QuotaGrant>::Builder to, const std::vector<QuotaGrant>& from)
+{
+    for (unsigned i = 0; i < from.size(); ++i) {
+        to[i].setWorkspace(from[i].workspace.text());
+        to[i].setGranted(from[i].granted);
+        to[i].setIsExhausted(from[i].isExhausted);
+        to[i].setNanosecondsUntilRoom(from[i].untilRoom.count());
+    }
+}
+
+std::vector<QuotaGrant> read(capnp::List<fleetwire::QuotaGrant>::Reader from)
+{
+    std::vector<QuotaGrant> all;
+    for (auto each : from)
+        all.push_back({ WorkspaceName(textOf(each.getWorkspace())), each.getGranted(), each.getIsExhausted(), Duration(each.getNanosecondsUntilRoom()) });
+    return all;
+}
+
+/** The age on the wire of a reply that confirms no version. */
+constexpr std::int64_t notConfirmed = -1;
+
 /** The list age on the wire when a coordinator has no list. */
 constexpr std::int64_t noList = -1;
 
@@ -301,6 +342,7 @@
     write(root.initPromptParts(), request.promptParts, currentTime());
     write(root.initRateLimits(sizeOf(request.rateLimits)), request.rateLimits, currentTime());
     write(root.initRateDemands(sizeOf(request.rateDemands)), request.rateDemands);
+    write(root.initQuotaReports(sizeOf(request.quotaReports)), request.quotaReports);
     root.setRelay(request.relay.value());
     root.setDataCentre(request.dataCentre.text());
     return messageBytes(message);
@@ -329,6 +371,7 @@
         request.promptParts = read(root.getPromptParts(), currentTime());
         request.rateLimits = read(root.getRateLimits(), currentTime());
         request.rateDemands = read(root.getRateDemands());
+        request.quotaReports = read(root.getQuotaReports());
         request.relay = KeeperId(root.getRelay());
         request.dataCentre = DataCentreName(textOf(root.getDataCentre()));
         return request;
@@ -377,6 +420,8 @@
     write(root.initTrialParts(sizeOf(reply.trialParts)), reply.trialParts);
     write(root.initRateLimits(sizeOf(reply.rateLimits)), reply.rateLimits, currentTime());
     write(root.initRateGrants(sizeOf(reply.rateGrants)), reply.rateGrants);
+    root.setConfirmedNanosecondsAgo(reply.confirmedAge ? reply.confirmedAge->count() : notConfirmed);
+    write(root.initQuotaGrants(sizeOf(reply.quotaGrants)), reply.quotaGrants);
     return messageBytes(message);
 }
 
@@ -419,6 +464,9 @@
         reply.trialParts = read(root.getTrialParts());
         reply.rateLimits = read(root.getRateLimits(), currentTime());
         reply.rateGrants = read(root.getRateGrants());
+        if (root.getConfirmedNanosecondsAgo() >= 0)
+            reply.confirmedAge = Duration(root.getConfirmedNanosecondsAgo());
+        reply.quotaGrants = read(root.getQuotaGrants());
         return reply;
     });
 }
--- a/modules/hc_fleet/fleet/RouteConfiguration.cpp
+++ b/modules/hc_fleet/fleet/RouteConfiguration.cpp
@@ -38,9 +38,39 @@
         if (!configuration->m_routesByKey.emplace(routeKey(route.host, route.pathPrefix), index).second)
             return failure(ConfigurationErrorCode::Invalid, "route " + route.name + ": another route has the same host and prefix");
     }
+    if (auto indexed = configuration->indexWorkspaces(); !indexed)
+        return tl::unexpected(indexed.error());
     return RouteConfigurationPointer(std::move(configuration));
 }
 
+/** The error names the workspaces and not the key, which is a secret. */
+Result<void, ConfigurationErrorCode> RouteConfiguration::indexWorkspaces()
+{
+    const std::vector<Workspace>& all = workspaces();
+    for (std::size_t index = 0; index < all.size(); ++index) {
+        for (const std::string& key : all[index].keys) {
+            if (key.empty())
+                return failure(ConfigurationErrorCode::Invalid, "workspace " + all[index].name.text() + ": an access key is empty");
+            auto [found, isNew] = m_workspacesByKey.emplace(key, index);
+            if (!isNew && found->second != index)
+                return failure(ConfigurationErrorCode::Invalid, "workspaces " + all[found->second].name.text() + " and " + all[index].name.text() + " share an access key");
+        }
+    }
+    return {};
+}
+
+const std::vector<Workspace>& RouteConfiguration::workspaces() const
+{
+    static const std::vector<Workspace> none;
+    return m_parts.workspaces ? *m_parts.workspaces : none;
+}
+
+const Workspace* RouteConfiguration::findWorkspace(const std::string& key) const
+{
+    auto found = m_workspacesByKey.find(key);
+    return found == m_workspacesByKey.end() ? nullptr : &workspaces()[found->second];
+}
+
 const Route* RouteConfiguration::findRoute(std::string_view host, std::string_view path) const
 {
     std::size_t end = path.rfind('/');
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -5,6 +5,7 @@
 #include "hemlockchute/core/Units.h"
 #include "hemlockchute/fleet/ListedServer.h"
 #include "hemlockchute/fleet/PromptPartQuarantine.h"
+#include "hemlockchute/fleet/QuotaPool.h"
 #include "hemlockchute/fleet/RateGrantPool.h"
 #include "hemlockchute/fleet/RouteConfiguration.h"
 #include "hemlockchute/fleet/ServerChooser.h"
@@ -97,6 +98,8 @@
     /** The rate limits of servers that are known to the sender, in force or ended recently. */
     std::vector<RateLimitNotice> rateLimits;
     std::vector<RateDemand> rateDemands;
+    /** One for each workspace with a quota of which the host holds or needs units. */
+    std::vector<QuotaReport> quotaReports;
 };
 
 /** Time until a requested model that no server holds is expected to be loaded. */
@@ -147,6 +150,10 @@
     std::vector<RateLimitNotice> rateLimits;
     /** One for each demand of the request. */
     std::vector<RateGrant> rateGrants;
+    /** Time since a leader was certain that no configuration newer than `version` had been acknowledged, including the time that a relay was suspended; nothing if it was not. */
+    std::optional<Duration> confirmedAge;
+    /** One for each report of the request. */
+    std::vector<QuotaGrant> quotaGrants;
 };
 
 /** A configuration and its version, as replicated by the coordinators. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/RequestMetadata.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RequestMetadata.h
@@ -3,6 +3,7 @@
 #include "hemlockchute/core/Clock.h"
 #include "hemlockchute/core/Identifiers.h"
 #include "hemlockchute/core/Units.h"
+#include "hemlockchute/fleet/Workspace.h"
 
 #include <cstdint>
 #include <optional>
@@ -33,6 +34,8 @@
     std::vector<PromptPart> promptParts;
     /** The last event that the caller received, if it resumes a stream. */
     std::optional<std::uint64_t> lastEvent;
+    /** Empty if the caller sent none. A secret: never logged or forwarded. */
+    std::string accessKey;
 };
 
 /** Metadata that the system adds to a forwarded request. */
@@ -43,7 +46,11 @@
     BackendServerName server;
     unsigned rank = 0;
     /** Set if a stream is resumed at another server after this event. */
-    std::optional<std::uint64_t> lastEvent;
+    std::optional<std::uint64_t> lastEvent {};
+    /** True where the configuration has workspaces: the caller's access key, and the workspace that it may name, are not forwarded. */
+    bool hidesAccess = false;
+    /** The workspace of the caller's key; empty if it has none. */
+    WorkspaceName workspace {};
 };
 
 /** Notices about itself that a backend server may add to the headers of any answer. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/RouteConfiguration.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RouteConfiguration.h
@@ -4,6 +4,7 @@
 #include "hemlockchute/core/Errors.h"
 #include "hemlockchute/core/Identifiers.h"
 #include "hemlockchute/core/Units.h"
+#include "hemlockchute/fleet/Workspace.h"
 
 #include <map>
 #include <memory>
@@ -53,6 +54,8 @@
     unsigned maximumAttempts = 1;
     /** True if a stream may be resumed at another backend server after its last complete event. */
     bool isResumable = false;
+    /** True if requests need no access key, even where the configuration has workspaces. */
+    bool isPublic = false;
     /** One entry or more; the weights add up to more than 0. */
     std::vector<WeightedService> services;
 
@@ -122,9 +125,11 @@
         std::vector<Route> routes;
         std::map<ServiceName, RoutedService> services;
         CallerLimits limits;
+        /** Without a list, requests need no access key. */
+        std::optional<std::vector<Workspace>> workspaces;
     };
 
-    /** Validates the parts: every route needs declared services, a unique host and prefix, a positive total weight and a time-out. */
+    /** Validates the parts: every route needs declared services, a unique host and prefix, a positive total weight and a time-out; two workspaces must not share a key. */
     static Result<std::shared_ptr<const RouteConfiguration>, ConfigurationErrorCode> make(Parts);
 
     ConfigurationVersion version() const { return m_parts.version; }
@@ -137,17 +142,27 @@
     /** The service of that name, or null. */
     const RoutedService* findService(const ServiceName&) const;
 
+    /** True if requests need an access key, unless their route is public. */
+    bool requiresKeys() const { return m_parts.workspaces.has_value(); }
+    /** Empty if the configuration has no workspaces. */
+    const std::vector<Workspace>& workspaces() const;
+    /** The workspace that holds the access key, or null. Takes constant time. */
+    const Workspace* findWorkspace(const std::string& key) const;
+
 private:
     explicit RouteConfiguration(Parts parts)
         : m_parts(std::move(parts))
     {
     }
 
+    Result<void, ConfigurationErrorCode> indexWorkspaces();
     static std::string routeKey(std::string_view host, std::string_view prefix);
 
     Parts m_parts;
     /** Indices into the routes, by routeKey(). */
     std::unordered_map<std::string, std::size_t> m_routesByKey;
+    /** Indices into the workspaces, by access key. */
+    std::unordered_map<std::string, std::size_t> m_workspacesByKey;
 };
 
 using RouteConfigurationPointer = std::shared_ptr<const RouteConfiguration>;
--- a/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
@@ -3,7 +3,7 @@
 
     Route configurations, the list of backend servers, request metadata, the interface of platform
     plug-ins, the messages between gateways and coordinators, and the policies for model placement,
-    server choice, retries and prompt parts that crash servers. Only ListingPoller does I/O.
+    server choice, retries, quotas of workspaces and prompt parts that crash servers. Only ListingPoller does I/O.
 */
 #pragma once
 
@@ -15,6 +15,7 @@
 #include "hemlockchute/fleet/ListingPoller.h"
 #include "hemlockchute/fleet/ModelPlacer.h"
 #include "hemlockchute/fleet/PromptPartQuarantine.h"
+#include "hemlockchute/fleet/QuotaPool.h"
 #include "hemlockchute/fleet/RateGrantPool.h"
 #include "hemlockchute/fleet/RequestMetadata.h"
 #include "hemlockchute/fleet/ResultQueue.h"
@@ -23,3 +24,4 @@
 #include "hemlockchute/fleet/ServerChooser.h"
 #include "hemlockchute/fleet/ServerRateLimits.h"
 #include "hemlockchute/fleet/WeightCacheEstimate.h"
+#include "hemlockchute/fleet/Workspace.h"
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 //==============================================================================
-CoordinatorLink::CoordinatorLink(asio::io_context& context, PeerClient& client, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options options, ServerTable& servers, DemandTracker& demand, PromptPartMonitor& promptParts, ServerRateLimiter& rateLimiter, Hooks hooks)
+CoordinatorLink::CoordinatorLink(asio::io_context& context, PeerClient& client, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options options, ServerTable& servers, DemandTracker& demand, PromptPartMonitor& promptParts, ServerRateLimiter& rateLimiter, AccessControl& access, QuotaLimiter& quotas, Hooks hooks)
     : m_client(client)
     , m_self(std::move(self))
     , m_options(options)
@@ -28,6 +28,8 @@
     , m_demand(demand)
     , m_promptParts(promptParts)
     , m_rateLimiter(rateLimiter)
+    , m_access(access)
+    , m_quotas(quotas)
     , m_hooks(std::move(hooks))
     , m_timer(context)
     , m_selector(m_self, std::move(own), CoordinatorSelector::Options())
@@ -89,7 +91,8 @@
     if (m_hasMore)
         return Duration::zero();
     Instant now = std::chrono::steady_clock::now();
-    Duration interval = m_demand.isWaiting() || m_rateLimiter.isWaiting() ? waitingInterval(m_followers) : followInterval(m_followers);
+    bool isWaiting = m_demand.isWaiting() || m_rateLimiter.isWaiting() || m_quotas.isWaiting();
+    Duration interval = isWaiting ? waitingInterval(m_followers) : followInterval(m_followers);
     if (m_promptParts.expectsVerdict(now))
         interval = std::min(interval, verdictInterval(m_followers));
     return lastPoll + (m_isPollRequested ? urgentFollowInterval : interval) - now;
@@ -102,6 +105,7 @@
     PromptPartReport promptParts = m_promptParts.takeReport(currentTime());
     ByteString request = nextRequest(promptParts);
     Instant asked = currentTime();
+    m_asked = m_suspendAwareClock.now();
     auto bytes = co_await m_client.call(target, PeerMethod::FollowFleet, std::move(request), m_options.timeout);
     Instant now = std::chrono::steady_clock::now();
     std::string fault;
@@ -145,6 +149,7 @@
     request.promptParts = promptParts;
     request.rateLimits = m_rateLimiter.notices();
     request.rateDemands = m_rateLimiter.takeDemands(currentTime());
+    request.quotaReports = m_quotas.takeReports(m_suspendAwareClock.now());
     return encodeFollowRequest(request);
 }
 
@@ -194,10 +199,22 @@
         m_expectedReadyTimes[{ expectation.service, expectation.model }] = now + expectation.remaining;
     m_promptParts.applyVerdicts(reply.suspectParts, reply.trialParts, now);
     m_rateLimiter.applyReply(reply, asked, now);
+    applyConfirmation(reply);
     m_hooks.changed(unusedAddresses);
     return {};
 }
 
+/** Counted from the poll, since the reply may have been on its way, or this host suspended, for any time. */
+void CoordinatorLink::applyConfirmation(const FollowReply& reply)
+{
+    if (!reply.confirmedAge)
+        return;
+    Instant confirmed = m_asked - *reply.confirmedAge;
+    m_quotas.applyGrants(reply.quotaGrants, confirmed, m_suspendAwareClock.now());
+    if (m_version >= reply.version)
+        m_access.noteConfirmed(confirmed);
+}
+
 /** Only a current reply is trusted, unless this gateway has had no configuration for the leader time-out. */
 void CoordinatorLink::applyConfiguration(const FollowReply& reply, Instant now)
 {
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -1,8 +1,10 @@
 #pragma once
 
+#include "gateway/AccessControl.h"
 #include "gateway/CoordinatorSelector.h"
 #include "gateway/DemandTracker.h"
 #include "gateway/PromptPartMonitor.h"
+#include "gateway/QuotaLimiter.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
 #include "hemlockchute/peer/PeerClient.h"
@@ -16,7 +18,7 @@
 //==============================================================================
 /**
     Polls the leading coordinator, directly or through a relay: reports the demand, and receives the
-    configuration, the placement and when missing models are expected to be ready.
+    configuration, the placement, units of quotas, and when missing models are expected to be ready.
 
     Thread safety: only on the io_context, which runs one thread.
 */
@@ -39,7 +41,7 @@
         std::function<void(const std::vector<Endpoint>& unusedAddresses)> changed;
     };
 
-    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options, ServerTable&, DemandTracker&, PromptPartMonitor&, ServerRateLimiter&, Hooks);
+    CoordinatorLink(boost::asio::io_context&, PeerClient&, HostName self, DataCentreName own, const std::vector<Endpoint>& seeds, Options, ServerTable&, DemandTracker&, PromptPartMonitor&, ServerRateLimiter&, AccessControl&, QuotaLimiter&, Hooks);
 
     void start();
     void stop();
@@ -67,6 +69,7 @@
     void logIfLost(const Endpoint& polled, const std::string& fault, Instant now);
     std::string applyReply(const Endpoint& polled, const FollowReply&, Instant asked, Instant now);
     void applyConfiguration(const FollowReply&, Instant now);
+    void applyConfirmation(const FollowReply&);
     Duration timeToNextPoll(Instant lastPoll) const;
 
     PeerClient& m_client;
@@ -76,6 +79,11 @@
     DemandTracker& m_demand;
     PromptPartMonitor& m_promptParts;
     ServerRateLimiter& m_rateLimiter;
+    AccessControl& m_access;
+    QuotaLimiter& m_quotas;
+    SuspendAwareClock m_suspendAwareClock;
+    /** When the poll in progress was sent, by that clock. */
+    Instant m_asked {};
     Hooks m_hooks;
     boost::asio::steady_timer m_timer;
     CoordinatorSelector m_selector;
--- a/modules/hc_gateway/gateway/ForwardingTimes.h
+++ b/modules/hc_gateway/gateway/ForwardingTimes.h
@@ -25,6 +25,7 @@
 inline constexpr Duration abortLeadTime = 300ms;
 /** The process begins to end this long before the end of the grace period: whoever started it kills it there, and the end itself takes time. */
 inline constexpr Duration exitLeadTime = 100ms;
+inline constexpr unsigned statusUnauthorized = 401;
 inline constexpr unsigned statusUnavailable = 503;
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -33,6 +33,7 @@
 
 constexpr MetricDefinition versionMetric { "hemlock_gateway_configuration_version", "The configuration in force here; 0 before the first." };
 constexpr MetricDefinition placementAgeMetric { "hemlock_gateway_placement_age_seconds", "Time since a coordinator that leads was heard." };
+constexpr MetricDefinition acceptsKeysMetric { "hemlock_gateway_accepts_keys", "Whether requests with an access key are served, 1 or 0." };
 constexpr MetricDefinition requestsHereMetric { "hemlock_gateway_requests_in_progress", "Requests that wait or run." };
 
 HttpClient::Options clientOptions()
@@ -77,14 +78,15 @@
     , m_client(clientOptions())
     , m_peers(context, { settings.clusterName, settings.clusterKey, settings.host, "gateway" }, PeerClient::Options())
     , m_servers(settings.dataCentre, tableOptions(settings))
-    , m_link(context, m_peers, settings.host, settings.dataCentre, settings.seeds, linkOptions(settings), m_servers, m_demand, m_promptParts, m_rateLimiter,
+    , m_access(settings.access)
+    , m_link(context, m_peers, settings.host, settings.dataCentre, settings.seeds, linkOptions(settings), m_servers, m_demand, m_promptParts, m_rateLimiter, m_access, m_quotas,
           { [this](ConfigurationVersion version, const ByteString& body) { applyConfiguration(version, body); },
               [this](const std::vector<Endpoint>& unusedAddresses) {
                   closeConnections(unusedAddresses);
                   m_core.retries.setHostCount(std::max(1U, m_link.gateways().value_or(1)));
                   m_core.stateChanged.notifyAll();
               } })
-    , m_core(platform, settings, m_client, m_link, m_servers, m_demand, m_promptParts, m_rateLimiter)
+    , m_core(platform, settings, m_client, m_link, m_servers, m_demand, m_promptParts, m_rateLimiter, m_access, m_quotas)
     , m_listing(context, platform, m_client, settings.listing, listingOptions(settings), [this](std::vector<ListedServer> servers, Instant) { updateListing(std::move(servers)); })
     , m_callers(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); })
     , m_readiness(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); })
@@ -191,6 +193,7 @@
     Instant now = std::chrono::steady_clock::now();
     m_core.metrics.set(versionMetric, m_core.configuration ? static_cast<double>(m_core.configuration->version().value()) : 0);
     m_core.metrics.set(placementAgeMetric, std::chrono::duration<double>(m_link.sinceLastContact(now)).count());
+    m_core.metrics.set(acceptsKeysMetric, m_acceptsKeys ? 1 : 0);
     m_core.metrics.set(requestsHereMetric, static_cast<double>(m_core.requests->size()));
     HttpResponse response = HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText());
     co_await exchange.respond(std::move(response));
@@ -209,9 +212,10 @@
     }
     m_core.configuration = std::move(*configuration);
     m_link.noteVersion(version);
+    m_quotas.setQuotas(m_core.configuration->workspaces());
     const CallerLimits& limits = m_core.configuration->limits();
     m_callers.setOptions(HttpServer::Options().withSingleThread().withMaximumHeaderBytes(limits.headerBytes).withMaximumBodyBytes(limits.bodyBytes).withReadTimeout(bodyTimeoutFactor * limits.headerTimeout).withIdleTimeout(limits.idleTimeout));
-    logEvent(EventId::GatewayConfigurationInForce, { { "version", version }, { "routes", m_core.configuration->routes().size() } });
+    logEvent(EventId::GatewayConfigurationInForce, { { "version", version }, { "routes", m_core.configuration->routes().size() }, { "workspaces", m_core.configuration->workspaces().size() } });
 }
 
 void Gateway::updateListing(std::vector<ListedServer> servers)
@@ -239,6 +243,7 @@
         return server && server->startedAt == life.startedAt;
     };
     m_promptParts.update(isListed, now);
+    logAccess();
     m_listTimer.expires_after(listCheckInterval);
     m_listTimer.async_wait([this](const boost::system::error_code& error) {
         if (!error)
@@ -246,6 +251,15 @@
     });
 }
 
+/** Requests with a key are refused meanwhile, each with a line of its own. */
+void Gateway::logAccess()
+{
+    bool requiresKeys = m_core.configuration && m_core.configuration->requiresKeys();
+    bool accepts = !requiresKeys || m_access.isConfirmed(m_core.suspendAwareClock.now());
+    if (accepts != std::exchange(m_acceptsKeys, accepts))
+        logEvent(accepts ? EventId::GatewayKeysAccepted : EventId::GatewayKeysUnconfirmed, { { "version", m_core.configuration->version() }, { "placement_age_ms", milliseconds(m_link.sinceLastContact(currentTime())) } });
+}
+
 void Gateway::closeBrokenConnections()
 {
     m_client.closeBrokenConnections();
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -35,6 +35,7 @@
     void closeConnections(const std::vector<Endpoint>&);
     void checkServers();
     void closeBrokenConnections();
+    void logAccess();
     bool isReady() const;
     void abortRequests();
     void finishStop();
@@ -47,6 +48,8 @@
     DemandTracker m_demand;
     PromptPartMonitor m_promptParts { PromptPartMonitor::Options() };
     ServerRateLimiter m_rateLimiter { ServerRateLimiter::Options(), std::random_device {}() };
+    AccessControl m_access;
+    QuotaLimiter m_quotas { QuotaLimiter::Options() };
     CoordinatorLink m_link;
     GatewayCore m_core;
     ListingPoller m_listing;
@@ -58,6 +61,8 @@
     boost::asio::steady_timer m_stopTimer;
     boost::asio::steady_timer m_endTimer;
     std::function<void()> m_onStopped;
+    /** True while access keys are accepted. */
+    bool m_acceptsKeys = true;
 };
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "gateway/AccessControl.h"
 #include "gateway/AsyncConditionVariable.h"
 #include "gateway/CoordinatorLink.h"
 #include "gateway/DemandTracker.h"
 #include "gateway/GatewaySettings.h"
 #include "gateway/PromptPartMonitor.h"
+#include "gateway/QuotaLimiter.h"
 #include "gateway/ServerAdmission.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
@@ -29,7 +31,7 @@
     @see RequestForwarder
 */
 struct GatewayCore {
-    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandTracker& demandLedger, PromptPartMonitor& promptPartMonitor, ServerRateLimiter& serverRateLimiter)
+    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandTracker& demandLedger, PromptPartMonitor& promptPartMonitor, ServerRateLimiter& serverRateLimiter, AccessControl& accessControl, QuotaLimiter& quotaLimiter)
         : platform(fleetPlatform)
         , client(httpClient)
         , link(coordinatorLink)
@@ -37,6 +39,8 @@
         , demand(demandLedger)
         , promptParts(promptPartMonitor)
         , rateLimiter(serverRateLimiter)
+        , access(accessControl)
+        , quotas(quotaLimiter)
         , retries(settings.retries)
     {
     }
@@ -48,6 +52,10 @@
     DemandTracker& demand;
     PromptPartMonitor& promptParts;
     ServerRateLimiter& rateLimiter;
+    AccessControl& access;
+    QuotaLimiter& quotas;
+    /** For access keys and quotas, which a host must not use longer because it was suspended. */
+    SuspendAwareClock suspendAwareClock;
     RetryBudget retries;
     ServerAdmission admission { servers, rateLimiter, ServerAdmission::Options() };
     AsyncConditionVariable stateChanged;
--- a/modules/hc_gateway/gateway/GatewaySettings.cpp
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -43,6 +43,9 @@
     settings.retries = settings.retries.withRatio(retries.number("ratio", settings.retries.ratio, 0, 1));
     settings.retries = settings.retries.withAllowance(static_cast<unsigned>(retries.integer("allowance", settings.retries.allowance, 0, largestAllowance)));
     settings.retries = settings.retries.withWindow(retries.duration("window", settings.retries.window));
+    SettingsTable access = file.root().table("access");
+    if (access.has("revocation"))
+        settings.access = settings.access.withRevocation(access.duration("revocation", Duration::zero()));
     settings.grace = file.root().table("stop").duration("grace", settings.grace);
     settings.log = readLogOptions(file.root().table("log"));
     faults = file.faults();
--- a/modules/hc_gateway/gateway/GatewaySettings.h
+++ b/modules/hc_gateway/gateway/GatewaySettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/AccessControl.h"
 #include "hemlockchute/fleet/RetryBudget.h"
 #include "hemlockchute/policy/ServerNotices.h"
 #include "hemlockchute/settings/settings.h"
@@ -34,6 +35,7 @@
     /** Bounds on the notices in servers' responses. */
     ServerNotices::Options notices;
     RetryBudget::Options retries;
+    AccessControl::Options access;
     /** The time from the stop signal to the end of the process. */
     Duration grace = 8s;
     LogOptions log;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -63,6 +63,7 @@
 {
     m_call->answer = nullptr;
     m_call->silentAnswer = nullptr;
+    settleQuota();
     m_requests->erase(this);
 }
 
@@ -99,6 +100,9 @@
         co_await refuse(statusNotFound, "no route matches");
         co_return;
     }
+    bool isAllowed = co_await checkAccess();
+    if (!isAllowed)
+        co_return;
     if (!prepare()) {
         co_await refuse(statusUnavailable, "the service does not declare the model", minimumRetryAfter);
         co_return;
@@ -107,6 +111,11 @@
         co_await refuse(statusUnavailable, "the gateway stops before the request's deadline", minimumRetryAfter);
         co_return;
     }
+    bool isAdmitted = co_await admitToQuota();
+    if (!isAdmitted)
+        co_return;
+    if (hasModel())
+        m_core.demand.noteArrival(m_key, rank());
     co_await forward();
 }
 
@@ -155,7 +164,6 @@
     m_key.adapter = m_metadata.adapter;
     if (!service->engine->models.contains(m_key.model))
         return false;
-    m_core.demand.noteArrival(m_key, m_route->rank);
     std::vector<PromptPartKey> parts = sharedPartKeys(m_metadata);
     m_suspectKeys.insert(m_suspectKeys.end(), parts.begin(), parts.end());
     return true;
@@ -184,8 +192,9 @@
         if (server)
             reserve(*server);
     }
-    // The verdict may have come while the request waited.
-    if (server && checkQuarantine())
+    // The verdict, or a configuration without the key, may have come while the request waited.
+    bool isRefusedNow = server && (checkQuarantine() || isAccessRevoked());
+    if (isRefusedNow)
         release(*std::exchange(server, std::nullopt));
     if (m_call->isCallerDisconnected) {
         if (server)
@@ -273,7 +282,7 @@
 /** Selects the best server that was not tried yet; nothing while all servers with the model are full for the request's rank. */
 std::optional<BackendServerName> RequestForwarder::pickServer()
 {
-    ServerSelection selection = m_core.admission.select(m_key, m_metadata, m_route->rank, m_triedServers, currentTime());
+    ServerSelection selection = m_core.admission.select(m_key, m_metadata, rank(), m_triedServers, currentTime());
     m_isFull = selection.isFull;
     m_pauses = std::move(selection.pauses);
     m_limited = std::move(selection.limited);
@@ -343,6 +352,7 @@
         use = HttpClient::ConnectionUse::Fresh;
     ServerIncarnation incarnation = lifeOf(*server);
     ++m_sends;
+    noteQuotaSent();
     m_isReading = true;
     m_hasHead = false;
     Instant sent = currentTime();
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -82,6 +82,13 @@
     bool outlastsProcess() const;
     boost::asio::awaitable<void> awaitReadiness();
     bool prepare();
+    boost::asio::awaitable<bool> checkAccess();
+    bool isAccessRevoked();
+    boost::asio::awaitable<bool> admitToQuota();
+    QuotaLimiter::Admission takeQuota();
+    void noteQuotaSent();
+    void settleQuota();
+    unsigned rank() const;
     boost::asio::awaitable<void> forward();
     boost::asio::awaitable<bool> tryOnce();
     boost::asio::awaitable<Outcome> attemptAt(const BackendServerName&);
@@ -151,6 +158,13 @@
     Instant m_received;
     RouteConfigurationPointer m_configuration;
     const Route* m_route = nullptr;
+    /** The workspace of the caller's key; null if the configuration has none, or the route is public. */
+    const Workspace* m_workspace = nullptr;
+    /** What the request costs its workspace; 0 unless it was admitted to a quota. */
+    std::uint64_t m_quotaCost = 0;
+    bool m_isQuotaSent = false;
+    /** True once a server's response was forwarded. */
+    bool m_hasSucceeded = false;
     RequestMetadata m_metadata;
     ModelKey m_key;
     /** The key of the request, which is the same for each try of it by its caller, and those of the prompt's parts that other requests may share. */
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -181,6 +181,8 @@
 {
     noteRefused(status, reason, retryAfter.value_or(Duration::zero()));
     HttpResponse response = refusal(status, reason, retryAfter);
+    if (status == statusUnauthorized)
+        response.headers.set("WWW-Authenticate", "Bearer");
     co_await m_exchange.respond(std::move(response));
 }
 
@@ -211,13 +213,16 @@
 
 ForwardingTerms RequestForwarder::termsFor(const BackendServerName& server) const
 {
-    return { timeLeft(), server, m_route->rank, m_lastEvent };
+    ForwardingTerms terms { timeLeft(), server, rank(), m_lastEvent };
+    terms.hidesAccess = m_configuration->requiresKeys();
+    terms.workspace = m_workspace ? m_workspace->name : WorkspaceName();
+    return terms;
 }
 
 void RequestForwarder::noteRefused(unsigned status, std::string_view reason, Duration retryAfter)
 {
     Duration age = m_core.link.sinceLastContact(currentTime());
-    logEvent(EventId::GatewayRefused, { { "request", m_metadata.attempt }, { "route", m_route ? m_route->name : std::string() }, { "version", m_configuration ? m_configuration->version().value() : 0 }, { "model", m_key.model }, { "status", status }, { "reason", reason }, { "waited_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) }, { "sends", m_sends }, { "retry_after_ms", milliseconds(retryAfter) }, { "placement_age_ms", milliseconds(age) } });
+    logEvent(EventId::GatewayRefused, { { "request", m_metadata.attempt }, { "route", m_route ? m_route->name : std::string() }, { "version", m_configuration ? m_configuration->version().value() : 0 }, { "workspace", m_workspace ? m_workspace->name : WorkspaceName() }, { "model", m_key.model }, { "status", status }, { "reason", reason }, { "waited_ms", milliseconds(elapsed()) }, { "left_ms", milliseconds(timeLeft()) }, { "sends", m_sends }, { "retry_after_ms", milliseconds(retryAfter) }, { "placement_age_ms", milliseconds(age) } });
     countOutcome(std::to_string(status));
 }
 
@@ -229,16 +234,17 @@
 
 void RequestForwarder::noteAnswered(const BackendServerName& server, unsigned status)
 {
-    MetricLabels rank { { "rank", std::to_string(m_route->rank) } };
-    m_core.metrics.observe(firstByteMetric, m_firstByte, rank);
-    m_core.metrics.observe(wholeMetric, elapsed(), rank);
+    m_hasSucceeded = true;
+    MetricLabels labels { { "rank", std::to_string(rank()) } };
+    m_core.metrics.observe(firstByteMetric, m_firstByte, labels);
+    m_core.metrics.observe(wholeMetric, elapsed(), labels);
     countOutcome(std::to_string(status));
     logEvent(EventId::GatewayAnswered, { { "request", m_metadata.attempt }, { "route", m_route->name }, { "version", m_configuration->version() }, { "model", m_key.model }, { "server", server }, { "status", status }, { "sends", m_sends }, { "first_ms", milliseconds(m_firstByte) }, { "whole_ms", milliseconds(elapsed()) } });
 }
 
 void RequestForwarder::countOutcome(std::string_view outcome)
 {
-    m_core.metrics.add(requestsMetric, { { "rank", m_route ? std::to_string(m_route->rank) : "none" }, { "outcome", std::string(outcome) } });
+    m_core.metrics.add(requestsMetric, { { "rank", m_route ? std::to_string(rank()) : "none" }, { "outcome", std::string(outcome) } });
 }
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/RequestForwarderRateLimits.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderRateLimits.cpp
@@ -40,9 +40,9 @@
     if (isCurrentBest || best == m_rateWait)
         return;
     if (m_rateWait)
-        m_core.rateLimiter.addWaiting(*m_rateWait, m_route->rank, -1);
+        m_core.rateLimiter.addWaiting(*m_rateWait, rank(), -1);
     if (best)
-        m_core.rateLimiter.addWaiting(*best, m_route->rank, 1);
+        m_core.rateLimiter.addWaiting(*best, rank(), 1);
     if (!m_rateWait)
         m_rateWaitSince = now;
     m_rateWait = std::move(best);
@@ -51,7 +51,7 @@
 /** When a server with a rate limit is expected to leave room for the request. */
 Instant RequestForwarder::rateAdmission(const ServerIncarnation& server, Instant now) const
 {
-    return m_core.rateLimiter.expectedAdmission(server, m_route->rank, m_rateWait == server, now);
+    return m_core.rateLimiter.expectedAdmission(server, rank(), m_rateWait == server, now);
 }
 
 /** The limited servers are in demand, although the request goes elsewhere. */
@@ -83,7 +83,7 @@
 {
     auto expected = hasModel() ? m_core.link.expectedReadyTime(m_key.service, m_key.model) : std::nullopt;
     // A rate that was not used has left room at the leader, of which only its reply tells.
-    if (m_rateWait && now - m_rateWaitSince < rateReplyTimeout && !m_core.rateLimiter.areOthersWaiting(*m_rateWait, m_route->rank))
+    if (m_rateWait && now - m_rateWaitSince < rateReplyTimeout && !m_core.rateLimiter.areOthersWaiting(*m_rateWait, rank()))
         return false;
     Instant next = *expectedRateAdmission(now);
     m_lastFault = "every server that could take the request limits its rate, " + m_limited.front().server.text() + " and others leave room in " + secondsText(next - now) + " s";
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -118,6 +118,10 @@
 asio::awaitable<std::optional<RequestForwarder::Outcome>> RequestForwarder::tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer)
 {
     auto server = takeSuccessor();
+    if (server && isAccessRevoked()) {
+        release(*server);
+        server.reset();
+    }
     if (!server) {
         watchSilence();
         co_return std::nullopt;
--- a/modules/hc_gateway/tests/GatewaySettingsTests.cpp
+++ b/modules/hc_gateway/tests/GatewaySettingsTests.cpp
@@ -58,6 +58,8 @@
 BOOST_AUTO_TEST_CASE(validSettingsHaveNoFault)
 {
     BOOST_TEST(faultsOf(validSettings).empty());
+    // Generated files write whole numbers without a decimal point.
+    BOOST_TEST(faultsOf(validSettings + "[retries]\nratio = 1\n[access]\nrevocation = \"5s\"\n").empty());
     BOOST_TEST(faultsOf(validSettings + "[stop]\ngrace = \"3s\"\n[log]\nlines_per_second = 50\nmost_waiting = \"64KiB\"\n").empty());
 }
 
--- a/modules/hc_settings/settings/SettingsFile.cpp
+++ b/modules/hc_settings/settings/SettingsFile.cpp
@@ -195,7 +195,10 @@
 
 double SettingsTable::number(std::string_view key, double fallback, double minimum, double maximum) const
 {
-    auto given = m_impl->value<double>(key, "a number");
+    // Generated settings contain whole numbers without a decimal point.
+    const toml::node* node = m_impl->find(key);
+    bool isWhole = node && node->is_integer();
+    auto given = isWhole ? node->value<double>() : m_impl->value<double>(key, "a number");
     if (!given && has(key))
         return fallback;
     double number = given.value_or(fallback);
