Let a burst flow in over the window, and grant whole requests of a quota at its limit

Cause: a workspace whose demand stays above its rate got the rate only, though each window allows the burst besides, and hosts held remainders smaller than a request, which counted against the capacity.

Change: as much of the burst as hosts need not hold flows in over the window; a share too small for a request is credited until it suffices; a remainder is given back.

--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -84,6 +84,7 @@
   refused @3 :UInt64;
   reserve @4 :UInt64;
   returned @5 :UInt64;
+  requestCost @6 :UInt64;
 }
 
 struct QuotaGrant {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -201,7 +201,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b3bd9091a3646f2b, 5, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(b3bd9091a3646f2b, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1396,6 +1396,8 @@
 
   inline  ::uint64_t getReturned() const;
 
+  inline  ::uint64_t getRequestCost() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1446,6 +1448,9 @@
   inline  ::uint64_t getReturned();
   inline void setReturned( ::uint64_t value);
 
+  inline  ::uint64_t getRequestCost();
+  inline void setRequestCost( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3739,6 +3744,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t QuotaReport::Reader::getRequestCost() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t QuotaReport::Builder::getRequestCost() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void QuotaReport::Builder::setRequestCost( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool QuotaGrant::Reader::hasWorkspace() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -285,6 +285,7 @@
         to[i].setRefused(from[i].refused);
         to[i].setReserve(from[i].reserve);
         to[i].setReturned(from[i].returned);
+        to[i].setRequestCost(from[i].requestCost);
     }
 }
 
@@ -292,7 +293,7 @@
 {
     std::vector<QuotaReport> all;
     for (auto each : from)
-        all.push_back({ WorkspaceName(textOf(each.getWorkspace())), each.getHeld(), each.getWaiting(), each.getRefused(), each.getReserve(), each.getReturned() });
+        all.push_back({ WorkspaceName(textOf(each.getWorkspace())), each.getHeld(), each.getWaiting(), each.getRefused(), each.getReserve(), each.getReturned(), each.getRequestCost() });
     return all;
 }
 
--- a/modules/hc_fleet/fleet/QuotaPool.cpp
+++ b/modules/hc_fleet/fleet/QuotaPool.cpp
@@ -81,13 +81,18 @@
     std::erase_if(m_pools, [&](const auto& item) { return !limited.contains(item.first); });
 }
 
-/** The units that are left for hosts to hold beside the inflow, so that the use in a window stays within its bound. */
-double QuotaPool::capacityOf(const Quota& quota) const
+/** Divides what may be used in a window into what hosts may hold and what flows in. As much of the burst as hosts need not hold flows in over the window: a workspace that is at its limit for longer than a moment gets more of what its quota allows in each window. */
+QuotaPool::Flow QuotaPool::flowOf(const Quota& quota) const
 {
-    double tolerated = m_options.overshoot * (quota.perSecond * seconds(m_options.window) + quota.burst) + m_options.slack;
-    // The reserve of a takeover is added to what hosts hold of the former leader.
+    double tolerated = m_options.usableShare * (m_options.overshoot * (quota.perSecond * seconds(m_options.window) + quota.burst) + m_options.slack);
+    // What the next leader may have free is added to what hosts hold of the former leader.
     double reserve = quota.perSecond * seconds(m_options.takeoverReserve);
-    return std::max(quota.burst + m_options.usableShare * tolerated - reserve, reserve);
+    double stock = quota.perSecond * seconds(m_options.stockTime);
+    double heldBurst = std::clamp(stock + reserve - tolerated, 0.0, quota.burst);
+    Flow flow;
+    flow.perSecond = quota.perSecond + (quota.burst - heldBurst) / seconds(m_options.window);
+    flow.capacity = std::max(heldBurst + tolerated - flow.perSecond * seconds(m_options.takeoverReserve), reserve);
+    return flow;
 }
 
 QuotaPool::Demand QuotaPool::demandOf(const Pool& pool, Instant now) const
@@ -99,6 +104,7 @@
         sum.needed += isAsking ? host.needed : 0;
         sum.waiting += isAsking ? host.waiting : 0;
         sum.reserve += isAsking ? host.reserve : 0;
+        sum.requestCost = std::max(sum.requestCost, host.requestCost);
     }
     return sum;
 }
@@ -113,11 +119,12 @@
     expire(pool, now);
     if (!pool.quota)
         return;
-    pool.free += pool.quota->perSecond * seconds(now - pool.refilled);
+    Flow flow = flowOf(*pool.quota);
+    pool.free += flow.perSecond * seconds(now - pool.refilled);
     pool.refilled = now;
-    double room = capacityOf(*pool.quota) - static_cast<double>(demandOf(pool, now).held);
+    double room = flow.capacity - static_cast<double>(demandOf(pool, now).held);
     if (now < m_takeoverEnd)
-        room = std::min(room, pool.quota->perSecond * seconds(m_options.takeoverReserve));
+        room = std::min(room, flow.perSecond * seconds(m_options.takeoverReserve));
     pool.free = std::clamp(pool.free, 0.0, std::max(room, 0.0));
 }
 
@@ -157,7 +164,7 @@
         std::uint64_t returned = free > 2 * stock ? free - 2 * stock : 0;
         pool.free -= static_cast<double>(returned);
         free -= returned;
-        QuotaReport report { name, demand.held + free, demand.waiting, demand.needed - demand.waiting, stock > free ? stock - free : 0, returned };
+        QuotaReport report { name, demand.held + free, demand.waiting, demand.needed - demand.waiting, stock > free ? stock - free : 0, returned, demand.requestCost };
         if (report.held + report.waiting + report.refused + report.reserve + report.returned > 0)
             all.push_back(report);
         else
@@ -198,9 +205,25 @@
     return grants;
 }
 
+/** Of a quota that is at its limit, hosts would otherwise get less than a request costs, and hold all of it without use. */
+double QuotaPool::takeWholeRequests(Host& host, double share)
+{
+    auto needed = static_cast<double>(host.needed);
+    if (share >= needed) {
+        host.credit = 0;
+        return share;
+    }
+    auto cost = static_cast<double>(host.requestCost);
+    host.credit = std::min(host.credit + share, needed);
+    double granted = std::floor(host.credit / cost) * cost;
+    host.credit -= granted;
+    return granted;
+}
+
 QuotaGrant QuotaPool::grant(Pool& pool, const HostName& name, const QuotaReport& report, Instant now)
 {
-    pool.hosts[name] = { report.held, report.waiting + report.refused, report.waiting, report.reserve, now };
+    Host& host = pool.hosts[name];
+    host = { report.held, report.waiting + report.refused, report.waiting, report.reserve, std::max<std::uint64_t>(report.requestCost, 1), now, host.credit };
     pool.free += static_cast<double>(report.returned);
     refill(pool, now);
     Demand demand = demandOf(pool, now);
@@ -209,15 +232,15 @@
     double keptForWaiting = 0;
     if (pool.quota) {
         reply.isExhausted = needed > pool.free;
-        reply.untilRoom = durationOf((static_cast<double>(demand.waiting) - pool.free) / pool.quota->perSecond);
-        keptForWaiting = capacityOf(*pool.quota) * m_options.unreservedShare;
+        Flow flow = flowOf(*pool.quota);
+        reply.untilRoom = durationOf((static_cast<double>(demand.waiting) - pool.free) / flow.perSecond);
+        keptForWaiting = flow.capacity * m_options.unreservedShare;
     }
-    double forWaiting = shareOf(report.waiting + report.refused, needed, pool.free);
+    double forWaiting = takeWholeRequests(host, shareOf(host.needed, needed, pool.free));
     double forReserve = shareOf(report.reserve, static_cast<double>(demand.reserve), pool.free - needed - keptForWaiting);
     reply.granted = static_cast<std::uint64_t>(std::min(forWaiting + forReserve, pool.free));
     pool.free -= static_cast<double>(reply.granted);
     pool.recentlyGranted += static_cast<double>(reply.granted);
-    Host& host = pool.hosts[name];
     host.held += reply.granted;
     std::uint64_t served = std::min(host.needed, reply.granted);
     host.needed -= served;
--- a/modules/hc_fleet/include/hemlockchute/fleet/QuotaPool.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/QuotaPool.h
@@ -24,6 +24,8 @@
     std::uint64_t reserve = 0;
     /** What it gives back; not part of `held`. */
     std::uint64_t returned = 0;
+    /** The mean cost of a request. */
+    std::uint64_t requestCost = 1;
 };
 
 /** The reply to a QuotaReport. */
@@ -68,6 +70,8 @@
         Duration holdLifetime = 3s;
         /** The part of the capacity that is kept for requests that wait, and not given to hosts in reserve: a long request may need more than a host holds. */
         double unreservedShare = 0.3;
+        /** Hosts hold the rate of this time at least, if the burst allows it; bridges a few polls. */
+        Duration stockTime = 1s;
         /** The inflow that may be free while hosts may still hold units of a former leader. */
         Duration takeoverReserve = 500ms;
         /** What hosts ask for counts for this long unless it is replaced. */
@@ -110,7 +114,10 @@
         std::uint64_t needed = 0;
         std::uint64_t waiting = 0;
         std::uint64_t reserve = 0;
+        std::uint64_t requestCost = 1;
         Instant reportedAt {};
+        /** Its share of what was free, as far as it was too small to be granted. */
+        double credit = 0;
     };
 
     struct Pool {
@@ -131,13 +138,21 @@
         std::uint64_t needed = 0;
         std::uint64_t waiting = 0;
         std::uint64_t reserve = 0;
+        std::uint64_t requestCost = 1;
     };
 
-    double capacityOf(const Quota&) const;
+    /** What hosts may hold and what is free, together; and what is added to it. */
+    struct Flow {
+        double capacity = 0;
+        double perSecond = 0;
+    };
+
+    Flow flowOf(const Quota&) const;
     Demand demandOf(const Pool&, Instant now) const;
     void refill(Pool&, Instant now) const;
     void expire(Pool&, Instant now) const;
     QuotaGrant grant(Pool&, const HostName&, const QuotaReport&, Instant now);
+    static double takeWholeRequests(Host&, double share);
     void dropIfUnused(const WorkspaceName&);
 
     Options m_options;
--- a/modules/hc_gateway/gateway/QuotaLimiter.cpp
+++ b/modules/hc_gateway/gateway/QuotaLimiter.cpp
@@ -127,9 +127,11 @@
     for (auto& [name, entry] : m_entries) {
         decay(entry, now);
         double reserve = reserveOf(entry, now);
-        double surplus = std::floor(std::max(entry.held - surplusFactor * reserve, 0.0));
+        // What is left of a quota at its limit and does not suffice for a request would keep others from it.
+        bool isRemainder = entry.refused > 0 && entry.held < m_meanCost;
+        double surplus = std::floor(isRemainder ? entry.held : std::max(entry.held - surplusFactor * reserve, 0.0));
         entry.held -= surplus;
-        QuotaReport report { name, wholeUnits(std::ceil(entry.held + entry.unsent)), static_cast<std::uint64_t>(entry.waiting), wholeUnits(std::exchange(entry.refused, 0)), wholeUnits(reserve - entry.held), wholeUnits(surplus) };
+        QuotaReport report { name, wholeUnits(std::ceil(entry.held + entry.unsent)), static_cast<std::uint64_t>(entry.waiting), wholeUnits(std::exchange(entry.refused, 0)), wholeUnits(reserve - entry.held), wholeUnits(surplus), std::max<std::uint64_t>(wholeUnits(m_meanCost), 1) };
         if (report.held + report.waiting + report.refused + report.reserve + report.returned > 0)
             reports.push_back(report);
     }
