Send large configurations compressed and in parts

The coordinator that answers now compresses a body of more than 32 KiB once per version, and sends 32 KiB of it in each reply.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -339,7 +339,7 @@
     }
     // After a restart the configuration on disk may be outdated; it is not passed on before contact with a leader.
     if (reply.isCurrent || m_hasLed || m_relay.hasCaughtUp())
-        fillConfiguration(reply, request->configuration);
+        fillConfiguration(reply, *request);
     call.reply(encodeFollowReply(reply));
 }
 
@@ -396,15 +396,12 @@
         reply.quotaGrants = m_quotas.take(request.host, request.quotaReports, m_clock.now());
 }
 
-/** Fills in the newest configuration known here, if it is newer than the one known to the requester. */
-void Coordinator::fillConfiguration(FollowReply& reply, ConfigurationVersion known) const
+/** Fills in the newest configuration known here, or a part of it, if it is newer than the one known to the requester. */
+void Coordinator::fillConfiguration(FollowReply& reply, const FollowRequest& request)
 {
     auto agreed = m_register.current();
     const ConfigurationBody& relayed = m_relay.configuration();
-    bool isRelayedNewer = relayed.version > agreed->version;
-    reply.version = isRelayedNewer ? relayed.version : agreed->version;
-    if (reply.version > known)
-        reply.configuration = isRelayedNewer ? relayed.body : agreed->body;
+    m_compressed.fill(reply, request, relayed.version > agreed->version ? relayed : *agreed);
 }
 
 /** The coordinators that gateways should follow, including this one; empty while there are few gateways. */
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -7,6 +7,7 @@
 #include "coordinator/PlacementDirector.h"
 #include "coordinator/VoterPolicy.h"
 #include "hemlockchute/core/RoleService.h"
+#include "hemlockchute/fleet/CompressedConfiguration.h"
 #include "hemlockchute/fleet/CoordinatorAddress.h"
 #include "hemlockchute/fleet/ListingPoller.h"
 #include "hemlockchute/fleet/ResultQueue.h"
@@ -85,7 +86,7 @@
     void serveCalls();
     void serveAgreement(PeerCall);
     void serveFollow(PeerCall);
-    void fillConfiguration(FollowReply&, ConfigurationVersion known) const;
+    void fillConfiguration(FollowReply&, const FollowRequest&);
     void recordPromptParts(const FollowRequest&, FollowReply&, Instant now);
     void recordRateLimits(const FollowRequest&, FollowReply&, Instant now);
     void grantQuotas(const FollowRequest&, FollowReply&);
@@ -126,6 +127,7 @@
     RateGrantPool m_rateGrants { RateGrantPool::Options() };
     QuotaPool m_quotas;
     FleetRelay m_relay;
+    CompressedConfiguration m_compressed { CompressedConfiguration::Options() };
     ListingPoller m_listing;
     HttpServer m_operators;
     HttpServer m_metricsPage;
--- a/modules/hc_coordinator/coordinator/FleetRelay.cpp
+++ b/modules/hc_coordinator/coordinator/FleetRelay.cpp
@@ -169,7 +169,7 @@
         interval = std::min(interval, minimumVerdictInterval);
     if (m_isPollRequested)
         interval = urgentFollowInterval;
-    if (m_incoming)
+    if (m_incoming || m_hasMoreConfiguration)
         interval = Duration::zero();
     return asked + interval - now;
 }
@@ -178,6 +178,7 @@
 {
     Instant asked = currentTime();
     Instant askedSuspendAware = m_suspendAwareClock.now();
+    m_hasMoreConfiguration = false;
     FollowRequest sent = nextRequest(asked);
     ByteString request = encodeFollowRequest(sent);
     auto bytes = co_await m_client.call(endpointOf(leader), PeerMethod::FollowFleet, std::move(request), m_options.timeout);
@@ -204,6 +205,7 @@
     request.dataCentre = m_identity.dataCentre;
     request.gateways = m_gateways.gateways();
     request.configuration = std::max(m_hooks.version(), m_configuration.version);
+    m_assembler.fill(request);
     request.epoch = table.epoch();
     request.revision = table.revision();
     for (const auto& [key, wanted] : m_gateways.wanted())
@@ -301,8 +303,7 @@
 {
     if (reply.listAge)
         applyServers(reply);
-    if (reply.version > m_configuration.version && !reply.configuration.empty())
-        m_configuration = { reply.version, std::move(reply.configuration) };
+    applyConfiguration(reply);
     m_hasCaughtUp = m_hasCaughtUp || std::max(m_hooks.version(), m_configuration.version) >= reply.version;
     m_replyRequestedAt = asked;
     for (PromptPartKey part : reply.trialParts)
@@ -323,6 +324,7 @@
     }
     reply.servers.clear();
     reply.gone.clear();
+    reply.configuration.clear();
     m_lastReply = std::move(reply);
 }
 
@@ -333,7 +335,7 @@
         m_incoming.emplace();
     FleetTable& table = m_incoming ? *m_incoming : m_table;
     table.apply(reply);
-    if (!m_incoming || reply.hasMore)
+    if (!m_incoming || reply.hasMoreServers())
         return;
     m_table = std::move(*m_incoming);
     m_incoming.reset();
@@ -341,4 +343,16 @@
     m_gateways.beginEpoch(m_table.epoch());
 }
 
+void FleetRelay::applyConfiguration(const FollowReply& reply)
+{
+    if (reply.version <= m_configuration.version)
+        return;
+    auto body = m_assembler.receive(reply);
+    m_hasMoreConfiguration = m_assembler.expectsMore();
+    if (!body)
+        logEvent(EventId::CoordinatorRelayUnreadable, { { "leader", formatEndpoint(endpointOf(reply.leader)) }, { "reason", body.error().detail } });
+    else if (*body)
+        m_configuration = { reply.version, std::move(**body) };
+}
+
 } // namespace hemlockchute
--- a/modules/hc_coordinator/coordinator/FleetRelay.h
+++ b/modules/hc_coordinator/coordinator/FleetRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "coordinator/GatewayTracker.h"
+#include "hemlockchute/fleet/ConfigurationAssembler.h"
 #include "hemlockchute/fleet/FleetTable.h"
 #include "hemlockchute/fleet/FollowIntervals.h"
 #include "hemlockchute/peer/PeerClient.h"
@@ -89,6 +90,7 @@
     void passTrialOn(FollowReply&, const std::vector<PromptPartKey>&, Instant now);
     void applyReply(FollowReply, Instant asked, Instant askedSuspendAware);
     void applyServers(const FollowReply&);
+    void applyConfiguration(const FollowReply&);
     void pollSoon();
     Duration timeToNextPoll(Instant asked, Instant now);
 
@@ -132,6 +134,10 @@
     std::map<ServerHandle, ServerLoad> m_otherOutstanding;
     std::map<ServerHandle, ServerLoad> m_reportedOutstanding;
     ConfigurationBody m_configuration;
+    /** The parts of a newer version while they arrive. */
+    ConfigurationAssembler m_assembler { ConfigurationAssembler::Options() };
+    /** True if the last poll brought a part of the configuration and more are missing. */
+    bool m_hasMoreConfiguration = false;
     bool m_hasCaughtUp = false;
     /** True if the last report held demand, so the leader must also learn when it ends. */
     bool m_hasReportedDemand = false;
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -330,6 +330,8 @@
     auto root = message.initRoot<fleetwire::FollowRequest>();
     root.setHost(request.host.text());
     root.setConfiguration(request.configuration.value());
+    root.setConfigurationPartOf(request.configurationPartOf.value());
+    root.setConfigurationOffset(request.configurationOffset);
     root.setEpoch(request.epoch);
     root.setRevision(request.revision);
     auto demands = root.initDemands(sizeOf(request.demands));
@@ -355,6 +357,8 @@
         FollowRequest request;
         request.host = HostName(textOf(root.getHost()));
         request.configuration = ConfigurationVersion(root.getConfiguration());
+        request.configurationPartOf = ConfigurationVersion(root.getConfigurationPartOf());
+        request.configurationOffset = root.getConfigurationOffset();
         request.epoch = root.getEpoch();
         request.revision = root.getRevision();
         for (auto demand : root.getDemands())
@@ -391,6 +395,8 @@
         coordinators.set(i, reply.coordinators[i].value());
     root.setVersion(reply.version.value());
     root.setConfiguration(dataOf(reply.configuration));
+    root.setConfigurationSize(reply.configurationSize);
+    root.setConfigurationOffset(reply.configurationOffset);
     root.setEpoch(reply.epoch);
     root.setRevision(reply.revision);
     root.setIsWhole(reply.isWhole);
@@ -436,6 +442,8 @@
             reply.coordinators.emplace_back(coordinator);
         reply.version = ConfigurationVersion(root.getVersion());
         reply.configuration = bytesOf(root.getConfiguration());
+        reply.configurationSize = root.getConfigurationSize();
+        reply.configurationOffset = root.getConfigurationOffset();
         reply.epoch = root.getEpoch();
         reply.revision = root.getRevision();
         reply.isWhole = root.getIsWhole();
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetMessages.h
@@ -83,7 +83,11 @@
     unsigned gateways = 1;
     /** True if the gateway switches to another coordinator; the request then only ends its reports. */
     bool isLast = false;
+    /** The version in force at the sender. */
     ConfigurationVersion configuration;
+    /** The version of which parts have arrived, none between transfers, and how many of its compressed bytes. */
+    ConfigurationVersion configurationPartOf;
+    std::uint64_t configurationOffset = 0;
     /** The state of the server list known to the sender; revisions and handles are valid within an epoch. */
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
@@ -122,13 +126,16 @@
     /** Coordinators that gateways should follow; empty if they should follow the leader. */
     std::vector<CoordinatorLocation> relays;
     ConfigurationVersion version;
-    /** Empty if the gateway already has that version. */
+    /** The whole body, or a part of the compressed one; empty if the gateway already has that version, or further servers come first. */
     ByteString configuration;
+    /** The size of the whole compressed body, 0 if it is sent uncompressed, and where the part begins in it. */
+    std::uint64_t configurationSize = 0;
+    std::uint64_t configurationOffset = 0;
     std::uint64_t epoch = 0;
     std::uint64_t revision = 0;
     /** True if `servers` starts a full list instead of continuing from the revision that the gateway knows. */
     bool isWhole = false;
-    /** True if more parts follow; the next one should be requested at once. */
+    /** True if more parts of the list or of the configuration follow; the next one should be requested at once. */
     bool hasMore = false;
     /** Servers, with the models for which requests may be sent to them. */
     std::vector<FleetEntry> servers;
@@ -154,6 +161,11 @@
     std::optional<Duration> confirmedAge;
     /** One for each report of the request. */
     std::vector<QuotaGrant> quotaGrants;
+
+    /** True if `configuration` is a part and not the last one. */
+    bool hasMoreConfiguration() const { return configurationOffset + configuration.size() < configurationSize; }
+    /** True if more servers follow: a part of the configuration other than the last one is sent only with the end of the list. */
+    bool hasMoreServers() const { return hasMore && !hasMoreConfiguration(); }
 };
 
 /** A configuration and its version, as replicated by the coordinators. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/fleet.h
@@ -7,6 +7,8 @@
 */
 #pragma once
 
+#include "hemlockchute/fleet/CompressedConfiguration.h"
+#include "hemlockchute/fleet/ConfigurationAssembler.h"
 #include "hemlockchute/fleet/CoordinatorAddress.h"
 #include "hemlockchute/fleet/EventStreamSplitter.h"
 #include "hemlockchute/fleet/FleetMessages.h"
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -12,6 +12,8 @@
     FollowRequest sent;
     sent.host = HostName("edge-1");
     sent.configuration = ConfigurationVersion(4);
+    sent.configurationPartOf = ConfigurationVersion(5);
+    sent.configurationOffset = 32768;
     sent.epoch = 5;
     sent.revision = 6;
     sent.demands = { { { ServiceName("llm"), ModelName("m"), AdapterName("a") }, 1, 2, 3, 4, 5 } };
@@ -32,6 +34,7 @@
     auto read = decodeFollowRequest(encodeFollowRequest(sent));
     BOOST_REQUIRE(read);
     BOOST_TEST((read->host == sent.host && read->configuration == sent.configuration && read->epoch == 5 && read->revision == 6));
+    BOOST_TEST((read->configurationPartOf == sent.configurationPartOf && read->configurationOffset == 32768));
     BOOST_REQUIRE(read->demands.size() == 1U);
     const ModelDemandReport& demand = read->demands.front();
     BOOST_TEST((demand.key == sent.demands.front().key));
@@ -66,6 +69,8 @@
     sent.coordinators = { KeeperId(9), KeeperId(10) };
     sent.version = ConfigurationVersion(3);
     sent.configuration = std::string("\0bytes\xff", 7);
+    sent.configurationSize = 100;
+    sent.configurationOffset = 64;
     sent.epoch = 11;
     sent.revision = 12;
     ListedServer server;
@@ -100,6 +105,7 @@
     BOOST_TEST((read->epoch == 11 && read->revision == 12 && read->gateways == 7));
     BOOST_REQUIRE(read->servers.size() == 1U);
     BOOST_TEST((read->servers.front().server == server && read->servers.front().handle == ServerHandle(4) && read->servers.front().revision == 12));
+    BOOST_TEST((read->configurationSize == 100 && read->configurationOffset == 64 && read->hasMoreConfiguration() && !read->hasMoreServers()));
     BOOST_TEST((read->isWhole && read->hasMore && read->gone == sent.gone && read->listAge == sent.listAge));
     BOOST_TEST((read->age == 40ms && read->relays == sent.relays && read->followers == 5));
     BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(4) && read->outstanding.front().load.requests == 2));
--- a/modules/hc_gateway/gateway/CoordinatorLink.cpp
+++ b/modules/hc_gateway/gateway/CoordinatorLink.cpp
@@ -140,6 +140,7 @@
     FollowRequest request;
     request.host = m_self;
     request.configuration = m_version;
+    m_assembler.fill(request);
     request.epoch = m_epoch;
     request.revision = m_revision;
     request.demands = m_demand.takeReports();
@@ -191,7 +192,7 @@
         m_epoch = reply.epoch;
         m_highestEpoch = reply.epoch;
         m_revision = reply.revision;
-        m_hasMore = reply.hasMore;
+        m_hasMore = m_hasMore || reply.hasMoreServers();
         unusedAddresses = m_servers.applyReply(reply);
     }
     m_expectedReadyTimes.clear();
@@ -219,8 +220,14 @@
 void CoordinatorLink::applyConfiguration(const FollowReply& reply, Instant now)
 {
     bool isFallback = m_version.isNone() && now - m_startedAt > m_options.leaderTimeout;
-    if (reply.version > m_version && !reply.configuration.empty() && (reply.isCurrent || isFallback))
-        m_hooks.configuration(reply.version, reply.configuration);
+    if (reply.version <= m_version || !(reply.isCurrent || isFallback))
+        return;
+    auto body = m_assembler.receive(reply);
+    m_hasMore = m_assembler.expectsMore();
+    if (!body)
+        logEvent(EventId::GatewayConfigurationUnreadable, { { "version", reply.version }, { "reason", body.error().detail } });
+    else if (*body)
+        m_hooks.configuration(reply.version, std::move(**body));
 }
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/CoordinatorLink.h
+++ b/modules/hc_gateway/gateway/CoordinatorLink.h
@@ -7,6 +7,7 @@
 #include "gateway/QuotaLimiter.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
+#include "hemlockchute/fleet/ConfigurationAssembler.h"
 #include "hemlockchute/peer/PeerClient.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -90,6 +91,8 @@
     /** The coordinator that currently counts this gateway's requests. */
     std::optional<Endpoint> m_followed;
     ConfigurationVersion m_version;
+    /** The parts of a newer version while they arrive. */
+    ConfigurationAssembler m_assembler { ConfigurationAssembler::Options() };
     /** The epoch of the servers in the table, and the highest epoch seen. */
     std::uint64_t m_epoch = 0;
     std::uint64_t m_highestEpoch = 0;
@@ -98,7 +101,7 @@
     std::optional<unsigned> m_gateways;
     /** The number of gateways that follow the same coordinator. */
     unsigned m_followers = 0;
-    /** True while further parts of a list are expected. */
+    /** True while further parts of a list or of a configuration are expected. */
     bool m_hasMore = false;
     std::optional<Instant> m_lastContact;
     std::optional<Instant> m_listRequestedAt;
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -57,7 +57,7 @@
     }
     for (const ServerDeparture& departure : reply.gone)
         remove(departure.server, unusedAddresses);
-    if (m_isResyncing && !reply.hasMore) {
+    if (m_isResyncing && !reply.hasMoreServers()) {
         std::vector<BackendServerName> removed;
         for (const auto& [id, server] : m_servers) {
             if (server.isUnconfirmed)
--- a/modules/hc_gateway/tests/ServerTableTests.cpp
+++ b/modules/hc_gateway/tests/ServerTableTests.cpp
@@ -138,6 +138,19 @@
     BOOST_TEST(gone.size() == 4U);
 }
 
+/** Guards against servers that have left and stay in use while a large configuration arrives, since hasMore serves both. */
+BOOST_AUTO_TEST_CASE(aPartOfAConfigurationDoesNotDelayTheEndOfAFullList)
+{
+    FollowReply part;
+    part.isWhole = true;
+    part.hasMore = true;
+    part.configuration = "part";
+    part.configurationSize = 8;
+    part.servers = { entry(listed("near", "z1", 1), 1) };
+    table.applyReply(part);
+    BOOST_TEST((candidates() == std::set<std::string> { "near" }));
+}
+
 /** A handle of an earlier epoch may refer to another server in the current one. */
 BOOST_AUTO_TEST_CASE(loadIsNotReportedUnderHandlesOfAnEarlierEpoch)
 {
