--- a/modules/hc_fleet/fleet/ConfigurationAssembler.cpp
+++ b/modules/hc_fleet/fleet/ConfigurationAssembler.cpp
@@ -83,6 +83,7 @@
     if (reply.version < m_version && ++m_olderParts < m_options.maximumOlderParts)
         return std::nullopt;
     bool continues = reply.version == m_version && reply.configurationSize == m_size && reply.configurationOffset == m_bytes.size();
+    bool isRepeated = !continues && reply.version == m_version;
     if (!continues) {
         restart();
         if (reply.configurationOffset != 0)
@@ -98,9 +99,10 @@
     }
     m_olderParts = 0;
     m_bytes += reply.configuration;
-    m_expectsMore = m_bytes.size() < m_size;
-    if (m_expectsMore)
+    if (m_bytes.size() < m_size) {
+        m_expectsMore = !isRepeated;
         return std::nullopt;
+    }
     ByteString compressed = std::move(m_bytes);
     restart();
     auto body = decompress(compressed, m_options.maximumBytes);
--- a/modules/hc_fleet/include/hemlockchute/fleet/ConfigurationAssembler.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ConfigurationAssembler.h
@@ -44,7 +44,7 @@
         Errors: Malformed if the data is damaged or too large; the transfer then restarts.
     */
     FleetMessageResult<std::optional<ByteString>> receive(const FollowReply&);
-    /** True if the last reply continued the transfer and further parts are missing. */
+    /** True if the last reply continued the transfer, or began that of another version, and further parts are missing: the next one should be requested at once. A transfer that restarts waits for the usual interval. */
     bool expectsMore() const { return m_expectsMore; }
 
 private:
--- a/modules/hc_fleet/tests/ConfigurationTransferTests.cpp
+++ b/modules/hc_fleet/tests/ConfigurationTransferTests.cpp
@@ -202,6 +202,12 @@
         BOOST_TEST((!receiver.isDamaged && !receiver.assembler.expectsMore()));
         BOOST_TEST((receiver.request().configurationPartOf.isNone() && receiver.request().configurationOffset == 0));
     }
+    // A first part that is repeated must not make the receiver poll without a pause.
+    FollowReply first = replyTo(sender, receiver.request(), sent);
+    receiver.apply(first);
+    BOOST_TEST(receiver.assembler.expectsMore());
+    receiver.apply(first);
+    BOOST_TEST((!receiver.assembler.expectsMore() && receiver.request().configurationOffset == 1000));
     std::optional<ByteString> received;
     while (!received)
         received = receiver.poll(sender, sent);
