Bound the memory for callers' requests

The requests that a process reads or handles share a budget of bytes (RequestBufferBudget; callers.request_memory for gateway, coordinator and router, by default a quarter of the machine's memory and at least 16 MiB; the servers of controllers and keepers have one of the default size). HttpServer reserves memory before it reads more from a socket: read buffer, header, and the capacity of the body's string. A request without room waits unread.

Chunk headers count towards the body's limit beyond an eighth of it, so that a body of the largest size in ordinary chunks is still served. A connection beyond the limit, or for which there is no descriptor, closes the longest idle one. Each cause of refusal has a log line and a count in the metrics.

ResponseBufferBudget becomes BufferBudget, which keeps the bytes of requests as well.

--- a/modules/hc_coordinator/coordinator/Coordinator.cpp
+++ b/modules/hc_coordinator/coordinator/Coordinator.cpp
@@ -105,8 +105,11 @@
     , m_quotas(settings.quotas)
     , m_relay(context, m_client, { settings.host, m_id, settings.dataCentre }, FleetRelay::Options(), { [this] { return otherLeader(); }, [this] { return m_register.current()->version; } })
     , m_listing(context, platform, m_http, settings.listing, listingOptions(), [this](const std::vector<ListedServer>& servers, Instant asked) { m_director.updateListing(servers, asked); })
-    , m_operators(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); })
-    , m_metricsPage(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
+    , m_requestMemory(RequestBufferBudget::withBytes(settings.requestMemory))
+    , m_operators(
+          context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answer(exchange); }, m_requestMemory)
+    , m_metricsPage(
+          context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); }, m_requestMemory)
     , m_timer(context)
     , m_seeds(settings.seeds.begin(), settings.seeds.end())
 {
--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -127,6 +127,7 @@
     QuotaPool m_quotas;
     FleetRelay m_relay;
     ListingPoller m_listing;
+    std::shared_ptr<RequestBufferBudget> m_requestMemory;
     HttpServer m_operators;
     HttpServer m_metricsPage;
     boost::asio::steady_timer m_timer;
--- a/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorOperators.cpp
@@ -238,7 +238,7 @@
     m_metrics.set(votersMetric, static_cast<double>(status.membership.voters.size()));
     m_metrics.set(suspendedMetric, status.isSuspended ? 1 : 0);
     m_metrics.set(learnersMetric, static_cast<double>(status.membership.learners.size()));
-    HttpResponse response = HttpResponse::text(statusOk, m_metrics.snapshot().prometheusText());
+    HttpResponse response = HttpResponse::text(statusOk, m_metrics.snapshot().prometheusText() + m_requestMemory->prometheusText());
     co_await exchange.respond(std::move(response));
 }
 
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.cpp
@@ -59,6 +59,10 @@
     settings.quotas = settings.quotas.withWindow(quotas.duration("window", settings.quotas.window));
     settings.quotas = settings.quotas.withOvershoot(quotas.number("overshoot", settings.quotas.overshoot, 0, 1));
     settings.quotas = settings.quotas.withSlack(quotas.number("slack", settings.quotas.slack, 0, largestSlack));
+    SettingsTable requests = file.root().table("callers");
+    settings.requestMemory = static_cast<std::size_t>(requests.bytes("request_memory", ByteCount(settings.requestMemory)).value());
+    if (settings.requestMemory < RequestBufferBudget::minimumTotal)
+        requests.addFault("request_memory", "must be at least 16MiB");
     settings.log = readLogOptions(file.root().table("log"));
     faults = file.faults();
     return settings;
--- a/modules/hc_coordinator/coordinator/CoordinatorSettings.h
+++ b/modules/hc_coordinator/coordinator/CoordinatorSettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/fleet/QuotaPool.h"
+#include "hemlockchute/http/RequestBufferBudget.h"
 #include "hemlockchute/settings/settings.h"
 
 #include <optional>
@@ -46,6 +47,8 @@
     unsigned storeLoadsAtOnce = 2;
     /** Bounds on the use of workspaces' quotas. */
     QuotaPool::Options quotas;
+    /** Bound in bytes on the memory for callers' requests. */
+    std::size_t requestMemory = RequestBufferBudget::defaultTotal();
     LogOptions log;
 
     /** Reads the file and appends every error to `faults`. Thread safety: any thread. */
--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -18,6 +18,10 @@
     { EventId::DaemonFailed, Error, "daemon.failed", "The daemon could not start or continue; the reason is given." },
     { EventId::LogLinesLeftOut, Warning, "log.lines_left_out", "Log lines beyond the limits on the log were dropped since the last such record; their number and their events are given." },
     { EventId::DaemonHandlerFailed, Error, "daemon.handler_failed", "An exception has left a handler; its reason is given. The daemon goes on." },
+    { EventId::DaemonRequestTooLarge, Info, "daemon.request_too_large", "A request's header or body exceeded its limit, and the connection was closed; the cause says which.", Failure },
+    { EventId::DaemonRequestTooSlow, Info, "daemon.request_too_slow", "A request arrived too slowly while others waited for the memory that it held; it was refused and has not run.", Failure },
+    { EventId::DaemonRequestMemoryFull, Info, "daemon.request_memory_full", "There was no memory for a request within the read time-out; it was refused and has not run.", Failure },
+    { EventId::DaemonIdleConnectionClosed, Info, "daemon.idle_connection_closed", "The connection that had been idle longest was closed, since the limit of connections or descriptors was reached.", Failure },
     // 1100: storage
 
     // 1200: agreement
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -23,6 +23,10 @@
     DaemonFailed = 1004,
     LogLinesLeftOut = 1005,
     DaemonHandlerFailed = 1006,
+    DaemonRequestTooLarge = 1007,
+    DaemonRequestTooSlow = 1008,
+    DaemonRequestMemoryFull = 1009,
+    DaemonIdleConnectionClosed = 1010,
     // 1100: storage
 
     // 1200: agreement
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -88,9 +88,13 @@
               } })
     , m_core(platform, settings, m_client, m_link, m_servers, m_demand, m_promptParts, m_rateLimiter, m_access, m_quotas)
     , m_listing(context, platform, m_client, settings.listing, listingOptions(settings), [this](std::vector<ListedServer> servers, Instant) { updateListing(std::move(servers)); })
-    , m_callers(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); })
-    , m_readiness(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); })
-    , m_metrics(context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); })
+    , m_requestMemory(RequestBufferBudget::withBytes(settings.requestMemory))
+    , m_callers(
+          context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return serve(exchange); }, m_requestMemory)
+    , m_readiness(
+          context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerReadiness(exchange); }, m_requestMemory)
+    , m_metrics(
+          context, HttpServer::Options().withSingleThread(), [this](HttpExchange& exchange) { return answerMetrics(exchange); }, m_requestMemory)
     , m_listTimer(context)
     , m_connectionTimer(context)
     , m_stopTimer(context)
@@ -195,7 +199,7 @@
     m_core.metrics.set(placementAgeMetric, std::chrono::duration<double>(m_link.sinceLastContact(now)).count());
     m_core.metrics.set(acceptsKeysMetric, m_acceptsKeys ? 1 : 0);
     m_core.metrics.set(requestsHereMetric, static_cast<double>(m_core.requests->size()));
-    HttpResponse response = HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText());
+    HttpResponse response = HttpResponse::text(statusOk, m_core.metrics.snapshot().prometheusText() + m_requestMemory->prometheusText());
     co_await exchange.respond(std::move(response));
 }
 
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -53,6 +53,7 @@
     CoordinatorLink m_link;
     GatewayCore m_core;
     ListingPoller m_listing;
+    std::shared_ptr<RequestBufferBudget> m_requestMemory;
     HttpServer m_callers;
     HttpServer m_readiness;
     HttpServer m_metrics;
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -10,8 +10,8 @@
 #include "gateway/ServerAdmission.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
+#include "hemlockchute/http/BufferBudget.h"
 #include "hemlockchute/http/HttpClient.h"
-#include "hemlockchute/http/ResponseBufferBudget.h"
 #include "hemlockchute/report/Metrics.h"
 
 #include <memory>
@@ -60,7 +60,7 @@
     ServerAdmission admission { servers, rateLimiter, ServerAdmission::Options() };
     AsyncConditionVariable stateChanged;
     /** Shared, because a request may outlive the gateway. */
-    std::shared_ptr<ResponseBufferBudget> responseBuffers = std::make_shared<ResponseBufferBudget>();
+    std::shared_ptr<BufferBudget> responseBuffers = std::make_shared<BufferBudget>();
     Metrics metrics;
     /** Null until the first configuration is received. */
     RouteConfigurationPointer configuration;
--- a/modules/hc_gateway/gateway/GatewaySettings.cpp
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -47,6 +47,10 @@
     if (access.has("revocation"))
         settings.access = settings.access.withRevocation(access.duration("revocation", Duration::zero()));
     settings.grace = file.root().table("stop").duration("grace", settings.grace);
+    SettingsTable requests = file.root().table("callers");
+    settings.requestMemory = static_cast<std::size_t>(requests.bytes("request_memory", ByteCount(settings.requestMemory)).value());
+    if (settings.requestMemory < RequestBufferBudget::minimumTotal)
+        requests.addFault("request_memory", "must be at least 16MiB");
     settings.log = readLogOptions(file.root().table("log"));
     faults = file.faults();
     return settings;
--- a/modules/hc_gateway/gateway/GatewaySettings.h
+++ b/modules/hc_gateway/gateway/GatewaySettings.h
@@ -2,6 +2,7 @@
 
 #include "gateway/AccessControl.h"
 #include "hemlockchute/fleet/RetryBudget.h"
+#include "hemlockchute/http/RequestBufferBudget.h"
 #include "hemlockchute/policy/ServerNotices.h"
 #include "hemlockchute/settings/settings.h"
 
@@ -38,6 +39,8 @@
     AccessControl::Options access;
     /** The time from the stop signal to the end of the process. */
     Duration grace = 8s;
+    /** Bound in bytes on the memory for callers' requests. */
+    std::size_t requestMemory = RequestBufferBudget::defaultTotal();
     LogOptions log;
 
     /** Reads the file, and sets `faults` to every fault in it. Thread safety: any thread. */
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -457,7 +457,7 @@
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveBuffered(const BackendServerName& name, HttpResponseStream& answer)
 {
     m_silenceTimer->stop();
-    ResponseBufferReservation buffered(m_core.responseBuffers);
+    BufferReservation buffered(m_core.responseBuffers);
     HttpResponse response;
     response.status = answer.status();
     response.headers = m_core.platform.forwardedAnswerHeaders(answer.headers());
@@ -494,7 +494,7 @@
 asio::awaitable<RequestForwarder::Outcome> RequestForwarder::forwardEvents(const BackendServerName& name, HttpResponseStream& answer)
 {
     EventStreamSplitter splitter;
-    ResponseBufferReservation buffered(m_core.responseBuffers);
+    BufferReservation buffered(m_core.responseBuffers);
     while (true) {
         auto piece = co_await answer.read(answerDeadline());
         if (m_call->isCallerDisconnected)
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -1,6 +1,6 @@
 #include "hemlockchute/http/HttpClient.h"
 
-#include "hemlockchute/http/ResponseBufferBudget.h"
+#include "hemlockchute/http/BufferBudget.h"
 #include "http/BeastMessages.h"
 
 #include <algorithm>
@@ -158,7 +158,7 @@
 struct HttpClient::Impl : std::enable_shared_from_this<HttpClient::Impl> {
     explicit Impl(Options clientOptions)
         : options(clientOptions)
-        , bodies(std::make_shared<ResponseBufferBudget>(ResponseBufferBudget::Options().withPerResponse(options.maximumBodyBytes).withTotal(options.maximumTotalBodyBytes)))
+        , bodies(std::make_shared<BufferBudget>(BufferBudget::Options().withPerHolder(options.maximumBodyBytes).withTotal(options.maximumTotalBodyBytes)))
     {
     }
 
@@ -243,7 +243,7 @@
 
     Options options;
     /** For the bodies that send() reads. */
-    std::shared_ptr<ResponseBufferBudget> bodies;
+    std::shared_ptr<BufferBudget> bodies;
     std::mutex lock;
     std::map<tcp::endpoint, std::vector<std::unique_ptr<ClientConnection>>> idle;
 };
@@ -422,6 +422,8 @@
     http::async_write((*connection)->stream, write->message, [write](beast::error_code error, std::size_t) {
         write->isDone = true;
         write->hasFailed = bool(error);
+        // The answer may take long, and the caller keeps its own copy of the body.
+        write->message = {};
     });
     co_return std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection), write);
 }
@@ -432,7 +434,7 @@
     if (!stream)
         co_return tl::unexpected(stream.error());
     HttpResponse response { (*stream)->status(), (*stream)->headers(), {} };
-    ResponseBufferReservation buffered(m_impl->bodies);
+    BufferReservation buffered(m_impl->bodies);
     while (true) {
         auto piece = co_await (*stream)->read(deadline);
         if (!piece)
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -2,10 +2,12 @@
 
 #include "hemlockchute/core/EventLog.h"
 #include "hemlockchute/core/ListenSocket.h"
+#include "hemlockchute/http/RequestBufferBudget.h"
 #include "http/BeastMessages.h"
 #include "http/ConnectionTable.h"
 #include "http/ReloadableOptions.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,9 +19,10 @@
 #include <boost/beast/core/buffers_cat.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
-#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/write.hpp>
 #include <sstream>
 
@@ -36,17 +39,30 @@
 /** While draining, the time for the first request of a connection to start arriving; longer than the latency between regions. */
 constexpr Duration firstRequestTimeout = 500ms;
 constexpr unsigned httpVersion = 11;
+constexpr unsigned statusUnavailable = 503;
+/** A request that waits for memory looks for slow ones at this interval. */
+constexpr Duration memoryCheckInterval = 250ms;
+/** Chunk headers may add this share to the largest body, and a little for small ones. Chunks of 64 bytes need less; those of a few bytes cost more time and memory than their content. */
+constexpr std::size_t chunkOverheadDivisor = 8;
+constexpr std::size_t minimumChunkOverhead = 1024;
+/** The memory of a header field in Beast's and in our form besides its text, and the terminators of its strings. */
+constexpr std::size_t bytesPerField = 192;
+
+bool isBodyTooLarge(beast::error_code error)
+{
+    return error == http::error::body_limit;
+}
+
+bool isHeaderTooLarge(beast::error_code error)
+{
+    return error == http::error::header_limit || error == http::error::buffer_overflow;
+}
 
 unsigned statusForReadError(beast::error_code error)
 {
-    static const std::pair<beast::error_code, unsigned> statuses[] = {
-        { http::error::header_limit, 431 }, { http::error::body_limit, 413 }, { http::error::buffer_overflow, 431 }
-    };
-    for (const auto& [code, status] : statuses) {
-        if (error == code)
-            return status;
-    }
-    return 400;
+    if (isBodyTooLarge(error))
+        return 413;
+    return isHeaderTooLarge(error) ? 431 : 400;
 }
 
 HttpResponse readErrorResponse(beast::error_code error)
@@ -55,6 +71,28 @@
     return { statusForReadError(error), { { "Content-Type", "application/problem+json" } }, body };
 }
 
+HttpResponse memoryResponse()
+{
+    std::string body = "{\"title\":\"no memory for the request\",\"outcome\":\"not-run\"}";
+    return { statusUnavailable, { { "Content-Type", "application/problem+json" }, { "Retry-After", "1" } }, body };
+}
+
+/** Bounds the memory of a header from its text, before it is parsed. */
+std::size_t headerMemory(const beast::flat_buffer& buffer)
+{
+    const auto* text = static_cast<const char*>(buffer.data().data());
+    auto lines = static_cast<std::size_t>(std::count(text, text + buffer.size(), '\n'));
+    return 2 * buffer.size() + lines * bytesPerField;
+}
+
+std::size_t headerMemory(const HttpRequest& request)
+{
+    std::size_t bytes = request.target.capacity();
+    for (const auto& [name, value] : request.headers.fields())
+        bytes += name.capacity() + value.capacity() + sizeof(std::pair<std::string, std::string>);
+    return bytes;
+}
+
 std::string headerText(const http::response<http::empty_body>& message)
 {
     std::ostringstream text;
@@ -68,11 +106,13 @@
 /** An accepted connection. Reads requests one after the other and runs the handler for each. */
 class Connection : public HttpExchange, public std::enable_shared_from_this<Connection> {
 public:
-    Connection(tcp::socket socket, std::shared_ptr<const ReloadableOptions> options, HttpServer::Handler handler, std::shared_ptr<Connections> table)
+    Connection(tcp::socket socket, std::shared_ptr<const ReloadableOptions> options, HttpServer::Handler handler, std::shared_ptr<Connections> table, std::shared_ptr<RequestBufferBudget> budget)
         : m_stream(std::move(socket))
         , m_reloadableOptions(std::move(options))
         , m_handler(std::move(handler))
         , m_table(std::move(table))
+        , m_budget(std::move(budget))
+        , m_memoryTimer(m_stream.get_executor())
     {
     }
 
@@ -84,12 +124,25 @@
             m_isUnused = false;
             if (mayContinue)
                 mayContinue = co_await handleRequest();
+            releaseMemory();
         }
     }
 
+    /** Closes the connection, which was idle when it was chosen, so that another one can have its descriptor. Thread safety: any thread. */
+    void closeForAnother()
+    {
+        asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            std::string caller = self->callerAddress();
+            self->closeUnlessBusy();
+            if (self->m_isClosed)
+                self->countRefusal(RequestRefusal::IdleClosed, caller);
+        });
+    }
+
     /** Closes the connection and removes it from the table. */
     void end()
     {
+        releaseMemory();
         close();
         m_table->remove(shared_from_this());
     }
@@ -230,62 +283,307 @@
         m_stream.close();
     }
 
+    //==============================================================================
+    using Parser = http::request_parser<http::buffer_body>;
+
     asio::awaitable<bool> readRequest()
     {
         m_options = m_reloadableOptions->load();
-        m_buffer.max_size(m_options.maximumHeaderBytes + m_options.maximumBodyBytes + readSizeBytes);
+        m_buffer.max_size(m_options.maximumHeaderBytes + readSizeBytes);
         bool hasBytes = m_buffer.size() > 0;
         if (!hasBytes)
             hasBytes = co_await waitForFirstByte();
         if (!hasBytes)
             co_return false;
         m_isReading = true;
-        http::request_parser<http::string_body> parser;
+        beginMemory();
+        Parser parser;
         parser.header_limit(static_cast<std::uint32_t>(m_options.maximumHeaderBytes));
         parser.body_limit(m_options.maximumBodyBytes);
-        beast::error_code error;
-        m_stream.expires_after(m_options.readTimeout);
-        co_await http::async_read(m_stream, m_buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+        beast::error_code error = co_await readHeader(parser);
+        if (!error && !m_refusal && !parser.is_done())
+            error = co_await readBody(parser);
         m_stream.expires_never();
         m_isReading = false;
         // A request that arrived before this side closed the connection is not handled, since it could not be answered.
         if (m_isClosed)
             co_return false;
-        if (error) {
+        if (m_refusal || error) {
             co_await refuse(error);
             co_return false;
         }
-        storeRequest(parser);
+        completeMemory();
+        m_isAnswered = m_isFinished = m_isBroken = false;
+        m_onCallerDisconnect = nullptr;
         co_return true;
     }
 
     asio::awaitable<bool> waitForFirstByte()
     {
+        // Thousands of connections may be idle; their buffers are not part of the budget.
+        m_buffer = beast::flat_buffer(m_buffer.max_size());
+        m_table->markIdle(shared_from_this());
         m_stream.expires_after(m_options.idleTimeout);
         beast::error_code error;
-        std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(readSizeBytes), asio::redirect_error(asio::use_awaitable, error));
+        std::size_t count = co_await m_stream.async_read_some(m_buffer.prepare(firstReadSizeBytes), asio::redirect_error(asio::use_awaitable, error));
         m_buffer.commit(count);
+        m_table->markBusy(shared_from_this());
         co_return !error;
     }
 
-    void storeRequest(http::request_parser<http::string_body>& parser)
+    /** Reads until the header is complete, and stores it. Sets m_refusal if there is no memory for it. */
+    asio::awaitable<beast::error_code> readHeader(Parser& parser)
+    {
+        std::size_t parsedBytes = 0;
+        while (true) {
+            bool hasRoom = co_await reserve(m_buffer.capacity() + 2 * parsedBytes + headerMemory(m_buffer));
+            if (!hasRoom)
+                co_return beast::error_code();
+            beast::error_code error = http::error::need_more;
+            if (m_buffer.size() > 0) {
+                error = {};
+                std::size_t used = parser.put(m_buffer.data(), error);
+                m_buffer.consume(used);
+                parsedBytes += used;
+            }
+            if (!error && parser.is_header_done()) {
+                storeHeader(parser);
+                co_return error;
+            }
+            if (error == http::error::need_more)
+                error = co_await readMore(2 * parsedBytes + headerMemory(m_buffer), http::error::buffer_overflow);
+            if (error || m_refusal)
+                co_return error;
+        }
+    }
+
+    /** Reads until the request is complete. Sets m_refusal if there is no memory for it. */
+    asio::awaitable<beast::error_code> readBody(Parser& parser)
+    {
+        parser.eager(true);
+        std::size_t wireBytes = 0;
+        std::size_t bodyBytes = 0;
+        std::size_t wireLimit = m_options.maximumBodyBytes + std::max(minimumChunkOverhead, m_options.maximumBodyBytes / chunkOverheadDivisor);
+        std::size_t announced = std::min<std::uint64_t>(parser.content_length().value_or(0), m_options.maximumBodyBytes);
+        beast::error_code error;
+        while (!parser.is_done()) {
+            if (m_request.body.size() == bodyBytes && bodyBytes < m_options.maximumBodyBytes) {
+                bool hasRoom = co_await extendBody(announced);
+                if (!hasRoom)
+                    co_return beast::error_code();
+            }
+            auto& piece = parser.get().body();
+            piece.data = m_request.body.data() + bodyBytes;
+            piece.size = m_request.body.size() - bodyBytes;
+            piece.more = true;
+            error = http::error::need_more;
+            if (m_buffer.size() > 0) {
+                error = {};
+                std::size_t used = parser.put(m_buffer.data(), error);
+                m_buffer.consume(used);
+                wireBytes += used;
+            }
+            bodyBytes = m_request.body.size() - piece.size;
+            if (wireBytes > wireLimit)
+                error = http::error::body_limit;
+            if (error == http::error::need_more && !parser.is_done())
+                error = co_await readMore(bodyMemory(), http::error::body_limit);
+            if (m_refusal)
+                co_return beast::error_code();
+            if (error == http::error::need_buffer)
+                error = {};
+            if (error)
+                break;
+        }
+        m_request.body.resize(bodyBytes);
+        co_return error;
+    }
+
+    /** Lengthens the body's string by a piece, after its capacity has been reserved. An announced body is reserved whole, so that it is never copied and never waits while it holds a part. */
+    asio::awaitable<bool> extendBody(std::size_t announced)
+    {
+        std::size_t size = m_request.body.size();
+        if (size == m_request.body.capacity() || size == 0) {
+            std::size_t wanted = announced;
+            if (announced == 0)
+                wanted = std::min(std::max(2 * size, bodyPieceBytes), m_options.maximumBodyBytes);
+            // Both strings exist while the content is copied.
+            bool hasRoom = co_await reserve(m_buffer.capacity() + bodyMemory() + wanted + 1);
+            if (!hasRoom)
+                co_return false;
+            m_request.body.reserve(wanted);
+            hasRoom = co_await reserve(m_buffer.capacity() + bodyMemory());
+            if (!hasRoom)
+                co_return false;
+        }
+        std::size_t most = announced == 0 ? m_options.maximumBodyBytes : announced;
+        m_request.body.resize(std::min(std::min(m_request.body.capacity(), most), size + bodyPieceBytes));
+        co_return true;
+    }
+
+    /** The memory of a request whose header has been stored, besides the read buffer. */
+    std::size_t bodyMemory() const { return m_headerMemory + m_request.body.capacity(); }
+
+    /** Reads more bytes into the buffer, after its growth has been reserved together with the request's other memory. Returns the given error if the buffer may not grow any more. */
+    asio::awaitable<beast::error_code> readMore(std::size_t otherMemory, http::error errorIfFull)
     {
-        auto message = parser.release();
-        m_keepAlive = message.keep_alive();
+        std::size_t size = m_buffer.size();
+        if (size >= m_buffer.max_size())
+            co_return beast::error_code(errorIfFull);
+        std::size_t count = std::min(m_buffer.max_size() - size, readSizeBytes);
+        std::size_t capacity = m_buffer.capacity();
+        if (count > capacity - size)
+            capacity = std::min(m_buffer.max_size(), std::max(2 * size, size + count));
+        bool hasRoom = co_await reserve(otherMemory + capacity);
+        if (!hasRoom)
+            co_return beast::error_code();
+        beast::error_code error;
+        m_stream.expires_at(m_readDeadline);
+        count = co_await m_stream.async_read_some(m_buffer.prepare(count), asio::redirect_error(asio::use_awaitable, error));
+        m_buffer.commit(count);
+        m_budget->noteReceived(*m_memoryId, count, currentTime());
+        if (m_isAborted)
+            m_refusal = RequestRefusal::TooSlow;
+        if (error == asio::error::eof)
+            error = http::error::partial_message;
+        co_return error;
+    }
+
+    void storeHeader(Parser& parser)
+    {
+        auto& message = parser.get();
+        m_keepAlive = parser.keep_alive();
         m_request.method = std::string(message.method_string());
         m_request.target = std::string(message.target());
         m_request.headers = headersFromBeast(message);
-        m_request.body = std::move(message.body());
-        m_isAnswered = m_isFinished = m_isBroken = false;
-        m_onCallerDisconnect = nullptr;
+        m_headerMemory = headerMemory(m_request);
+        // The fields are not needed twice.
+        static_cast<http::fields&>(message.base()).clear();
+    }
+
+    //==============================================================================
+    // Memory of the request
+
+    void beginMemory()
+    {
+        Instant now = currentTime();
+        m_readDeadline = now + m_options.readTimeout;
+        m_memoryDeadline = m_readDeadline;
+        m_isAborted = false;
+        m_refusal.reset();
+        m_headerMemory = 0;
+        auto wake = [weak = weak_from_this(), executor = m_stream.get_executor()] {
+            asio::post(executor, [weak] {
+                if (auto self = weak.lock())
+                    self->m_memoryTimer.cancel();
+            });
+        };
+        auto abort = [weak = weak_from_this(), executor = m_stream.get_executor(), id = m_requestNumber] {
+            asio::post(executor, [weak, id] {
+                if (auto self = weak.lock(); self && self->m_requestNumber == id)
+                    self->abortReading();
+            });
+        };
+        RequestBufferBudget::Callbacks callbacks { wake, abort };
+        m_memoryId = m_budget->begin(std::move(callbacks), now);
+    }
+
+    /** The request is complete: only what is needed to handle it stays reserved. */
+    void completeMemory()
+    {
+        m_budget->complete(*m_memoryId);
+        m_reservedBytes = std::min(m_buffer.capacity() + bodyMemory(), m_reservedBytes);
+        m_budget->tryResize(*m_memoryId, m_reservedBytes, currentTime());
+    }
+
+    /** Frees the request, after it has been handled or refused. */
+    void releaseMemory()
+    {
+        ++m_requestNumber;
+        m_request = HttpRequest();
+        m_reservedBytes = 0;
+        if (auto id = std::exchange(m_memoryId, std::nullopt))
+            m_budget->end(*id);
+    }
+
+    void abortReading()
+    {
+        if (!m_isReading || !m_memoryId)
+            return;
+        beast::error_code ignored;
+        // After this process was suspended, a fast request looks slow.
+        bool isUnread = m_stream.socket().available(ignored) > 0;
+        if (isUnread && m_budget->spare(*m_memoryId, currentTime()))
+            return;
+        m_isAborted = true;
+        m_memoryTimer.cancel();
+        m_stream.cancel();
     }
 
+    /** Waits until the budget has room for the request, at most for the read time-out in total. Sets m_refusal and returns false if the request has to be refused. */
+    asio::awaitable<bool> reserve(std::size_t bytes)
+    {
+        if (bytes == m_reservedBytes)
+            co_return true;
+        Instant start = currentTime();
+        Instant now = start;
+        auto grant = m_budget->tryResize(*m_memoryId, bytes, now);
+        while (grant == RequestBufferBudget::Grant::Waiting && now < m_memoryDeadline && !m_isAborted && !m_isClosed) {
+            m_budget->abortSlow(now);
+            m_memoryTimer.expires_after(memoryCheckInterval);
+            beast::error_code ignored;
+            co_await m_memoryTimer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            now = currentTime();
+            grant = m_budget->tryResize(*m_memoryId, bytes, now);
+        }
+        // The client is not responsible for the wait.
+        m_readDeadline += now - start;
+        if (m_isAborted)
+            m_refusal = RequestRefusal::TooSlow;
+        else if (grant == RequestBufferBudget::Grant::Impossible)
+            m_refusal = RequestRefusal::BodyTooLarge;
+        else if (grant == RequestBufferBudget::Grant::Waiting)
+            m_refusal = RequestRefusal::NoMemory;
+        else
+            m_reservedBytes = bytes;
+        co_return !m_refusal;
+    }
+
+    //==============================================================================
     asio::awaitable<void> refuse(beast::error_code error)
     {
-        if (error == http::error::end_of_stream || error == beast::error::timeout || error == asio::error::operation_aborted || error == asio::error::connection_reset)
+        if (!m_refusal && isBodyTooLarge(error))
+            m_refusal = RequestRefusal::BodyTooLarge;
+        else if (!m_refusal && isHeaderTooLarge(error))
+            m_refusal = RequestRefusal::HeaderTooLarge;
+        if (m_refusal)
+            countRefusal(*m_refusal, callerAddress());
+        bool isMemoryRefusal = m_refusal == RequestRefusal::TooSlow || m_refusal == RequestRefusal::NoMemory;
+        bool isBroken = error == http::error::end_of_stream || error == beast::error::timeout || error == asio::error::operation_aborted || error == asio::error::connection_reset;
+        if (isBroken && !isMemoryRefusal)
             co_return;
+        // The answer takes up to the write time-out, and the request is not needed for it.
+        releaseMemory();
         m_keepAlive = false;
-        co_await respond(readErrorResponse(error));
+        if (isMemoryRefusal)
+            co_await respond(memoryResponse());
+        else
+            co_await respond(readErrorResponse(error ? error : http::error::body_limit));
+    }
+
+    std::string callerAddress()
+    {
+        beast::error_code ignored;
+        return m_stream.socket().remote_endpoint(ignored).address().to_string();
+    }
+
+    // Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
+    void countRefusal(RequestRefusal refusal, const std::string& caller)
+    {
+        m_budget->countRefusal(refusal);
+        static constexpr EventId events[] = { EventId::DaemonRequestTooLarge, EventId::DaemonRequestTooLarge, EventId::DaemonRequestTooSlow, EventId::DaemonRequestMemoryFull, EventId::DaemonIdleConnectionClosed };
+        auto index = static_cast<std::size_t>(refusal);
+        logEvent(events[index], { { "cause", requestRefusalNames.at(index) }, { "caller", caller }, { "held_bytes", m_reservedBytes }, { "all_held_bytes", m_budget->reservedBytes() } });
     }
 
     asio::awaitable<bool> handleRequest()
@@ -305,7 +603,6 @@
         co_return m_isFinished && !m_isBroken && mayKeepAlive();
     }
 
-    // Coroutines hold no braced lists (docs/STYLE.md), so their log lines are written here.
     void logHandlerFailed(std::string_view reason) const
     {
         logEvent(EventId::DaemonHandlerFailed, { { "request", m_request.target }, { "reason", reason } });
@@ -339,13 +636,29 @@
         return error;
     }
 
+    static constexpr std::size_t firstReadSizeBytes = 1024;
     static constexpr std::size_t readSizeBytes = 8192;
+    static constexpr std::size_t bodyPieceBytes = 16384;
 
     beast::tcp_stream m_stream;
     std::shared_ptr<const ReloadableOptions> m_reloadableOptions;
     HttpServer::Options m_options;
     HttpServer::Handler m_handler;
     std::shared_ptr<Connections> m_table;
+    std::shared_ptr<RequestBufferBudget> m_budget;
+    /** Expires while a request waits for memory. */
+    asio::steady_timer m_memoryTimer;
+    std::optional<RequestBufferBudget::Id> m_memoryId;
+    std::size_t m_reservedBytes = 0;
+    std::size_t m_headerMemory = 0;
+    /** When the request has to be complete, and when there has to be memory for it. */
+    Instant m_readDeadline;
+    Instant m_memoryDeadline;
+    /** Why the request is refused; errors of its syntax are not included. */
+    std::optional<RequestRefusal> m_refusal;
+    std::uint64_t m_requestNumber = 0;
+    /** True once the request has to give up its memory. */
+    bool m_isAborted = false;
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     std::function<void()> m_onCallerDisconnect;
@@ -367,10 +680,11 @@
 
 //==============================================================================
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(asio::io_context& ioContext, Options serverOptions, Handler requestHandler)
+    Impl(asio::io_context& ioContext, Options serverOptions, Handler requestHandler, std::shared_ptr<RequestBufferBudget> requestMemory)
         : context(ioContext)
         , options(std::make_shared<ReloadableOptions>(serverOptions))
         , handler(std::move(requestHandler))
+        , budget(std::move(requestMemory))
         , acceptor(asio::make_strand(ioContext))
     {
     }
@@ -387,6 +701,9 @@
             if (error == asio::error::operation_aborted)
                 co_return;
             if (error) {
+                // The process may have no descriptor left.
+                if (auto idle = table->takeLongestIdle())
+                    idle->closeForAnother();
                 co_await pause();
                 continue;
             }
@@ -422,9 +739,12 @@
         beast::error_code ignored;
         socket.set_option(tcp::no_delay(true), ignored);
         auto executor = socket.get_executor();
-        auto connection = std::make_shared<Connection>(std::move(socket), options, handler, table);
-        if (!table->add(connection, options->load().maximumConnections))
+        auto connection = std::make_shared<Connection>(std::move(socket), options, handler, table, budget);
+        std::shared_ptr<Connection> displaced;
+        if (!table->add(connection, options->load().maximumConnections, displaced))
             return;
+        if (displaced)
+            displaced->closeForAnother();
         asio::co_spawn(
             executor, [connection] { return connection->run(); }, [connection](const std::exception_ptr&) { connection->end(); });
     }
@@ -432,12 +752,13 @@
     asio::io_context& context;
     std::shared_ptr<ReloadableOptions> options;
     Handler handler;
+    std::shared_ptr<RequestBufferBudget> budget;
     tcp::acceptor acceptor;
     std::shared_ptr<Connections> table = std::make_shared<Connections>();
 };
 
-HttpServer::HttpServer(asio::io_context& context, Options options, Handler handler)
-    : m_impl(std::make_shared<Impl>(context, options, std::move(handler)))
+HttpServer::HttpServer(asio::io_context& context, Options options, Handler handler, std::shared_ptr<RequestBufferBudget> requestMemory)
+    : m_impl(std::make_shared<Impl>(context, options, std::move(handler), requestMemory ? std::move(requestMemory) : RequestBufferBudget::withBytes(RequestBufferBudget::defaultTotal())))
 {
 }
 
--- a/modules/hc_http/include/hemlockchute/http/HttpServer.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpServer.h
@@ -12,6 +12,8 @@
 
 namespace hemlockchute {
 
+class RequestBufferBudget;
+
 enum class HttpServerErrorCode {
     ListenFailed
 };
@@ -54,9 +56,12 @@
     A header or body above its limit is answered 431 or 413 and a malformed request 400, and the
     connection is closed. A connection without a request is closed after the idle time-out, one whose
     request is incomplete after the read time-out, and one whose caller is too slow to accept a chunk
-    after the write time-out. Thread safety: every method may be called from any thread.
+    after the write time-out. A body is read only as there is memory for it in the budget; a request
+    that waits for it longer than the read time-out, or that arrives too slowly while others wait, is
+    answered 503. A connection beyond the limit replaces the one that has been idle longest.
+    Thread safety: every method may be called from any thread.
 
-    @see HttpExchange
+    @see HttpExchange, RequestBufferBudget
 */
 class HttpServer {
 public:
@@ -82,7 +87,8 @@
         Options withSingleThread() const;
     };
 
-    HttpServer(boost::asio::io_context&, Options, Handler);
+    /** The servers of a process share a budget for the memory of requests; without one, this server has its own of the default size. */
+    HttpServer(boost::asio::io_context&, Options, Handler, std::shared_ptr<RequestBufferBudget> requestMemory = nullptr);
     ~HttpServer();
 
     /** Listens and starts to accept connections. Port 0 selects any free port. Precondition: not listening yet. */
--- a/modules/hc_http/include/hemlockchute/http/http.h
+++ b/modules/hc_http/include/hemlockchute/http/http.h
@@ -6,8 +6,9 @@
 */
 #pragma once
 
+#include "hemlockchute/http/BufferBudget.h"
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/http/HttpMessage.h"
 #include "hemlockchute/http/HttpServer.h"
-#include "hemlockchute/http/ResponseBufferBudget.h"
+#include "hemlockchute/http/RequestBufferBudget.h"
 #include "hemlockchute/http/WatchdogTimer.h"
--- a/modules/hc_http/tests/ResponseBufferBudgetTests.cpp
+++ b/modules/hc_http/tests/BufferBudgetTests.cpp
@@ -1,19 +1,19 @@
-#include "hemlockchute/http/ResponseBufferBudget.h"
+#include "hemlockchute/http/BufferBudget.h"
 
 #include <boost/test/unit_test.hpp>
 
 using namespace hemlockchute;
 
-BOOST_AUTO_TEST_SUITE(ResponseBufferBudgetTests)
+BOOST_AUTO_TEST_SUITE(BufferBudgetTests)
 
 BOOST_AUTO_TEST_CASE(responsesAreBoundedIndividuallyAndInTotalAndSmallOnesAreAlwaysGranted)
 {
-    auto budget = std::make_shared<ResponseBufferBudget>(ResponseBufferBudget::Options { 100, 250, 10 });
-    ResponseBufferReservation small(budget);
+    auto budget = std::make_shared<BufferBudget>(BufferBudget::Options { 100, 250, 10 });
+    BufferReservation small(budget);
     {
-        ResponseBufferReservation first(budget);
-        ResponseBufferReservation second(budget);
-        ResponseBufferReservation third(budget);
+        BufferReservation first(budget);
+        BufferReservation second(budget);
+        BufferReservation third(budget);
         BOOST_TEST(first.resize(100));
         BOOST_TEST(!first.resize(101));
         BOOST_TEST(first.resize(100));
--- a/modules/hc_router/include/hemlockchute/router/Router.h
+++ b/modules/hc_router/include/hemlockchute/router/Router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "hemlockchute/http/HttpServer.h"
+#include "hemlockchute/http/RequestBufferBudget.h"
 #include "hemlockchute/router/DispatchTable.h"
 #include "hemlockchute/router/RunRegistry.h"
 
@@ -26,6 +27,8 @@
     struct Options {
         DispatchTable::Options dispatch;
         HttpServer::Options http;
+        /** Bound in bytes on the memory for callers' requests. */
+        std::size_t requestMemory = RequestBufferBudget::defaultTotal();
         /** Prefix of every id that this router generates; must be unique to this router process. */
         std::string idPrefix;
         /** The router's data centre, under which outcomes are counted. */
@@ -35,6 +38,7 @@
 
         Options withDispatch(DispatchTable::Options) const;
         Options withHttp(HttpServer::Options) const;
+        Options withRequestMemory(std::size_t) const;
         Options withIdPrefix(std::string) const;
         Options withDataCentre(DataCentreName) const;
         Options withSeed(std::uint64_t) const;
--- a/modules/hc_router/router/Router.cpp
+++ b/modules/hc_router/router/Router.cpp
@@ -37,8 +37,11 @@
 struct Router::Impl : std::enable_shared_from_this<Router::Impl> {
     Impl(asio::io_context& context, const Options& options, RunRegistry& runs)
         : core(std::make_shared<RouterCore>(context, options.dispatch, options.idPrefix, options.dataCentre, runs, options.seed))
-        , callers(context, options.http, [core = core](HttpExchange& exchange) { return serveCaller(core, exchange); })
-        , operators(context, HttpServer::Options(), [core = core](HttpExchange& exchange) { return serveOperator(core, exchange); })
+        , requestMemory(RequestBufferBudget::withBytes(options.requestMemory))
+        , callers(
+              context, options.http, [core = core](HttpExchange& exchange) { return serveCaller(core, exchange); }, requestMemory)
+        , operators(
+              context, HttpServer::Options(), [core = core, memory = requestMemory](HttpExchange& exchange) { return serveOperator(core, memory, exchange); }, requestMemory)
         , timer(asio::make_strand(context))
     {
     }
@@ -63,7 +66,7 @@
         co_await exchange.respond(refusal(status, status == statusNotFound ? "no such path" : "only POST is served here", id));
     }
 
-    static asio::awaitable<void> serveOperator(std::shared_ptr<RouterCore> core, HttpExchange& exchange)
+    static asio::awaitable<void> serveOperator(std::shared_ptr<RouterCore> core, std::shared_ptr<RequestBufferBudget> memory, HttpExchange& exchange)
     {
         std::string path = exchange.request().path();
         HttpResponse response = HttpResponse::text(statusNotFound, "no such path\n");
@@ -72,7 +75,7 @@
         else if (path == "/readyz")
             response = readiness(*core);
         else if (path == "/metrics")
-            response = HttpResponse::text(statusOk, metrics(*core));
+            response = HttpResponse::text(statusOk, metrics(*core) + memory->prometheusText());
         else if (path == "/burn")
             response = HttpResponse::json(statusOk, core->burn().counts(SystemClock().wallTime()).encode());
         co_await exchange.respond(std::move(response));
@@ -114,6 +117,7 @@
     }
 
     std::shared_ptr<RouterCore> core;
+    std::shared_ptr<RequestBufferBudget> requestMemory;
     HttpServer callers;
     HttpServer operators;
     asio::steady_timer timer;
@@ -202,6 +206,13 @@
     return copy;
 }
 
+Router::Options Router::Options::withRequestMemory(std::size_t value) const
+{
+    Options copy = *this;
+    copy.requestMemory = value;
+    return copy;
+}
+
 Router::Options Router::Options::withIdPrefix(std::string value) const
 {
     Options copy = *this;
--- a/modules/hc_router/router/RouterService.cpp
+++ b/modules/hc_router/router/RouterService.cpp
@@ -53,7 +53,7 @@
                             .withMaximumWaiting(settings.maximumWaiting)
                             .withDataCentre(settings.host.dataCentre)
                             .withSlotReserve(SlotReserve::Options().withReservedPercent(settings.reservedSlotsPercent));
-        return Router::Options().withDispatch(dispatch).withIdPrefix(makeIdPrefix(settings.host.name)).withDataCentre(settings.host.dataCentre).withSeed(randomBits());
+        return Router::Options().withDispatch(dispatch).withIdPrefix(makeIdPrefix(settings.host.name)).withDataCentre(settings.host.dataCentre).withSeed(randomBits()).withRequestMemory(settings.requestMemory);
     }
 
     /** The controllers of the data centre first, then the keepers. */
--- a/modules/hc_router/router/RouterSettings.cpp
+++ b/modules/hc_router/router/RouterSettings.cpp
@@ -27,6 +27,10 @@
     settings.reservedSlotsPercent = static_cast<unsigned>(queue.integer("kept_slots_percent", settings.reservedSlotsPercent, 0, maximumReservedSlotsPercent));
     settings.pickerStrategy = file.root().table("picker").choice("strategy", { "two-choices", "least-outstanding" }, "two-choices");
     settings.threads = static_cast<unsigned>(file.root().table("threads").integer("count", 2, 1, maximumThreads));
+    SettingsTable requests = file.root().table("callers");
+    settings.requestMemory = static_cast<std::size_t>(requests.bytes("request_memory", ByteCount(settings.requestMemory)).value());
+    if (settings.requestMemory < RequestBufferBudget::minimumTotal)
+        requests.addFault("request_memory", "must be at least 16MiB");
     faults = file.faults();
     return settings;
 }
--- a/modules/hc_router/router/RouterSettings.h
+++ b/modules/hc_router/router/RouterSettings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "hemlockchute/http/RequestBufferBudget.h"
 #include "hemlockchute/settings/settings.h"
 
 #include <string>
@@ -48,6 +49,8 @@
     unsigned reservedSlotsPercent = 12;
     std::string pickerStrategy;
     unsigned threads = 2;
+    /** Bound in bytes on the memory for callers' requests. */
+    std::size_t requestMemory = RequestBufferBudget::defaultTotal();
 
     /** Reads the file and replaces `faults` by the errors found in it. Thread safety: any thread. */
     static RouterSettings read(const std::filesystem::path&, std::vector<std::string>& faults);
