--- a/modules/hc_coordinator/coordinator/Coordinator.h
+++ b/modules/hc_coordinator/coordinator/Coordinator.h
@@ -129,6 +129,7 @@
     FleetRelay m_relay;
     CompressedConfiguration m_compressed { CompressedConfiguration::Options() };
     ListingPoller m_listing;
+    std::shared_ptr<RequestBufferBudget> m_requestMemory;
     HttpServer m_operators;
     HttpServer m_metricsPage;
     boost::asio::steady_timer m_timer;
