Let hosts give back units of a scarce quota, and evict copies of models beyond the demand first

Models' only copies were evicted in turns for other rare models while busy models had copies that nobody needed: of some 5,500 requests in 12 s, 557 needed a load from disk.

Change: a quota is scarce when requests need more than is free, upon which hosts give back what they hold only in case; it is exhausted only when hosts hold little as well. What was in the pool at no time of the last window flows in over a window besides the rate. The value of a surplus copy is a small part of its share of the demand, and the only copy of a model keeps a value without any demand.

--- a/modules/hc_fleet/fleet/Fleet.capnp
+++ b/modules/hc_fleet/fleet/Fleet.capnp
@@ -92,6 +92,7 @@
   granted @1 :UInt64;
   isExhausted @2 :Bool;
   nanosecondsUntilRoom @3 :Int64;
+  isScarce @4 :Bool;
 }
 
 struct FollowRequest {
--- a/modules/hc_fleet/fleet/Fleet.capnp.h
+++ b/modules/hc_fleet/fleet/Fleet.capnp.h
@@ -1503,6 +1503,8 @@
 
   inline  ::int64_t getNanosecondsUntilRoom() const;
 
+  inline bool getIsScarce() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1547,6 +1549,9 @@
   inline  ::int64_t getNanosecondsUntilRoom();
   inline void setNanosecondsUntilRoom( ::int64_t value);
 
+  inline bool getIsScarce();
+  inline void setIsScarce(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3834,6 +3839,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool QuotaGrant::Reader::getIsScarce() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+
+inline bool QuotaGrant::Builder::getIsScarce() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS);
+}
+inline void QuotaGrant::Builder::setIsScarce(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<65>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FollowRequest::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -302,6 +302,7 @@
     for (unsigned i = 0; i < from.size(); ++i) {
         to[i].setWorkspace(from[i].workspace.text());
         to[i].setGranted(from[i].granted);
+        to[i].setIsScarce(from[i].isScarce);
         to[i].setIsExhausted(from[i].isExhausted);
         to[i].setNanosecondsUntilRoom(from[i].untilRoom.count());
     }
@@ -311,7 +312,7 @@
 {
     std::vector<QuotaGrant> all;
     for (auto each : from)
-        all.push_back({ WorkspaceName(textOf(each.getWorkspace())), each.getGranted(), each.getIsExhausted(), Duration(each.getNanosecondsUntilRoom()) });
+        all.push_back({ WorkspaceName(textOf(each.getWorkspace())), each.getGranted(), each.getIsScarce(), each.getIsExhausted(), Duration(each.getNanosecondsUntilRoom()) });
     return all;
 }
 
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -340,17 +340,34 @@
     if (!round.engine.models.contains(model))
         return 0;
     bool isCached = server.inMemory.contains(model) || server.onDisk.contains(model);
-    double reload = isCached || round.copies.at(model) > 1 ? 0 : m_options.storeReloadWeight;
+    unsigned copies = round.copies.at(model);
+    double reload = isCached || copies > 1 ? 0 : m_options.storeReloadWeight;
+    if (copies == 1)
+        reload += m_options.lastCopyValue;
     if (found == round.models.end())
         return reload;
     const CombinedDemand& demand = found->second;
     auto since = m_heldSince.find({ server.id, model });
     bool isNew = since != m_heldSince.end() && round.now - since->second < m_options.minimumResidence;
-    unsigned copies = round.copies.at(model);
     double wanted = (demand.arrivalsPerSecond + demand.waiting) * urgency(demand.rank);
     if (isNew && wanted > 0)
         return std::numeric_limits<double>::infinity();
-    return wanted / copies + (copies == 1 ? demand.active : 0) + reload;
+    double value = wanted / copies;
+    if (isSurplus(round, server, model))
+        value *= m_options.surplusCopyWeight;
+    return value + (copies == 1 ? demand.active : 0) + reload;
+}
+
+/** True if the other copies can serve the demand, with room for a burst. */
+bool ModelPlacer::isSurplus(const Round& round, const PlacedServer& server, const ModelName& model) const
+{
+    const CombinedDemand& demand = round.models.at(model);
+    double requests = demand.active + demand.waiting;
+    auto needed = 1 + static_cast<unsigned>(requests / (m_options.surplusThreshold * round.engine.slots));
+    if (round.copies.at(model) <= needed)
+        return false;
+    bool isSpread = demand.arrivalsPerSecond > m_options.spreadRate;
+    return !isSpread || std::any_of(round.servers.begin(), round.servers.end(), [&](const PlacedServer& other) { return other.id != server.id && other.dataCentre == server.dataCentre && other.models.contains(model); });
 }
 
 /** Adds the next step of an intent: unloads the first victim, or loads the model if there is none. */
@@ -363,6 +380,9 @@
         step.model = victims.front();
         step.makesRoomFor = intent.model;
         step.waitsForWithdrawal = waitsForWithdrawal(round, step.model);
+        // Other servers must not evict further copies in the same round as if this one were still there.
+        if (unsigned& copies = round.copies[step.model]; copies > 1)
+            --copies;
     } else {
         const EngineModel& spec = round.engine.models.at(intent.model);
         step.model = intent.model;
--- a/modules/hc_fleet/fleet/QuotaPool.cpp
+++ b/modules/hc_fleet/fleet/QuotaPool.cpp
@@ -59,6 +59,7 @@
         pool.free = 0;
         pool.refilled = now;
         pool.hosts.clear();
+        assumeFull(pool, now);
     }
     m_reported.clear();
     m_takeoverEnd = now + m_options.holdLifetime;
@@ -76,23 +77,47 @@
             refill(pool, now);
         else
             pool.refilled = now;
+        bool hasChanged = pool.quota != workspace.quota;
         pool.quota = workspace.quota;
+        if (hasChanged)
+            assumeFull(pool, now);
     }
     std::erase_if(m_pools, [&](const auto& item) { return !limited.contains(item.first); });
 }
 
-/** Divides what may be used in a window into what hosts may hold and what flows in. As much of the burst as hosts need not hold flows in over the window: a workspace that is at its limit for longer than a moment gets more of what its quota allows in each window. */
-QuotaPool::Flow QuotaPool::flowOf(const Quota& quota) const
+/** What hosts may hold and what is free, together; with the rate over a window it is what may be used in it. */
+double QuotaPool::capacityOf(const Quota& quota) const
 {
     double tolerated = m_options.usableShare * (m_options.overshoot * (quota.perSecond * seconds(m_options.window) + quota.burst) + m_options.slack);
     // What the next leader may have free is added to what hosts hold of the former leader.
     double reserve = quota.perSecond * seconds(m_options.takeoverReserve);
-    double stock = quota.perSecond * seconds(m_options.stockTime);
-    double heldBurst = std::clamp(stock + reserve - tolerated, 0.0, quota.burst);
-    Flow flow;
-    flow.perSecond = quota.perSecond + (quota.burst - heldBurst) / seconds(m_options.window);
-    flow.capacity = std::max(heldBurst + tolerated - flow.perSecond * seconds(m_options.takeoverReserve), reserve);
-    return flow;
+    return std::max(quota.burst + tolerated - reserve, reserve);
+}
+
+/** Units per second that are added to the pool. What has not been in the pool at any time of a window cannot be used in it besides the rate, and may be added over a window: a workspace that stays at its limit would otherwise never get its burst again. */
+double QuotaPool::inflowOf(const Pool& pool, Instant now) const
+{
+    double peak = 0;
+    for (const Peak& each : pool.peaks)
+        peak = now - each.at < m_options.window + peakInterval() ? std::max(peak, each.units) : peak;
+    return pool.quota->perSecond + std::max(capacityOf(*pool.quota) - peak, 0.0) / seconds(m_options.window);
+}
+
+/** Remembers the units in the pool, as the maximum of each interval. */
+void QuotaPool::notePeak(Pool& pool, double units, Instant now) const
+{
+    if (pool.peaks.empty() || now - pool.peaks.back().at >= peakInterval())
+        pool.peaks.push_back({ now, 0 });
+    pool.peaks.back().units = std::max(pool.peaks.back().units, units);
+    while (now - pool.peaks.front().at >= m_options.window + peakInterval())
+        pool.peaks.pop_front();
+}
+
+/** Nothing is known of the last window, as after a change of leader. */
+void QuotaPool::assumeFull(Pool& pool, Instant now) const
+{
+    pool.peaks.clear();
+    notePeak(pool, capacityOf(*pool.quota), now);
 }
 
 QuotaPool::Demand QuotaPool::demandOf(const Pool& pool, Instant now) const
@@ -119,13 +144,14 @@
     expire(pool, now);
     if (!pool.quota)
         return;
-    Flow flow = flowOf(*pool.quota);
-    pool.free += flow.perSecond * seconds(now - pool.refilled);
+    auto held = static_cast<double>(demandOf(pool, now).held);
+    pool.free += inflowOf(pool, now) * seconds(now - pool.refilled);
     pool.refilled = now;
-    double room = flow.capacity - static_cast<double>(demandOf(pool, now).held);
+    double room = capacityOf(*pool.quota) - held;
     if (now < m_takeoverEnd)
-        room = std::min(room, flow.perSecond * seconds(m_options.takeoverReserve));
+        room = std::min(room, pool.quota->perSecond * seconds(m_options.takeoverReserve));
     pool.free = std::clamp(pool.free, 0.0, std::max(room, 0.0));
+    notePeak(pool, pool.free + held, now);
 }
 
 //==============================================================================
@@ -136,12 +162,14 @@
     m_lastDeposit = asked;
     for (auto& [name, pool] : m_pools) {
         pool.free = hasExpired ? 0 : pool.free;
+        pool.isScarceElsewhere = false;
         pool.isExhaustedElsewhere = false;
         pool.untilRoomElsewhere = {};
     }
     for (const QuotaGrant& grant : grants) {
         Pool& pool = m_pools[grant.workspace];
         pool.free += static_cast<double>(grant.granted);
+        pool.isScarceElsewhere = grant.isScarce;
         pool.isExhaustedElsewhere = grant.isExhausted;
         pool.untilRoomElsewhere = grant.untilRoom;
     }
@@ -159,9 +187,10 @@
         Demand demand = demandOf(pool, now);
         auto free = static_cast<std::uint64_t>(pool.free);
         pool.recentlyGranted *= stockDecay;
-        auto stock = demand.reserve + static_cast<std::uint64_t>(pool.recentlyGranted);
+        auto stock = pool.isScarceElsewhere ? 0 : demand.reserve + static_cast<std::uint64_t>(pool.recentlyGranted);
         // Other relays may need what nobody here has asked for lately.
-        std::uint64_t returned = free > 2 * stock ? free - 2 * stock : 0;
+        std::uint64_t kept = 2 * stock + demand.needed;
+        std::uint64_t returned = free > kept ? free - kept : 0;
         pool.free -= static_cast<double>(returned);
         free -= returned;
         QuotaReport report { name, demand.held + free, demand.waiting, demand.needed - demand.waiting, stock > free ? stock - free : 0, returned, demand.requestCost };
@@ -228,13 +257,14 @@
     refill(pool, now);
     Demand demand = demandOf(pool, now);
     auto needed = static_cast<double>(demand.needed);
-    QuotaGrant reply { report.workspace, 0, pool.isExhaustedElsewhere, pool.untilRoomElsewhere };
+    QuotaGrant reply { report.workspace, 0, pool.isScarceElsewhere, pool.isExhaustedElsewhere, pool.untilRoomElsewhere };
     double keptForWaiting = 0;
     if (pool.quota) {
-        reply.isExhausted = needed > pool.free;
-        Flow flow = flowOf(*pool.quota);
-        reply.untilRoom = durationOf((static_cast<double>(demand.waiting) - pool.free) / flow.perSecond);
-        keptForWaiting = flow.capacity * m_options.unreservedShare;
+        double capacity = capacityOf(*pool.quota);
+        reply.isScarce = needed > pool.free;
+        reply.isExhausted = reply.isScarce && pool.free + static_cast<double>(demand.held) < capacity * m_options.exhaustedShare;
+        reply.untilRoom = durationOf((static_cast<double>(demand.waiting) - pool.free) / pool.quota->perSecond);
+        keptForWaiting = capacity * m_options.unreservedShare;
     }
     double forWaiting = takeWholeRequests(host, shareOf(host.needed, needed, pool.free));
     double forReserve = shareOf(report.reserve, static_cast<double>(demand.reserve), pool.free - needed - keptForWaiting);
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -85,6 +85,7 @@
       the most, and most urgent, requests.
     - Evicting a rarely requested model does not wait until every gateway knows, so that requests for
       another rare model start sooner.
+    - Copies that the demand does not need are evicted before the only copy of a rarely requested model.
     - A model whose servers are full, limit their rate below its demand, or are unreachable for the gateways
       with requests, gets another copy, where possible at a server without a rate limit.
     - While no request waits for a loaded model, models that no server has a copy of are loaded from
@@ -104,6 +105,12 @@
         double fullThreshold = 0.75;
         /** A model with more requests per second than this gets a copy in each data centre, so that a partitioned data centre can still serve it. */
         double spreadRate = 3;
+        /** A copy is surplus if the others are used to less than this fraction of their slots without it; below fullThreshold, so that it is not loaded again soon. */
+        double surplusThreshold = 0.5;
+        /** The part of its share of the demand that evicting a surplus copy costs: its requests go to other copies, while those for a model without a copy wait for a load. */
+        double surplusCopyWeight = 0.02;
+        /** Added for the only copy of a model, in requests per second: the averaged demand of a rare model is 0 most of the time. */
+        double lastCopyValue = 0.1;
         /** Cost of evicting a model that could only be reloaded from the store, in requests per second. */
         double storeReloadWeight = 0.4;
         /** Upper bound of the eviction cost of a load without demand, in requests per second. */
@@ -161,6 +168,7 @@
     DataCentreName dataCentreWithout(const Round&, const ModelName&) const;
     std::optional<Place> placeAt(const Round&, const PlacedServer&, const ModelName&, double value) const;
     double retentionValue(const Round&, const PlacedServer&, const ModelName&) const;
+    bool isSurplus(const Round&, const PlacedServer&, const ModelName&) const;
     void addStep(Round&, const PlacedServer&, const Intent&, const std::vector<ModelName>& victims);
     void estimateUnplaced(Round&, const std::vector<ModelName>& unplaced);
     bool waitsForWithdrawal(const Round&, const ModelName&) const;
--- a/modules/hc_fleet/include/hemlockchute/fleet/QuotaPool.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/QuotaPool.h
@@ -4,6 +4,7 @@
 #include "hemlockchute/core/Identifiers.h"
 #include "hemlockchute/fleet/Workspace.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -32,7 +33,9 @@
 struct QuotaGrant {
     WorkspaceName workspace;
     std::uint64_t granted = 0;
-    /** True if requests of all hosts need more than there is. */
+    /** True if requests of all hosts need more than is free. */
+    bool isScarce = false;
+    /** True if they need more than there is, rather than hosts holding what others need. */
     bool isExhausted = false;
     /** Time until what requests wait for is expected to be free; those that were refused do not wait. */
     Duration untilRoom {};
@@ -69,9 +72,9 @@
         /** A host may use what it holds for this long after its last report was sent. */
         Duration holdLifetime = 3s;
         /** The part of the capacity that is kept for requests that wait, and not given to hosts in reserve: a long request may need more than a host holds. */
-        double unreservedShare = 0.3;
-        /** Hosts hold the rate of this time at least, if the burst allows it; bridges a few polls. */
-        Duration stockTime = 1s;
+        double unreservedShare = 0.4;
+        /** A quota counts as exhausted only below this part of its capacity; above it, hosts hold enough that they can give back. */
+        double exhaustedShare = 0.5;
         /** The inflow that may be free while hosts may still hold units of a former leader. */
         Duration takeoverReserve = 500ms;
         /** What hosts ask for counts for this long unless it is replaced. */
@@ -120,15 +123,26 @@
         double credit = 0;
     };
 
+    static constexpr int peaksInWindow = 16;
+
+    /** The most units that were in a pool within an interval. */
+    struct Peak {
+        Instant at {};
+        double units = 0;
+    };
+
     struct Pool {
         /** Nothing at a relay. */
         std::optional<Quota> quota;
         double free = 0;
         Instant refilled {};
+        /** Of the last window, the latest one last. */
+        std::deque<Peak> peaks;
         std::map<HostName, Host> hosts;
         /** Units granted shortly before, which a relay keeps in stock. */
         double recentlyGranted = 0;
         /** As the leader has said to a relay. */
+        bool isScarceElsewhere = false;
         bool isExhaustedElsewhere = false;
         Duration untilRoomElsewhere {};
     };
@@ -141,13 +155,11 @@
         std::uint64_t requestCost = 1;
     };
 
-    /** What hosts may hold and what is free, together; and what is added to it. */
-    struct Flow {
-        double capacity = 0;
-        double perSecond = 0;
-    };
-
-    Flow flowOf(const Quota&) const;
+    double capacityOf(const Quota&) const;
+    double inflowOf(const Pool&, Instant now) const;
+    void notePeak(Pool&, double units, Instant now) const;
+    void assumeFull(Pool&, Instant now) const;
+    Duration peakInterval() const { return m_options.window / peaksInWindow; }
     Demand demandOf(const Pool&, Instant now) const;
     void refill(Pool&, Instant now) const;
     void expire(Pool&, Instant now) const;
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -114,6 +114,49 @@
 
 BOOST_AUTO_TEST_SUITE(ModelPlacerTests)
 
+/** Load: many rare models and a few busy ones with more copies than they need. Guards against evicting rare models in turns, each of whose next requests then waits for a load. */
+BOOST_AUTO_TEST_CASE(copiesBeyondTheDemandAreEvictedBeforeTheOnlyCopyOfARareModel)
+{
+    ModelPlacer::Servers servers;
+    for (int i = 0; i < 4; ++i) {
+        servers.push_back(server("s" + std::to_string(i), { "m0", "m1", "m" + std::to_string(i + 2) }));
+        servers.back().onDisk.insert(ModelName("m6"));
+        for (int model = 0; model < 6; ++model)
+            servers.back().onDisk.insert(ModelName("m" + std::to_string(model)));
+    }
+    InstantServers fleet(engineOf(7), servers);
+    ModelPlacer placer { ModelPlacer::Options() };
+    ModelPlacer::Demands demands;
+    demands[key("m0")] = rate(2);
+    demands[key("m1")] = rate(2);
+    demands[key("m2")] = rate(0.05);
+    fleet.run(placer, demands, 20);
+    demands[key("m6")] = waiting(1, 0);
+    fleet.run(placer, demands, 20);
+    for (int model = 0; model < 7; ++model)
+        BOOST_TEST(fleet.holds("m" + std::to_string(model)), model);
+}
+
+/** Guards against evicting copies that the demand needs, or a data centre's only copy of a busy model. */
+BOOST_AUTO_TEST_CASE(copiesThatTheDemandNeedsAreKept)
+{
+    ModelPlacer::Servers servers { server("s0", { "m0", "m1", "m2" }), server("s1", { "m0", "m3", "m4" }), server("s2", { "m0", "m5", "m6" }) };
+    for (std::size_t i = 0; i < servers.size(); ++i) {
+        servers[i].dataCentre = DataCentreName("z" + std::to_string(i));
+        servers[i].onDisk.insert(ModelName("m7"));
+    }
+    InstantServers fleet(engineOf(8), servers);
+    ModelPlacer placer { ModelPlacer::Options() };
+    ModelPlacer::Demands demands;
+    demands[key("m0")] = rate(4);
+    fleet.run(placer, demands, 20);
+    demands[key("m7")] = waiting(1, 0);
+    fleet.run(placer, demands, 20);
+    BOOST_TEST(fleet.holds("m7"));
+    for (const PlacedServer& each : fleet.servers)
+        BOOST_TEST(each.models.contains(ModelName("m0")));
+}
+
 BOOST_AUTO_TEST_CASE(aRequestedModelEvictsTheLeastRequestedOne)
 {
     InstantServers servers(engineOf(5), { server("a", { "m0", "m1", "m2" }) });
--- a/modules/hc_gateway/gateway/QuotaLimiter.cpp
+++ b/modules/hc_gateway/gateway/QuotaLimiter.cpp
@@ -10,7 +10,7 @@
 /** The weight of one request in the mean cost. */
 constexpr double meanCostWeight = 0.05;
 /** What is held above this multiple of the reserve is given back. */
-constexpr double surplusFactor = 2;
+constexpr double surplusFactor = 1.5;
 
 std::uint64_t wholeUnits(double value)
 {
@@ -114,6 +114,9 @@
 /** The units to hold for requests that are expected. */
 double QuotaLimiter::reserveOf(const Entry& entry, Instant now) const
 {
+    // Others need what would be held only in case a request comes.
+    if (entry.isScarce)
+        return entry.recent;
     bool isIdle = !entry.lastArrival || now - *entry.lastArrival >= m_options.idleTime;
     if (isIdle && m_entries.size() > m_options.fewWorkspaces)
         return 0;
@@ -142,8 +145,10 @@
 {
     dropExpired(now);
     m_confirmed = std::max(m_confirmed.value_or(confirmed), confirmed);
-    for (auto& [name, entry] : m_entries)
+    for (auto& [name, entry] : m_entries) {
         entry.exhaustedAt.reset();
+        entry.isScarce = false;
+    }
     for (const QuotaGrant& grant : grants) {
         auto found = m_entries.find(grant.workspace);
         if (found == m_entries.end())
@@ -151,6 +156,7 @@
         Entry& entry = found->second;
         entry.held += static_cast<double>(grant.granted);
         entry.untilRoom = grant.untilRoom;
+        entry.isScarce = grant.isScarce;
         if (grant.isExhausted)
             entry.exhaustedAt = now;
     }
--- a/modules/hc_gateway/gateway/QuotaLimiter.h
+++ b/modules/hc_gateway/gateway/QuotaLimiter.h
@@ -31,7 +31,7 @@
         /** The recent time whose use is held in reserve; bridges the election of a leader. */
         Duration reserveTime = 2s;
         /** At least this many requests of mean cost are held in reserve. */
-        double minimumReservedRequests = 2;
+        double minimumReservedRequests = 1.2;
         /** A workspace whose requests have not come for this long is held in reserve only while there are few workspaces. */
         Duration idleTime = 30s;
         std::size_t fewWorkspaces = 64;
@@ -93,6 +93,8 @@
         Instant updated {};
         std::optional<Instant> lastArrival;
         std::optional<Instant> exhaustedAt;
+        /** As the leader said last. */
+        bool isScarce = false;
         Duration untilRoom {};
     };
 
