--- a/modules/hc_fleet/fleet/RetryBudget.cpp
+++ b/modules/hc_fleet/fleet/RetryBudget.cpp
@@ -29,10 +29,9 @@
 }
 
 /** Counts at most one window: the current, still incomplete slice and the nine before it. */
-bool RetryBudget::tryResend(const ServiceName& service, Instant now)
+bool RetryBudget::allowsResend(const ServiceName& service, Instant now)
 {
-    Window& window = m_windows[service];
-    Slice& slice = current(window, now);
+    const Window& window = m_windows[service];
     std::int64_t oldest = numberOf(now) - static_cast<std::int64_t>(slices) + 1;
     unsigned requests = 0;
     unsigned resends = 0;
@@ -43,9 +42,14 @@
         resends += each.resends;
     }
     double allowed = m_options.usableFraction * (m_options.ratio * requests + static_cast<double>(m_options.allowance) / static_cast<double>(m_hosts));
-    if (resends + 1 > allowed)
+    return resends + 1 <= allowed;
+}
+
+bool RetryBudget::tryResend(const ServiceName& service, Instant now)
+{
+    if (!allowsResend(service, now))
         return false;
-    ++slice.resends;
+    ++current(m_windows[service], now).resends;
     return true;
 }
 
--- a/modules/hc_fleet/include/hemlockchute/fleet/RetryBudget.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RetryBudget.h
@@ -43,6 +43,8 @@
     void setHostCount(std::size_t count) { m_hosts = count; }
     /** Counts a caller's request. */
     void noteRequest(const ServiceName&, Instant now);
+    /** True if a resend is left in the budget. */
+    bool allowsResend(const ServiceName&, Instant now);
     /** Takes one resend from the budget; false if none is left. */
     bool tryResend(const ServiceName&, Instant now);
 
