Hedge safe requests that their server answers late

A slow server was in the tail of all requests that it got: the gateway turned to another one only after a silence of 1.2 s or four times the target.

A request of kind Safe is now sent to a second server once the first one has taken longer than the recent 95th percentile, if hedging.ratio is above 0 and no condition of docs/design/hedged-requests.md holds it back. The first complete answer below 500 is forwarded, and the other call is cancelled. Off by default.

--- a/modules/hc_core/core/EventTable.cpp
+++ b/modules/hc_core/core/EventTable.cpp
@@ -98,6 +98,8 @@
     { EventId::GatewayServerLimitEnded, Info, "gateway.server_limit_ended", "An answer of a backend server named no limit any more, and its request had been sent after the last that did." },
     { EventId::GatewayKeysUnconfirmed, Warning, "gateway.keys_unconfirmed", "No leader has confirmed the configuration in time: a key may have been removed since, and requests with a key are refused." },
     { EventId::GatewayKeysAccepted, Info, "gateway.keys_accepted", "A leader has confirmed the configuration, and requests with a key are served again." },
+    { EventId::GatewayHedgeSent, Info, "gateway.hedge_sent", "A request whose server has not answered within the usual time was sent to a second server as well; both servers are given." },
+    { EventId::GatewayHedgeEnded, Info, "gateway.hedge_ended", "The second send of a hedged request has ended; both servers are given, and which of them the forwarded answer is of: first, second or none." },
 
     // 2100: coordinator
     { EventId::CoordinatorStarted, Info, "coordinator.started", "The coordinator has read its data folder; identity, incarnation and version are given." },
--- a/modules/hc_core/include/hemlockchute/core/EventTable.h
+++ b/modules/hc_core/include/hemlockchute/core/EventTable.h
@@ -102,6 +102,8 @@
     GatewayServerLimitEnded = 2017,
     GatewayKeysUnconfirmed = 2018,
     GatewayKeysAccepted = 2019,
+    GatewayHedgeSent = 2030,
+    GatewayHedgeEnded = 2031,
 
     // 2100: coordinator
     CoordinatorStarted = 2100,
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -5,6 +5,7 @@
 #include "gateway/CoordinatorLink.h"
 #include "gateway/DemandTracker.h"
 #include "gateway/GatewaySettings.h"
+#include "gateway/HedgePolicy.h"
 #include "gateway/PromptPartMonitor.h"
 #include "gateway/QuotaLimiter.h"
 #include "gateway/ServerAdmission.h"
@@ -42,6 +43,7 @@
         , access(accessControl)
         , quotas(quotaLimiter)
         , retries(settings.retries)
+        , hedging(settings.hedging)
     {
     }
 
@@ -57,6 +59,7 @@
     /** For access keys and quotas, which a host must not use longer because it was suspended. */
     SuspendAwareClock suspendAwareClock;
     RetryBudget retries;
+    HedgePolicy hedging;
     ServerAdmission admission { servers, rateLimiter, ServerAdmission::Options() };
     AsyncConditionVariable stateChanged;
     /** Shared, because a request may outlive the gateway. */
--- a/modules/hc_gateway/gateway/GatewaySettings.cpp
+++ b/modules/hc_gateway/gateway/GatewaySettings.cpp
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr std::int64_t largestAllowance = 100'000;
+/** Hedges beyond this would take a noticeable part of the servers' capacity. */
+constexpr double largestHedgingRatio = 0.1;
 constexpr std::int64_t largestPort = 65535;
 
 } // namespace
@@ -43,6 +45,9 @@
     settings.retries = settings.retries.withRatio(retries.number("ratio", settings.retries.ratio, 0, 1));
     settings.retries = settings.retries.withAllowance(static_cast<unsigned>(retries.integer("allowance", settings.retries.allowance, 0, largestAllowance)));
     settings.retries = settings.retries.withWindow(retries.duration("window", settings.retries.window));
+    SettingsTable hedging = file.root().table("hedging");
+    settings.hedging = settings.hedging.withRatio(hedging.number("ratio", settings.hedging.ratio, 0, largestHedgingRatio));
+    settings.hedging = settings.hedging.withMinimumDelay(hedging.duration("minimum_delay", settings.hedging.minimumDelay));
     SettingsTable access = file.root().table("access");
     if (access.has("revocation"))
         settings.access = settings.access.withRevocation(access.duration("revocation", Duration::zero()));
--- a/modules/hc_gateway/gateway/GatewaySettings.h
+++ b/modules/hc_gateway/gateway/GatewaySettings.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/AccessControl.h"
+#include "gateway/HedgePolicy.h"
 #include "hemlockchute/fleet/RetryBudget.h"
 #include "hemlockchute/policy/ServerNotices.h"
 #include "hemlockchute/settings/settings.h"
@@ -35,6 +36,7 @@
     /** Bounds on the notices in servers' responses. */
     ServerNotices::Options notices;
     RetryBudget::Options retries;
+    HedgePolicy::Options hedging;
     AccessControl::Options access;
     /** The time from the stop signal to the end of the process. */
     Duration grace = 8s;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -13,7 +13,6 @@
 constexpr unsigned statusOk = 200;
 constexpr unsigned statusBadRequest = 400;
 constexpr unsigned statusNotFound = 404;
-constexpr unsigned firstFailure = 500;
 constexpr unsigned statusWrongServer = 421;
 
 /** A server responds at the deadline by itself; its response may take this much longer to arrive. */
@@ -63,6 +62,11 @@
 {
     m_call->answer = nullptr;
     m_call->silentAnswer = nullptr;
+    // Its coroutine ends by itself.
+    if (auto hedge = std::exchange(m_call->hedge, nullptr)) {
+        hedge->onHead = nullptr;
+        hedge->onEnd = nullptr;
+    }
     settleQuota();
     m_requests->erase(this);
 }
@@ -156,6 +160,7 @@
     Duration timeout = std::min(m_route->timeout, m_metadata.deadline.value_or(m_route->timeout));
     m_deadline = m_received + timeout;
     m_core.retries.noteRequest(m_key.service, m_received);
+    m_core.hedging.noteRequest(m_key.service, m_received);
     m_suspectKeys = { requestKeyOf(m_exchange.request()) };
     const RoutedService* service = m_configuration->findService(m_key.service);
     if (!service->engine)
@@ -174,6 +179,8 @@
     auto executor = co_await asio::this_coro::executor;
     m_silenceTimer.emplace(executor, [this] { checkSilence(); });
     m_overlapTimer.emplace(executor, [this] { leaveSilentServer(); });
+    m_hedgeTimer.emplace(executor, [this] { considerHedge(); });
+    m_executor = executor;
     bool again = true;
     while (again)
         again = co_await tryOnce();
@@ -232,11 +239,16 @@
         m_core.demand.addActive(m_key, 1);
     Outcome outcome = co_await sendTo(server);
     m_silenceTimer->stop();
+    m_hedgeTimer->stop();
     endSilence();
     notePromptRead(server);
     noteAttemptEnded(server);
     m_mayHaveRun = m_mayHaveRun || outcome == Outcome::Unknown || outcome == Outcome::Failed;
     co_await checkBrokenServer();
+    if (m_call->hedge)
+        outcome = co_await awaitHedge(outcome);
+    m_brokenServer = std::exchange(m_brokenHedgeServer, std::nullopt);
+    co_await checkBrokenServer();
     co_return outcome;
 }
 
@@ -256,6 +268,7 @@
         m_core.demand.addWaiting(m_key, 1);
     if (hasModel() || !m_limited.empty())
         m_core.link.pollSoon();
+    m_core.hedging.addWaiting(m_key.service, 1);
     updateRateWait(true);
     std::optional<BackendServerName> server;
     while (!server && !m_call->isCallerDisconnected && !isUnservable(currentTime())) {
@@ -264,6 +277,7 @@
         updateRateWait(!server);
     }
     updateRateWait(false);
+    m_core.hedging.addWaiting(m_key.service, -1);
     if (hasModel()) {
         m_core.demand.addWaiting(m_key, -1);
         if (!server && !m_call->isCallerDisconnected)
@@ -360,6 +374,7 @@
     m_attemptStartedAt = incarnation.startedAt;
     m_eventBatches = 0;
     noteProgress();
+    scheduleHedge();
     auto answer = co_await m_core.client.begin(server->address, std::move(request), answerDeadline(), use, m_call->handle);
     if (!answer && isCertainlyNotSent(answer.error().code))
         returnRateGrant(name);
@@ -379,6 +394,8 @@
     bool isNotSent = isCertainlyNotSent(error.code);
     if (isNotSent)
         --m_sends;
+    if (isOvertaken())
+        return Outcome::Overtaken;
     if (isNotSent || error.code == HttpClientErrorCode::TimedOut)
         m_core.servers.noteUnreachable(name, currentTime());
     if (error.code == HttpClientErrorCode::ConnectionRefused)
@@ -408,6 +425,14 @@
     releaseSuccessor();
     m_hasHead = true;
     noteProgress();
+    m_hedgeTimer->stop();
+    AnswerMetadata metadata = noteHead(incarnation, answer, sent);
+    co_return co_await receiveBody(name, metadata, answer);
+}
+
+/** Applies what the head of an answer says of its server. */
+AnswerMetadata RequestForwarder::noteHead(const ServerIncarnation& incarnation, HttpResponseStream& answer, Instant sent)
+{
     AnswerMetadata metadata = m_core.platform.decodeAnswer(answer.status(), answer.headers());
     // The address may belong to another server now, whose notice is about itself.
     bool isOfThisServer = answer.status() != statusWrongServer;
@@ -421,10 +446,11 @@
         limit.received = currentTime();
         noteRateLimit(limit);
     }
-    co_return co_await receiveBody(name, metadata, answer);
+    return metadata;
 }
 
-asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveBody(const BackendServerName& name, const AnswerMetadata& metadata, HttpResponseStream& answer)
+/** The outcome of an attempt whose answer is not to be read on, as its head shows; nothing for any other. */
+std::optional<RequestForwarder::Outcome> RequestForwarder::refusalOutcome(const BackendServerName& name, const AnswerMetadata& metadata, HttpResponseStream& answer)
 {
     static constexpr unsigned refusalStatuses[] = { 408, 421, 429, 503 };
     unsigned status = answer.status();
@@ -433,15 +459,23 @@
     // A response without an attempt id may be a late one to another request, except an error or refusal on a fresh connection.
     bool mayBeOther = !metadata.attempt && (isSuccess || answer.isOnReusedConnection());
     if (isOther || mayBeOther)
-        co_return noteFailedAttempt(name, Outcome::Unknown, "the answer belongs to another request");
+        return noteFailedAttempt(name, Outcome::Unknown, "the answer belongs to another request");
     if (metadata.isNotRun || status == statusWrongServer) {
         if (hasModel() && !metadata.notice.pause)
             m_core.servers.noteModelMissing(name, m_key, currentTime());
         m_refusedBy.insert(name);
-        co_return noteFailedAttempt(name, Outcome::NotRun, "status " + std::to_string(status));
+        return noteFailedAttempt(name, Outcome::NotRun, "status " + std::to_string(status));
     }
     if (std::find(std::begin(refusalStatuses), std::end(refusalStatuses), status) != std::end(refusalStatuses))
-        co_return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
+        return noteFailedAttempt(name, Outcome::Unknown, "status " + std::to_string(status) + " without word whether it ran");
+    return std::nullopt;
+}
+
+asio::awaitable<RequestForwarder::Outcome> RequestForwarder::receiveBody(const BackendServerName& name, const AnswerMetadata& metadata, HttpResponseStream& answer)
+{
+    unsigned status = answer.status();
+    if (auto refused = refusalOutcome(name, metadata, answer))
+        co_return *refused;
     // Only events can follow the events that the caller has; an error would become part of them.
     bool isRestMissing = m_hasBegun && status != statusOk;
     // The silent server is a better prospect than the rest of an error response.
@@ -449,6 +483,8 @@
         co_return noteFailedAttempt(name, Outcome::Failed, "status " + std::to_string(status));
     if (status < firstFailure)
         leaveSilentServer();
+    if (status < firstFailure && m_route->kind == RequestKind::Safe)
+        m_core.hedging.noteHeadTime(m_key.service, currentTime() - m_attemptSent, currentTime());
     if (m_route->kind == RequestKind::Stream && status == statusOk)
         co_return co_await forwardEvents(name, answer);
     co_return co_await receiveBuffered(name, answer);
@@ -463,6 +499,8 @@
     response.headers = m_core.platform.forwardedAnswerHeaders(answer.headers());
     while (true) {
         auto piece = co_await answer.read(answerDeadline());
+        if (isOvertaken())
+            co_return Outcome::Overtaken;
         if (!piece && piece.error().code == HttpClientErrorCode::ConnectionLost)
             noteBroken(name);
         if (!piece)
@@ -482,6 +520,8 @@
     unsigned status = response.status;
     if (status == statusOk)
         noteAnswerBegun();
+    if (m_call->hedge)
+        endHedge("first");
     m_firstByte = elapsed();
     bool isSent = co_await m_exchange.respond(std::move(response));
     if (!isSent)
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -4,6 +4,7 @@
 #include "hemlockchute/http/HttpServer.h"
 #include "hemlockchute/http/WatchdogTimer.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <set>
@@ -43,7 +44,43 @@
         Unknown,
         /** The server responded with an error, which is kept to be returned if no other server succeeds. */
         Failed,
-        CallerDisconnected
+        CallerDisconnected,
+        /** The other attempt of a hedged request has answered. */
+        Overtaken
+    };
+
+    /** The second attempt of a hedged request, and its answer. Its coroutine may outlive the forwarder. */
+    struct Hedge {
+        explicit Hedge(std::shared_ptr<ResponseBufferBudget> budget)
+            : buffered(std::move(budget))
+        {
+        }
+
+        void cancel()
+        {
+            handle->cancel();
+            if (answer)
+                answer->close();
+        }
+
+        ServerIncarnation first;
+        ServerIncarnation server;
+        Instant sent {};
+        std::shared_ptr<HttpCallHandle> handle = std::make_shared<HttpCallHandle>();
+        HttpResponseStream* answer = nullptr;
+        /** Called with the head of the answer; the body is read if it returns true. Empty once the forwarder takes no more interest. */
+        std::function<bool(HttpResponseStream&)> onHead;
+        /** Called at the end, whatever it is. */
+        std::function<void()> onEnd;
+        bool hasHead = false;
+        bool isTooLong = false;
+        std::optional<Error<HttpClientErrorCode>> error;
+        HttpResponse response;
+        ResponseBufferReservation buffered;
+        /** Set by the head of a refusal. */
+        std::optional<Outcome> refusal;
+        /** Set at the end; Answered if the response is complete and can be forwarded. */
+        std::optional<Outcome> outcome;
     };
 
     /** State shared with the disconnect handler, which may outlive the forwarder. */
@@ -52,6 +89,7 @@
         HttpResponseStream* answer = nullptr;
         /** The answer of a silent server, while another server is asked to take over. */
         HttpResponseStream* silentAnswer = nullptr;
+        std::shared_ptr<Hedge> hedge;
         bool isCallerDisconnected = false;
 
         void noteCallerDisconnect()
@@ -66,6 +104,8 @@
             if (answer)
                 answer->close();
             closeSilentAnswer();
+            if (hedge)
+                hedge->cancel();
         }
 
         /** False when it was closed before, or there is none. */
@@ -96,11 +136,24 @@
     boost::asio::awaitable<bool> awaitTrial();
     void noteBroken(const BackendServerName&);
     void noteUnanswered(const BackendServerName&);
+    void noteUnanswered(const ServerIncarnation&, Instant sent);
     void noteConnectionRefused(const BackendServerName&);
     void noteAnswerBegun();
     boost::asio::awaitable<void> checkBrokenServer();
     boost::asio::awaitable<std::optional<Outcome>> moveFrom(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
     boost::asio::awaitable<std::optional<Outcome>> tryTakeover(const BackendServerName& silentServer, HttpResponseStream& silentAnswer);
+    void scheduleHedge();
+    void considerHedge();
+    void sendHedge(const BackendServerName&);
+    static boost::asio::awaitable<void> runHedge(std::shared_ptr<Hedge>, HttpClient&, Endpoint, HttpRequest, Instant deadline);
+    bool noteHedgeHead(HttpResponseStream&);
+    void noteHedgeEnded();
+    Outcome hedgeOutcome();
+    Outcome noteLostHedge();
+    boost::asio::awaitable<Outcome> awaitHedge(Outcome first);
+    void endHedge(std::string_view answered);
+    bool isHedgeRunning() const { return m_call->hedge && !m_call->hedge->outcome; }
+    bool isOvertaken() const { return m_call->hedge && m_call->hedge->outcome == Outcome::Answered; }
     void reserve(const BackendServerName&);
     void release(const BackendServerName&);
     void noteAttemptEnded(const BackendServerName&);
@@ -117,6 +170,8 @@
     bool expiresBeforeRateAdmission(Instant now);
     boost::asio::awaitable<Outcome> sendTo(const BackendServerName&);
     boost::asio::awaitable<Outcome> receive(const ServerIncarnation&, HttpResponseStream&, Instant sent);
+    AnswerMetadata noteHead(const ServerIncarnation&, HttpResponseStream&, Instant sent);
+    std::optional<Outcome> refusalOutcome(const BackendServerName&, const AnswerMetadata&, HttpResponseStream&);
     boost::asio::awaitable<Outcome> receiveBody(const BackendServerName&, const AnswerMetadata&, HttpResponseStream&);
     void applyNotice(const ServerIncarnation&, const ServerNotice&);
     void noteRateLimit(const RateLimitNotice&);
@@ -230,6 +285,13 @@
     std::optional<WatchdogTimer> m_silenceTimer;
     /** Ends the time for which a silent attempt stays open beside the one that replaces it. */
     std::optional<WatchdogTimer> m_overlapTimer;
+    /** Expires when the request is to be hedged. */
+    std::optional<WatchdogTimer> m_hedgeTimer;
+    /** Notified at the end of the hedge. */
+    AsyncConditionVariable m_hedgeEnded;
+    boost::asio::any_io_executor m_executor;
+    /** The incarnation of the hedge's server, if its connection broke before its answer. */
+    std::optional<ServerIncarnation> m_brokenHedgeServer;
     /** True while the current server has been silent for longer than the limit. */
     bool m_isSilent = false;
     /** True while the request counts as waiting for its model at another server, because the current one is silent. */
--- a/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderCrashes.cpp
@@ -73,10 +73,16 @@
 /** If the server turns out to have ended, and its answer had not begun, the request may have crashed it. */
 void RequestForwarder::noteUnanswered(const BackendServerName& name)
 {
-    const ListedServer* server = m_core.servers.find(name);
+    if (m_eventBatches < 2)
+        noteUnanswered({ name, m_attemptStartedAt }, m_attemptSent);
+}
+
+void RequestForwarder::noteUnanswered(const ServerIncarnation& incarnation, Instant sent)
+{
+    const ListedServer* server = m_core.servers.find(incarnation.server);
     bool isPlanned = server && server->isLeaving;
-    if (m_eventBatches < 2 && !isPlanned)
-        m_core.promptParts.noteBroken({ { name, m_attemptStartedAt }, m_suspectKeys, m_attemptSent, currentTime() });
+    if (!isPlanned)
+        m_core.promptParts.noteBroken({ incarnation, m_suspectKeys, sent, currentTime() });
 }
 
 /** The server has survived the begin of an answer with this prompt. */
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -15,8 +15,6 @@
 
 constexpr unsigned statusBadGateway = 502;
 constexpr unsigned statusTimedOut = 504;
-/** The attempts at servers for one request, including servers that could not be reached. */
-constexpr unsigned maximumTries = 5;
 
 /** Jitter added to the retry time of callers refused because of a pause or a rate limit, so that they do not all return at once. */
 constexpr Duration maximumReturnJitter = 300ms;
@@ -53,7 +51,7 @@
 
 RequestForwarder::Outcome RequestForwarder::noteFailedAttempt(const BackendServerName& name, Outcome outcome, std::string_view reason)
 {
-    static constexpr std::string_view names[] = { "answered", "not-sent", "not-run", "unknown", "failed", "caller-gone" };
+    static constexpr std::string_view names[] = { "answered", "not-sent", "not-run", "unknown", "failed", "caller-gone", "overtaken" };
     std::string_view outcomeName = names[static_cast<std::size_t>(outcome)];
     if (m_isAborted)
         reason = "the gateway stops";
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -57,8 +57,8 @@
     if (m_call->isCallerDisconnected || m_isAborted || m_successor)
         return;
     noteSilence();
-    // A read can be interrupted only once the request has been written.
-    if (!m_call->answer || !m_call->answer->isRequestSent()) {
+    // A read can be interrupted only once the request has been written. A hedge in flight is the other attempt already.
+    if (isHedgeRunning() || !m_call->answer || !m_call->answer->isRequestSent()) {
         watchSilence();
         return;
     }
@@ -73,6 +73,7 @@
     }
     if (hasModel() && !std::exchange(m_isWaitingElsewhere, true)) {
         m_core.demand.addWaiting(m_key, 1);
+        m_core.hedging.addWaiting(m_key.service, 1);
         m_core.link.pollSoon();
     }
     watchSilence();
@@ -97,8 +98,10 @@
 void RequestForwarder::endSilence()
 {
     m_isSilent = false;
-    if (std::exchange(m_isWaitingElsewhere, false))
+    if (std::exchange(m_isWaitingElsewhere, false)) {
         m_core.demand.addWaiting(m_key, -1);
+        m_core.hedging.addWaiting(m_key.service, -1);
+    }
 }
 
 //==============================================================================
--- a/modules/hc_gateway/gateway/ServerAdmission.cpp
+++ b/modules/hc_gateway/gateway/ServerAdmission.cpp
@@ -26,6 +26,21 @@
     return selection;
 }
 
+SpareServerSelection ServerAdmission::selectSpare(const ModelKey& key, const RequestMetadata& request, const std::set<BackendServerName>& tried, Instant now) const
+{
+    SpareServerSelection selection;
+    const ModelKey service { key.service, ModelName(), AdapterName() };
+    ServerTable::Pauses pauses = m_servers.pauses(service, now);
+    selection.hasPausedServer = pauses.servers > 0 || pauses.isRecovering;
+    auto all = m_servers.candidates(service, {}, now);
+    selection.hasLimitedServer = std::any_of(all.begin(), all.end(), [&](const ServerCandidate& each) { return m_rateLimiter.limitOf(lifeOf(*m_servers.find(each.id))).has_value(); });
+    auto candidates = m_servers.candidates(key, tried, now);
+    std::erase_if(candidates, [](const ServerCandidate& each) { return each.load.requests >= each.slots; });
+    if (auto best = m_chooser.choose(candidates, request))
+        selection.server = candidates[*best].id;
+    return selection;
+}
+
 unsigned ServerAdmission::requestLimit(const ServerCandidate& server, unsigned rank) const
 {
     double queue = std::max(0.0, m_options.urgentQueueRatio - m_options.queueRatioStep * rank);
--- a/modules/hc_gateway/gateway/ServerAdmission.h
+++ b/modules/hc_gateway/gateway/ServerAdmission.h
@@ -16,6 +16,16 @@
     std::vector<ServerIncarnation> limited;
 };
 
+/** A server for a further send of a request that is at a server already, or why there is none. */
+struct SpareServerSelection {
+    /** A server with fewer requests than slots. */
+    std::optional<BackendServerName> server;
+    /** True while a server of the service is paused, or in its recovery period. */
+    bool hasPausedServer = false;
+    /** True while a server of the service names a rate limit. */
+    bool hasLimitedServer = false;
+};
+
 //==============================================================================
 /**
     Admission control and load balancing: selects the server for a request, and limits the requests
@@ -48,6 +58,9 @@
     /** Selects the best server that was not tried. */
     ServerSelection select(const ModelKey&, const RequestMetadata&, unsigned rank, const std::set<BackendServerName>& tried, Instant now) const;
 
+    /** Selects the best server that was not tried and has a free slot. */
+    SpareServerSelection selectSpare(const ModelKey&, const RequestMetadata&, const std::set<BackendServerName>& tried, Instant now) const;
+
 private:
     unsigned requestLimit(const ServerCandidate&, unsigned rank) const;
 
--- a/modules/hc_gateway/tests/GatewaySettingsTests.cpp
+++ b/modules/hc_gateway/tests/GatewaySettingsTests.cpp
@@ -60,6 +60,7 @@
     BOOST_TEST(faultsOf(validSettings).empty());
     // Generated files write whole numbers without a decimal point.
     BOOST_TEST(faultsOf(validSettings + "[retries]\nratio = 1\n[access]\nrevocation = \"5s\"\n").empty());
+    BOOST_TEST(faultsOf(validSettings + "[hedging]\nratio = 0.1\nminimum_delay = \"5ms\"\n").empty());
     BOOST_TEST(faultsOf(validSettings + "[stop]\ngrace = \"3s\"\n[log]\nlines_per_second = 50\nmost_waiting = \"64KiB\"\n").empty());
 }
 
@@ -74,6 +75,8 @@
     checkFault(with(validSettings, "readiness", "readyness = \"127.0.0.1:1\"\nreadiness"), "readyness");
     checkFault(validSettings + "[stop]\ngrace = 8\n", "grace");
     checkFault(validSettings + "[retries]\nratio = 1.5\n", "ratio");
+    checkFault(validSettings + "[hedging]\nratio = 0.11\n", "ratio");
+    checkFault(validSettings + "[hedging]\nminimum_delay = 20\n", "minimum_delay");
     checkFault(validSettings + "[log]\nlines_per_second = 0\n", "lines_per_second");
 }
 
