Keep the tokens of requests within a server's memory

Cause: admission ignored EngineSpec::tokenCapacity. Twelve requests of 9,190 prompt tokens exceed the 99,231 of a server, which then preempts streams or terminates.

Change: gateways count the prompt and maximum output tokens of the requests at each server and exchange them in Loads.heldTokens, which is left out while all are 0 and may be missing. Admission leaves out servers that lack the memory, except those without requests. The count of one request is limited to 100 million, because callers state it and the sums are sent as 32 bits.

--- a/modules/hc_coordinator/tests/DemandAggregatorTests.cpp
+++ b/modules/hc_coordinator/tests/DemandAggregatorTests.cpp
@@ -13,7 +13,7 @@
     FollowRequest request;
     request.host = HostName(host);
     request.demands = { { { service, ModelName(model), AdapterName() }, waiting, 1, arrivals, 0, rank } };
-    request.outstanding = { { ServerHandle(1), { 2, 100 } } };
+    request.outstanding = { { ServerHandle(1), { 2, 100, 150 } } };
     return request;
 }
 
@@ -35,12 +35,14 @@
     BOOST_TEST((demandFor(aggregator, "m", now).waiting == 4 && demandFor(aggregator, "m", now).active == 2 && demandFor(aggregator, "m", now).rank == 0));
     BOOST_TEST(aggregator.gateways(now).gateways() == 2U);
     BOOST_TEST(aggregator.gateways(now).outstanding().at(ServerHandle(1)).requests == 4U);
+    BOOST_TEST(aggregator.gateways(now).outstanding().at(ServerHandle(1)).heldTokens == 300U);
     now += 1500ms;
     aggregator.recordReport(report("a", "m", 2, 0, 2), now);
     now += 1s;
     BOOST_TEST(demandFor(aggregator, "m", now).waiting == 2U);
     BOOST_TEST(aggregator.gateways(now).gateways() == 1U);
     BOOST_TEST(aggregator.gateways(now).outstanding().at(ServerHandle(1)).requests == 2U);
+    BOOST_TEST(aggregator.gateways(now).outstanding().at(ServerHandle(1)).heldTokens == 150U);
 }
 
 BOOST_AUTO_TEST_CASE(arrivalsBecomeARateThatDecays)
@@ -124,6 +126,7 @@
     old.epoch = 5;
     aggregator.recordReport(old, now);
     BOOST_TEST(aggregator.gateways(now).outstanding().at(ServerHandle(1)).requests == 2U);
+    BOOST_TEST(aggregator.gateways(now).outstanding().at(ServerHandle(1)).heldTokens == 150U);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_fleet/fleet/FleetMessages.cpp
+++ b/modules/hc_fleet/fleet/FleetMessages.cpp
@@ -53,6 +53,12 @@
         requests.set(i, from[i].load.requests);
         unreadTokens.set(i, clampTo32Bits(from[i].load.unreadTokens));
     }
+    // Left out where requests state no tokens, since replies list many servers and every gateway receives several per second.
+    if (std::none_of(from.begin(), from.end(), [](const ServerOutstanding& each) { return each.load.heldTokens > 0; }))
+        return;
+    auto heldTokens = to.initHeldTokens(sizeOf(from));
+    for (unsigned i = 0; i < from.size(); ++i)
+        heldTokens.set(i, clampTo32Bits(from[i].load.heldTokens));
 }
 
 /** Nothing if the lists differ in length. */
@@ -61,12 +67,14 @@
     auto servers = from.getServers();
     auto requests = from.getRequests();
     auto unreadTokens = from.getUnreadTokens();
-    if (servers.size() != requests.size() || servers.size() != unreadTokens.size())
+    auto heldTokens = from.getHeldTokens();
+    bool countsHeldTokens = heldTokens.size() > 0;
+    if (servers.size() != requests.size() || servers.size() != unreadTokens.size() || (countsHeldTokens && servers.size() != heldTokens.size()))
         return std::nullopt;
     std::vector<ServerOutstanding> all;
     all.reserve(servers.size());
     for (unsigned i = 0; i < servers.size(); ++i)
-        all.push_back({ ServerHandle(servers[i]), { requests[i], unreadTokens[i] } });
+        all.push_back({ ServerHandle(servers[i]), { requests[i], unreadTokens[i], countsHeldTokens ? heldTokens[i] : 0 } });
     return all;
 }
 
--- a/modules/hc_fleet/include/hemlockchute/fleet/RequestMetadata.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RequestMetadata.h
@@ -5,6 +5,7 @@
 #include "hemlockchute/core/Units.h"
 #include "hemlockchute/fleet/Workspace.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -30,6 +31,12 @@
     AdapterName adapter;
     std::uint64_t promptTokens = 0;
     std::uint64_t maximumOutputTokens = 0;
+    /** The tokens for which a server must have memory to complete the request. Limited to more than any server holds, so that a caller's false count does not overflow the sums. */
+    std::uint64_t heldTokens() const
+    {
+        constexpr std::uint64_t limit = 100'000'000;
+        return std::min(std::min(promptTokens, limit) + std::min(maximumOutputTokens, limit), limit);
+    }
     /** In prompt order; the last part is not shared with other requests. */
     std::vector<PromptPart> promptParts;
     /** The last event that the caller received, if it resumes a stream. */
--- a/modules/hc_fleet/include/hemlockchute/fleet/RouteConfiguration.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/RouteConfiguration.h
@@ -77,6 +77,7 @@
 struct EngineSpec {
     /** Requests in one batch. */
     unsigned slots = 1;
+    /** The prompt and output tokens for which a server has memory; 0 if unknown. */
     std::uint64_t tokenCapacity = 0;
     ByteCount weightsCapacity;
     unsigned adapterSlots = 0;
--- a/modules/hc_fleet/include/hemlockchute/fleet/ServerChooser.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ServerChooser.h
@@ -4,22 +4,26 @@
 #include "hemlockchute/core/Identifiers.h"
 #include "hemlockchute/fleet/RequestMetadata.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <vector>
 
 namespace hemlockchute {
 
-/** Requests at a server, and the prompt tokens that it still has to process for them. */
+/** The requests at a server, and their tokens. */
 struct ServerLoad {
     unsigned requests = 0;
+    /** Prompt tokens that the server still has to process. */
     std::uint64_t unreadTokens = 0;
+    /** Prompt tokens and maximum output tokens, for which the server needs memory. Hosts that do not count them report 0. */
+    std::uint64_t heldTokens = 0;
 
-    friend ServerLoad operator+(ServerLoad a, ServerLoad b) { return { a.requests + b.requests, a.unreadTokens + b.unreadTokens }; }
+    friend ServerLoad operator+(ServerLoad a, ServerLoad b) { return { a.requests + b.requests, a.unreadTokens + b.unreadTokens, a.heldTokens + b.heldTokens }; }
     /** Saturates at 0, since the counts of other hosts lag behind. */
     friend ServerLoad operator-(ServerLoad a, ServerLoad b)
     {
-        return { a.requests > b.requests ? a.requests - b.requests : 0, a.unreadTokens > b.unreadTokens ? a.unreadTokens - b.unreadTokens : 0 };
+        return { a.requests - std::min(a.requests, b.requests), a.unreadTokens - std::min(a.unreadTokens, b.unreadTokens), a.heldTokens - std::min(a.heldTokens, b.heldTokens) };
     }
 };
 
@@ -31,6 +35,8 @@
     unsigned slots = 1;
     /** Its known load from all hosts. */
     ServerLoad load;
+    /** The tokens for which it has memory; 0 if unknown. */
+    std::uint64_t tokenCapacity = 0;
 };
 
 //==============================================================================
--- a/modules/hc_fleet/tests/FleetMessagesTests.cpp
+++ b/modules/hc_fleet/tests/FleetMessagesTests.cpp
@@ -1,7 +1,10 @@
+#include "fleet/Fleet.capnp.h"
 #include "hemlockchute/fleet/CoordinatorAddress.h"
 #include "hemlockchute/fleet/FleetMessages.h"
 
 #include <boost/test/unit_test.hpp>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
 
 using namespace hemlockchute;
 
@@ -15,7 +18,7 @@
     sent.epoch = 5;
     sent.revision = 6;
     sent.demands = { { { ServiceName("llm"), ModelName("m"), AdapterName("a") }, 1, 2, 3, 4, 5 } };
-    sent.outstanding = { { ServerHandle(3), { 7, 800 } } };
+    sent.outstanding = { { ServerHandle(3), { 7, 800, 900 } }, { ServerHandle(4), { 1, 0, 0 } } };
     sent.gateways = 9;
     sent.isLast = true;
     sent.leaving = { { BackendServerName("s"), 77 } };
@@ -36,7 +39,8 @@
     const ModelDemandReport& demand = read->demands.front();
     BOOST_TEST((demand.key == sent.demands.front().key));
     BOOST_TEST((demand.waiting == 1 && demand.active == 2 && demand.arrivals == 3 && demand.refused == 4 && demand.rank == 5));
-    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(3) && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
+    BOOST_TEST((read->outstanding.size() == 2 && read->outstanding.front().server == ServerHandle(3) && read->outstanding.front().load.requests == 7 && read->outstanding.front().load.unreadTokens == 800));
+    BOOST_TEST((read->outstanding.front().load.heldTokens == 900 && read->outstanding.back().server == ServerHandle(4) && read->outstanding.back().load.heldTokens == 0));
     BOOST_TEST((read->leaving == sent.leaving && read->ended == sent.ended));
     BOOST_REQUIRE(read->promptParts.crashes.size() == 1U);
     const ServerCrash& crash = read->promptParts.crashes.front();
@@ -54,6 +58,32 @@
     BOOST_TEST((read->gateways == 9 && read->isLast && read->relay == sent.relay && read->dataCentre == sent.dataCentre));
 }
 
+/** Hosts of earlier versions send no list of held tokens; their reports must stay readable. */
+BOOST_AUTO_TEST_CASE(loadsAreReadWithAndWithoutHeldTokens)
+{
+    auto encoded = [](std::vector<std::uint32_t> heldTokens) {
+        capnp::MallocMessageBuilder message;
+        auto loads = message.initRoot<fleetwire::FollowRequest>().initLoads();
+        for (auto list : { loads.initServers(2), loads.initRequests(2), loads.initUnreadTokens(2) }) {
+            list.set(0, 5);
+            list.set(1, 6);
+        }
+        auto list = loads.initHeldTokens(static_cast<unsigned>(heldTokens.size()));
+        for (unsigned i = 0; i < heldTokens.size(); ++i)
+            list.set(i, heldTokens[i]);
+        auto words = capnp::messageToFlatArray(message);
+        auto bytes = words.asBytes();
+        return ByteString(bytes.begin(), bytes.end());
+    };
+    auto without = decodeFollowRequest(encoded({}));
+    BOOST_REQUIRE((without && without->outstanding.size() == 2));
+    BOOST_TEST((without->outstanding[1].load.requests == 6 && without->outstanding[1].load.unreadTokens == 6 && without->outstanding[1].load.heldTokens == 0));
+    auto with = decodeFollowRequest(encoded({ 70, 80 }));
+    BOOST_REQUIRE((with && with->outstanding.size() == 2));
+    BOOST_TEST((with->outstanding[0].load.heldTokens == 70 && with->outstanding[1].load.heldTokens == 80));
+    BOOST_TEST(!decodeFollowRequest(encoded({ 70 })));
+}
+
 BOOST_AUTO_TEST_CASE(aFollowReplyRoundTrips)
 {
     FollowReply sent;
@@ -86,7 +116,7 @@
     sent.gone = { { BackendServerName("old"), 8 } };
     sent.listAge = 300ms;
     sent.expectations = { { ServiceName("llm"), ModelName("x"), 1500ms } };
-    sent.outstanding = { { ServerHandle(4), { 2, 0 } } };
+    sent.outstanding = { { ServerHandle(4), { 2, 0, 40 } } };
     sent.gateways = 7;
     auto read = decodeFollowReply(encodeFollowReply(sent));
     BOOST_REQUIRE(read);
@@ -102,7 +132,7 @@
     BOOST_TEST((read->servers.front().server == server && read->servers.front().handle == ServerHandle(4) && read->servers.front().revision == 12));
     BOOST_TEST((read->isWhole && read->hasMore && read->gone == sent.gone && read->listAge == sent.listAge));
     BOOST_TEST((read->age == 40ms && read->relays == sent.relays && read->followers == 5));
-    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(4) && read->outstanding.front().load.requests == 2));
+    BOOST_TEST((read->outstanding.size() == 1 && read->outstanding.front().server == ServerHandle(4) && read->outstanding.front().load.requests == 2 && read->outstanding.front().load.heldTokens == 40));
     sent.listAge.reset();
     BOOST_TEST(!decodeFollowReply(encodeFollowReply(sent))->listAge);
     BOOST_TEST((read->expectations.size() == 1 && read->expectations.front().remaining == 1500ms));
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -213,6 +213,12 @@
     m_core.configuration = std::move(*configuration);
     m_link.noteVersion(version);
     m_quotas.setQuotas(m_core.configuration->workspaces());
+    std::map<ServiceName, std::uint64_t> tokenCapacities;
+    for (const auto& [name, service] : m_core.configuration->services()) {
+        if (service.engine)
+            tokenCapacities[name] = service.engine->tokenCapacity;
+    }
+    m_servers.setTokenCapacities(std::move(tokenCapacities));
     const CallerLimits& limits = m_core.configuration->limits();
     m_callers.setOptions(HttpServer::Options().withSingleThread().withMaximumHeaderBytes(limits.headerBytes).withMaximumBodyBytes(limits.bodyBytes).withReadTimeout(bodyTimeoutFactor * limits.headerTimeout).withIdleTimeout(limits.idleTimeout));
     logEvent(EventId::GatewayConfigurationInForce, { { "version", version }, { "routes", m_core.configuration->routes().size() }, { "workspaces", m_core.configuration->workspaces().size() } });
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -208,7 +208,7 @@
 void RequestForwarder::notePromptRead(const BackendServerName& server)
 {
     if (std::exchange(m_isReading, false))
-        m_core.servers.notePromptRead(server, m_metadata.promptTokens);
+        m_core.servers.notePromptRead(server, m_metadata);
 }
 
 ForwardingTerms RequestForwarder::termsFor(const BackendServerName& server) const
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -166,7 +166,7 @@
 {
     if (m_activeServers.erase(server) == 0)
         return;
-    m_core.servers.noteEnded(server);
+    m_core.servers.noteEnded(server, m_metadata);
     if (hasModel())
         m_core.demand.addActive(m_key, -1);
 }
@@ -175,7 +175,7 @@
 void RequestForwarder::reserve(const BackendServerName& server)
 {
     m_triedServers.insert(server);
-    m_core.servers.noteSent(server, m_metadata.promptTokens);
+    m_core.servers.noteSent(server, m_metadata);
     ServerIncarnation life = lifeOf(*m_core.servers.find(server));
     if (auto end = m_core.rateLimiter.take(life, currentTime()))
         m_rateGrants.insert_or_assign(server, std::pair(life, *end));
@@ -183,8 +183,8 @@
 
 void RequestForwarder::release(const BackendServerName& server)
 {
-    m_core.servers.notePromptRead(server, m_metadata.promptTokens);
-    m_core.servers.noteEnded(server);
+    m_core.servers.notePromptRead(server, m_metadata);
+    m_core.servers.noteEnded(server, m_metadata);
     returnRateGrant(server);
 }
 
--- a/modules/hc_gateway/gateway/ServerAdmission.h
+++ b/modules/hc_gateway/gateway/ServerAdmission.h
@@ -19,7 +19,7 @@
 //==============================================================================
 /**
     Admission control and load balancing: selects the server for a request, and limits the requests
-    at each server by rank.
+    at each server by rank, and their tokens by the server's memory.
 
     Under overload, and while some servers are paused, excess requests wait at the gateway instead
     of in the queues of the remaining servers. Servers with a rate limit are selected only while a
@@ -50,6 +50,7 @@
 
 private:
     unsigned requestLimit(const ServerCandidate&, unsigned rank) const;
+    static bool lacksMemory(const ServerCandidate&, const RequestMetadata&);
 
     const ServerTable& m_servers;
     ServerRateLimiter& m_rateLimiter;
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -112,13 +112,17 @@
     if (eligible.empty())
         eligible = std::move(unreachable);
     std::vector<ServerCandidate> candidates;
-    for (const BackendServerName& id : m_ejections.usable(eligible, now)) {
-        const Server& server = m_servers.at(id);
-        candidates.push_back({ id, server.listed.dataCentre == m_ownDataCentre, server.listed.slots, server.own + server.others });
-    }
+    for (const BackendServerName& id : m_ejections.usable(eligible, now))
+        candidates.push_back(candidateOf(id, m_servers.at(id)));
     return candidates;
 }
 
+ServerCandidate ServerTable::candidateOf(const BackendServerName& id, const Server& server) const
+{
+    auto capacity = m_tokenCapacities.find(server.listed.service);
+    return { id, server.listed.dataCentre == m_ownDataCentre, server.listed.slots, server.own + server.others, capacity == m_tokenCapacities.end() ? 0 : capacity->second };
+}
+
 bool ServerTable::isEligible(const Server& server, const ModelKey& key, Instant now) const
 {
     bool isServing = server.listed.service == key.service && now >= server.refusesUntil && !server.listed.isLeaving && !m_notices.isLeaving(lifeOf(server.listed), now);
@@ -178,26 +182,26 @@
 }
 
 //==============================================================================
-void ServerTable::noteSent(const BackendServerName& id, std::uint64_t promptTokens)
+void ServerTable::noteSent(const BackendServerName& id, const RequestMetadata& request)
 {
     auto found = m_servers.find(id);
     if (found != m_servers.end())
-        found->second.own = found->second.own + ServerLoad { 1, promptTokens };
+        found->second.own = found->second.own + ServerLoad { 1, request.promptTokens, request.heldTokens() };
 }
 
-void ServerTable::notePromptRead(const BackendServerName& id, std::uint64_t promptTokens)
+void ServerTable::notePromptRead(const BackendServerName& id, const RequestMetadata& request)
 {
     auto found = m_servers.find(id);
     if (found != m_servers.end())
-        found->second.own = found->second.own - ServerLoad { 0, promptTokens };
+        found->second.own = found->second.own - ServerLoad { 0, request.promptTokens, 0 };
 }
 
 /** The count of a server that was replaced in the meantime starts at zero, and does not fall below. */
-void ServerTable::noteEnded(const BackendServerName& id)
+void ServerTable::noteEnded(const BackendServerName& id, const RequestMetadata& request)
 {
     auto found = m_servers.find(id);
     if (found != m_servers.end())
-        found->second.own = found->second.own - ServerLoad { 1, 0 };
+        found->second.own = found->second.own - ServerLoad { 1, 0, request.heldTokens() };
 }
 
 void ServerTable::noteSuccess(const BackendServerName& id)
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -63,11 +63,13 @@
     bool hasListing() const { return m_hasListing; }
 
     //==============================================================================
-    /** Counts a request that is sent to a server, and the tokens of its prompt. */
-    void noteSent(const BackendServerName&, std::uint64_t promptTokens);
+    /** Sets the token capacity of the servers of each service; services that are missing have no known one. */
+    void setTokenCapacities(std::map<ServiceName, std::uint64_t> capacities) { m_tokenCapacities = std::move(capacities); }
+    /** Counts a request that is sent to a server, and its tokens. */
+    void noteSent(const BackendServerName&, const RequestMetadata&);
     /** Notes that the server has processed a prompt. */
-    void notePromptRead(const BackendServerName&, std::uint64_t promptTokens);
-    void noteEnded(const BackendServerName&);
+    void notePromptRead(const BackendServerName&, const RequestMetadata&);
+    void noteEnded(const BackendServerName&, const RequestMetadata&);
     void noteSuccess(const BackendServerName&);
     void noteFailure(const BackendServerName& server, Instant now) { m_ejections.noteFailure(server, now); }
     /** Notes that a server could not be reached, in addition to noteFailure(). */
@@ -113,6 +115,7 @@
     Server& insertOrUpdate(ListedServer, std::set<Endpoint>& unusedAddresses);
     void remove(const BackendServerName&, std::set<Endpoint>& unusedAddresses);
     void applyLoads(const FollowReply&);
+    ServerCandidate candidateOf(const BackendServerName&, const Server&) const;
     bool isUnreachable(const DataCentreName&, Instant now) const;
     bool holds(const Server&, const ModelKey&, Instant now) const;
     /** True when the server may take the request, pauses aside. */
@@ -121,6 +124,7 @@
     DataCentreName m_ownDataCentre;
     Options m_options;
     std::map<BackendServerName, Server> m_servers;
+    std::map<ServiceName, std::uint64_t> m_tokenCapacities;
     EjectionTable m_ejections;
     ServerNotices m_notices;
     std::map<DataCentreName, Reachability> m_reachability;
--- a/modules/hc_gateway/tests/ServerAdmissionTests.cpp
+++ b/modules/hc_gateway/tests/ServerAdmissionTests.cpp
@@ -76,7 +76,7 @@
     void finish()
     {
         while (!m_running.empty() && m_running.front().second <= m_now) {
-            m_table.noteEnded(m_running.front().first);
+            m_table.noteEnded(m_running.front().first, {});
             --m_atServer[m_running.front().first];
             m_running.pop_front();
             ++served;
@@ -95,7 +95,7 @@
             if (!selection.server)
                 return;
             m_waiting.pop_front();
-            m_table.noteSent(*selection.server, 0);
+            m_table.noteSent(*selection.server, {});
             m_running.emplace_back(*selection.server, m_now + serviceTime);
             unsigned inFlight = ++m_atServer[*selection.server];
             bool isPausing = arePausing() && std::stoul(selection.server->text().substr(2)) < m_pausing;
@@ -117,6 +117,40 @@
     std::map<BackendServerName, unsigned> m_atServer;
 };
 
+RequestMetadata withTokens(std::uint64_t prompt, std::uint64_t output)
+{
+    RequestMetadata request;
+    request.promptTokens = prompt;
+    request.maximumOutputTokens = output;
+    return request;
+}
+
+/** Two servers with 12 slots and memory for 99,231 tokens each. */
+struct MemoryFixture {
+    MemoryFixture()
+    {
+        std::vector<ListedServer> servers;
+        for (const std::string id : { "a", "b" }) {
+            ListedServer server;
+            server.id = BackendServerName(id);
+            server.service = key.service;
+            server.slots = 12;
+            server.models[key.model];
+            servers.push_back(std::move(server));
+        }
+        table.replaceAll(std::move(servers));
+        table.setTokenCapacities({ { key.service, memoryTokens } });
+    }
+
+    ServerSelection select(const RequestMetadata& request, unsigned rank = 0) const { return admission.select(key, request, rank, {}, Instant(1h)); }
+
+    static constexpr std::uint64_t memoryTokens = 99231;
+    ModelKey key { ServiceName("llm"), ModelName("m"), AdapterName() };
+    ServerTable table { DataCentreName("z1"), ServerTable::Options() };
+    ServerRateLimiter rateLimiter { ServerRateLimiter::Options(), 1 };
+    ServerAdmission admission { table, rateLimiter, ServerAdmission::Options() };
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(ServerAdmissionTests)
@@ -155,12 +189,72 @@
     ModelKey key { ServiceName("llm"), ModelName("m"), AdapterName() };
     auto isFull = [&](unsigned rank) { return admission.select(key, {}, rank, {}, Instant(1h)).isFull; };
     for (unsigned sent = 0; sent < slots; ++sent)
-        table.noteSent(server.id, 0);
+        table.noteSent(server.id, {});
     BOOST_TEST((!isFull(0) && !isFull(1) && isFull(2)));
-    table.noteSent(server.id, 0);
+    table.noteSent(server.id, {});
     BOOST_TEST((!isFull(0) && isFull(1)));
-    table.noteSent(server.id, 0);
+    table.noteSent(server.id, {});
     BOOST_TEST(isFull(0));
 }
 
+/** A server preempts streams, or terminates, if long prompts exceed its memory before they fill its slots. */
+BOOST_FIXTURE_TEST_CASE(longPromptsThatExceedTheMemoryGoElsewhereOrWait, MemoryFixture)
+{
+    RequestMetadata request = withTokens(9190, 300);
+    std::map<BackendServerName, std::uint64_t> held;
+    unsigned sent = 0;
+    for (ServerSelection selection = select(request); selection.server; selection = select(request)) {
+        BOOST_REQUIRE(++sent <= 24U);
+        table.noteSent(*selection.server, request);
+        held[*selection.server] += request.heldTokens();
+    }
+    BOOST_TEST(sent == 20U);
+    for (const auto& [server, tokens] : held)
+        BOOST_TEST(tokens <= memoryTokens);
+    BOOST_TEST(select(request).isFull);
+    BOOST_TEST(select(withTokens(4000, 331)).server.has_value());
+    BOOST_TEST(!select(withTokens(4000, 332)).server);
+    table.noteEnded(BackendServerName("b"), request);
+    BOOST_TEST((select(request).server == BackendServerName("b")));
+}
+
+/** The tokens of requests from other hosts use the same memory. */
+BOOST_FIXTURE_TEST_CASE(tokensOfOtherHostsCountTowardsTheMemory, MemoryFixture)
+{
+    FollowReply reply;
+    for (const std::string id : { "a", "b" })
+        reply.servers.push_back({ *table.find(BackendServerName(id)), ServerHandle(id == "a" ? 1 : 2), 1 });
+    reply.outstanding = { { ServerHandle(1), { 1, 0, 99000 } }, { ServerHandle(2), { 8, 0, 90000 } } };
+    table.applyReply(reply);
+    BOOST_TEST((select(withTokens(200, 100)).server == BackendServerName("b")));
+    BOOST_TEST((select(withTokens(200, 31)).server == BackendServerName("a")));
+    BOOST_TEST(select(withTokens(9000, 300)).isFull);
+}
+
+/** A request that no server has memory for must not wait for ever, nor go to a server whose other requests it would displace. */
+BOOST_FIXTURE_TEST_CASE(requestBeyondTheCapacityGoesToAServerWithoutRequests, MemoryFixture)
+{
+    RequestMetadata large = withTokens(120000, 100);
+    table.noteSent(BackendServerName("a"), withTokens(1, 1));
+    BOOST_TEST((select(large).server == BackendServerName("b")));
+    table.noteSent(BackendServerName("b"), large);
+    BOOST_TEST(select(large).isFull);
+    BOOST_TEST((select(withTokens(10, 10)).server == BackendServerName("a")));
+    table.noteEnded(BackendServerName("a"), withTokens(1, 1));
+    BOOST_TEST((select(large).server == BackendServerName("a")));
+}
+
+/** Free memory must not replace the limit on the queue, nor may an unknown capacity limit anything. */
+BOOST_FIXTURE_TEST_CASE(queueLimitOfARankHoldsWhileMemoryIsFree, MemoryFixture)
+{
+    RequestMetadata request = withTokens(10, 10);
+    for (unsigned sent = 0; sent < 12; ++sent) {
+        table.noteSent(BackendServerName("a"), request);
+        table.noteSent(BackendServerName("b"), request);
+    }
+    BOOST_TEST((select(request, 0).server && select(request, 1).server && select(request, 2).isFull));
+    table.setTokenCapacities({});
+    BOOST_TEST(select(withTokens(1000000, 0), 0).server.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/modules/hc_gateway/tests/ServerTableTests.cpp
+++ b/modules/hc_gateway/tests/ServerTableTests.cpp
@@ -26,6 +26,14 @@
     return { std::move(server), ServerHandle(handle), 1 };
 }
 
+RequestMetadata withTokens(std::uint64_t prompt, std::uint64_t output)
+{
+    RequestMetadata request;
+    request.promptTokens = prompt;
+    request.maximumOutputTokens = output;
+    return request;
+}
+
 struct TableFixture {
     TableFixture()
         : table(DataCentreName("z1"), ServerTable::Options())
@@ -105,16 +113,37 @@
     FollowReply reply;
     reply.servers = { entry(listed("near", "z1", 1), 7) };
     table.applyReply(reply);
-    table.noteSent(near, 100);
+    table.noteSent(near, withTokens(100, 20));
     auto reported = table.outstanding();
-    BOOST_TEST((reported.size() == 1 && reported.front().server == ServerHandle(7) && reported.front().load.requests == 1));
+    BOOST_TEST((reported.size() == 1 && reported.front().server == ServerHandle(7) && reported.front().load.requests == 1 && reported.front().load.heldTokens == 120));
+    reply.servers.clear();
+    reply.outstanding = { { ServerHandle(7), { 5, 700, 1000 } } };
+    table.applyReply(reply);
+    table.noteSent(near, withTokens(50, 10));
+    table.notePromptRead(near, withTokens(100, 20));
+    auto candidate = table.candidates(key, { BackendServerName("far-1"), BackendServerName("far-2"), BackendServerName("far-3") }, now).front();
+    BOOST_TEST((candidate.load.requests == 6 && candidate.load.unreadTokens == 650 && candidate.load.heldTokens == 1060));
+    table.noteEnded(near, withTokens(100, 20));
+    table.noteEnded(near, withTokens(50, 10));
+    candidate = table.candidates(key, { BackendServerName("far-1"), BackendServerName("far-2"), BackendServerName("far-3") }, now).front();
+    BOOST_TEST((candidate.load.requests == 4 && candidate.load.unreadTokens == 650 && candidate.load.heldTokens == 880));
+}
+
+/** A coordinator that does not count held tokens must not hide those of this gateway's requests. */
+BOOST_AUTO_TEST_CASE(ownHeldTokensCountIfTheCoordinatorDoesNotReportAny)
+{
+    BackendServerName near("near");
+    FollowReply reply;
+    reply.servers = { entry(listed("near", "z1", 1), 7) };
+    table.applyReply(reply);
+    table.noteSent(near, withTokens(100, 20));
+    table.outstanding();
     reply.servers.clear();
-    reply.outstanding = { { ServerHandle(7), { 5, 700 } } };
+    reply.outstanding = { { ServerHandle(7), { 3, 100 } } };
     table.applyReply(reply);
-    table.noteSent(near, 50);
-    table.notePromptRead(near, 100);
+    table.setTokenCapacities({ { key.service, 5000 }, { ServiceName("other"), 7 } });
     auto candidate = table.candidates(key, { BackendServerName("far-1"), BackendServerName("far-2"), BackendServerName("far-3") }, now).front();
-    BOOST_TEST((candidate.load.requests == 6 && candidate.load.unreadTokens == 650));
+    BOOST_TEST((candidate.load.requests == 3 && candidate.load.heldTokens == 120 && candidate.tokenCapacity == 5000));
 }
 
 /** After a coordinator restart the full list may need several replies; servers must not be removed before it is complete. */
@@ -145,7 +174,7 @@
     FollowReply reply;
     reply.servers = { entry(listed("near", "z1", 1), 7) };
     table.applyReply(reply);
-    table.noteSent(near, 100);
+    table.noteSent(near, withTokens(100, 0));
     reply.isWhole = true;
     reply.hasMore = true;
     reply.servers = { entry(listed("far-1", "z2", 2), 7) };
