Offer servers to waiting requests in the order of their urgency

Cause: each change resumed every waiting request, and whichever checked first took the free place. A host with 2,000 waiting requests looked through all servers for each of them, and places freed by its own requests were noticed only at the next check, up to 100 ms later.

Change: WaitingQueue orders the requests by streams that have begun, rank, what their workspace was served recently, slack and age. One of ten places goes to the longest wait, with the queue limit of rank 0, since an urgent flood keeps servers above the limits of the other ranks. Requests with the same model, rank and exclusions are asked once, and only those that get a server or wait in vain are resumed. A place that becomes free at a server is offered at once to the requests for its models. Requests whose server is silent wait in the same queue, where they would otherwise never find a place. When a request is refused has not changed.

--- a/modules/hc_gateway/gateway/ForwardingTimes.h
+++ b/modules/hc_gateway/gateway/ForwardingTimes.h
@@ -21,6 +21,8 @@
 inline constexpr Duration minimumServiceTime = 20ms;
 /** The lower bound of the retry time sent to callers, and its value when no better estimate exists. */
 inline constexpr Duration minimumRetryAfter = 300ms;
+/** While every server is full, a request waits for a third of its time only, so that its caller has time to retry. */
+inline constexpr int fullWaitDivisor = 3;
 /** Requests in progress are aborted this long before the process exits, so that their callers get a response. */
 inline constexpr Duration abortLeadTime = 300ms;
 /** The process begins to end this long before the end of the grace period: whoever started it kills it there, and the end itself takes time. */
--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -84,7 +84,7 @@
               [this](const std::vector<Endpoint>& unusedAddresses) {
                   closeConnections(unusedAddresses);
                   m_core.retries.setHostCount(std::max(1U, m_link.gateways().value_or(1)));
-                  m_core.stateChanged.notifyAll();
+                  m_core.noteStateChanged();
               } })
     , m_core(platform, settings, m_client, m_link, m_servers, m_demand, m_promptParts, m_rateLimiter, m_access, m_quotas)
     , m_listing(context, platform, m_client, settings.listing, listingOptions(settings), [this](std::vector<ListedServer> servers, Instant) { updateListing(std::move(servers)); })
@@ -129,7 +129,7 @@
     m_stopTimer.expires_after(std::min<Duration>(drainDelay, m_settings.grace / drainDelayDivisor));
     m_stopTimer.async_wait([this](const boost::system::error_code&) {
         m_core.isDraining = true;
-        m_core.stateChanged.notifyAll();
+        m_core.noteStateChanged();
         m_callers.drain([this] { finishStop(); });
     });
     m_endTimer.expires_at(*m_core.stopDeadline - abortLeadTime);
@@ -230,7 +230,7 @@
         return;
     closeConnections(m_servers.replaceAll(std::move(servers)));
     m_link.requestFullList();
-    m_core.stateChanged.notifyAll();
+    m_core.noteStateChanged();
 }
 
 void Gateway::closeConnections(const std::vector<Endpoint>& unusedAddresses)
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -10,6 +10,7 @@
 #include "gateway/ServerAdmission.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
+#include "gateway/WaitingQueue.h"
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/http/ResponseBufferBudget.h"
 #include "hemlockchute/report/Metrics.h"
@@ -45,6 +46,21 @@
     {
     }
 
+    /** Lets all waiting requests check the state again. */
+    void noteStateChanged()
+    {
+        stateChanged.notifyAll();
+        distributeServers();
+    }
+    /** Offers servers to the waiting requests, and resumes those that need not wait longer. */
+    void distributeServers(const WaitingQueue::Scope& scope = {})
+    {
+        if (waiting->isEmpty())
+            return;
+        for (WaitingRequest* request : waiting->distribute(currentTime(), scope))
+            request->resume();
+    }
+
     const FleetPlatform& platform;
     HttpClient& client;
     CoordinatorLink& link;
@@ -59,6 +75,8 @@
     RetryBudget retries;
     ServerAdmission admission { servers, rateLimiter, ServerAdmission::Options() };
     AsyncConditionVariable stateChanged;
+    /** The requests that wait for a server; shared, because a request may outlive the gateway. */
+    std::shared_ptr<WaitingQueue> waiting = std::make_shared<WaitingQueue>(WaitingQueue::Options());
     /** Shared, because a request may outlive the gateway. */
     std::shared_ptr<ResponseBufferBudget> responseBuffers = std::make_shared<ResponseBufferBudget>();
     Metrics metrics;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -18,19 +18,10 @@
 
 /** A server responds at the deadline by itself; its response may take this much longer to arrive. */
 constexpr Duration responseSlack = 100ms;
-/** The longest time between two checks of a waiting request. */
-constexpr Duration recheckInterval = 100ms;
 constexpr Duration configurationRetryAfter = 1s;
 /** Allows for an election and the leader's first replies after it. */
 constexpr Duration maximumReadinessWait = 1500ms;
-/** While every server is full, a request waits for a third of its time only, so that its caller has time to retry. */
-constexpr int fullWaitDivisor = 3;
-/** A failover to a new leader takes less; without contact for this time, this host is partitioned from the coordinators. */
-constexpr Duration leaderFailoverTimeout = 2500ms;
-/** Requests that have not run are refused when the process exits within this time. */
-constexpr Duration stopMargin = 2s;
 
-constexpr MetricDefinition heldBackMetric { "hemlock_gateway_held_back_total", "Requests that found no server free of a pause that it had asked for." };
 constexpr MetricDefinition waitMetric { "hemlock_gateway_wait_seconds", "Time from a request to its first attempt at a server." };
 
 std::string_view pathOf(const HttpRequest& request)
@@ -55,6 +46,7 @@
     , m_configuration(core.configuration)
     , m_call(std::make_shared<CallState>())
     , m_requests(core.requests)
+    , m_waiting(core.waiting)
 {
     m_requests->insert(this);
 }
@@ -64,6 +56,7 @@
     m_call->answer = nullptr;
     m_call->silentAnswer = nullptr;
     settleQuota();
+    m_waiting->remove(*this);
     m_requests->erase(this);
 }
 
@@ -187,11 +180,8 @@
     bool isRefused = !server && checkQuarantine();
     if (isRefused && m_isTrialDue)
         isRefused = !co_await awaitTrial();
-    if (!server && !isRefused) {
+    if (!server && !isRefused)
         server = co_await awaitServer();
-        if (server)
-            reserve(*server);
-    }
     // The verdict, or a configuration without the key, may have come while the request waited.
     bool isRefusedNow = server && (checkQuarantine() || isAccessRevoked());
     if (isRefusedNow)
@@ -240,100 +230,6 @@
     co_return outcome;
 }
 
-//==============================================================================
-// Waiting for a server
-
-/** Waits for a server that can take the request; nothing when it cannot be served, or the caller has disconnected. */
-asio::awaitable<std::optional<BackendServerName>> RequestForwarder::awaitServer()
-{
-    if (auto server = pickServer()) {
-        noteRateDemand();
-        co_return server;
-    }
-    if (m_pauses.servers > 0)
-        m_core.metrics.add(heldBackMetric);
-    if (hasModel())
-        m_core.demand.addWaiting(m_key, 1);
-    if (hasModel() || !m_limited.empty())
-        m_core.link.pollSoon();
-    updateRateWait(true);
-    std::optional<BackendServerName> server;
-    while (!server && !m_call->isCallerDisconnected && !isUnservable(currentTime())) {
-        co_await m_core.stateChanged.wait(nextCheck(currentTime()));
-        server = pickServer();
-        updateRateWait(!server);
-    }
-    updateRateWait(false);
-    if (hasModel()) {
-        m_core.demand.addWaiting(m_key, -1);
-        if (!server && !m_call->isCallerDisconnected)
-            m_core.demand.noteRefused(m_key);
-    }
-    co_return server;
-}
-
-Instant RequestForwarder::nextCheck(Instant now) const
-{
-    Instant next = std::min(m_deadline, now + recheckInterval);
-    bool endsBefore = m_pauses.servers > 0 && m_pauses.firstEnd > now;
-    return endsBefore ? std::min(next, m_pauses.firstEnd) : next;
-}
-
-/** Selects the best server that was not tried yet; nothing while all servers with the model are full for the request's rank. */
-std::optional<BackendServerName> RequestForwarder::pickServer()
-{
-    ServerSelection selection = m_core.admission.select(m_key, m_metadata, rank(), m_triedServers, currentTime());
-    m_isFull = selection.isFull;
-    m_pauses = std::move(selection.pauses);
-    m_limited = std::move(selection.limited);
-    return std::move(selection.server);
-}
-
-/** True when no server can take the request before its deadline; sets the reason. */
-bool RequestForwarder::isUnservable(Instant now)
-{
-    if (now + minimumServiceTime >= m_deadline) {
-        m_lastFault = "the deadline passed while the model was waited for";
-        return true;
-    }
-    if (m_core.stopDeadline && now + stopMargin > *m_core.stopDeadline) {
-        m_lastFault = "the gateway stops";
-        return true;
-    }
-    if (m_isFull) {
-        m_lastFault = "every server that holds the model is full";
-        // A caller that has part of its answer is served best by the rest of it.
-        return !m_hasBegun && now - m_received > (m_deadline - m_received) / fullWaitDivisor;
-    }
-    if (!m_limited.empty())
-        return expiresBeforeRateAdmission(now);
-    if (m_pauses.servers > 0)
-        return expiresBeforePauseEnds(now);
-    if (!hasModel()) {
-        m_lastFault = "no server of the service is usable";
-        return true;
-    }
-    if (m_core.link.sinceLastContact(now) > leaderFailoverTimeout) {
-        m_lastFault = "no server here holds the model, and no coordinator can have it loaded";
-        return true;
-    }
-    auto expected = m_core.link.expectedReadyTime(m_key.service, m_key.model);
-    if (expected && *expected + minimumServiceTime > m_deadline) {
-        m_lastFault = "the model is expected in " + secondsText(*expected - now) + " s";
-        return true;
-    }
-    return false;
-}
-
-/** True when neither the first pause ends nor the model is expected at another server in time for the request. */
-bool RequestForwarder::expiresBeforePauseEnds(Instant now)
-{
-    m_lastFault = "every server that could take the request asked for a pause, " + m_pauses.first.text() + " for another " + secondsText(m_pauses.firstEnd - now) + " s";
-    auto expected = hasModel() ? m_core.link.expectedReadyTime(m_key.service, m_key.model) : std::nullopt;
-    Instant next = expected ? std::min(*expected, m_pauses.firstEnd) : m_pauses.firstEnd;
-    return next + minimumServiceTime >= m_deadline;
-}
-
 //==============================================================================
 // One attempt
 
@@ -528,8 +424,11 @@
             continue;
         // In streams whose events have ids only events count, since a server may send comments or partial events without making progress.
         bool isProgress = events.lastId || !m_lastEvent;
-        if (isProgress)
+        // No other server may be reserved while the event is written to the caller.
+        if (isProgress) {
             m_silenceTimer->stop();
+            m_waiting->remove(*this);
+        }
         if (events.lastId)
             m_lastEvent = events.lastId;
         // A server may still end while it writes its first event.
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -20,7 +20,7 @@
 
     @see GatewayCore
 */
-class RequestForwarder {
+class RequestForwarder final : private WaitingRequest {
 public:
     RequestForwarder(GatewayCore&, HttpExchange&);
     ~RequestForwarder();
@@ -53,10 +53,13 @@
         /** The answer of a silent server, while another server is asked to take over. */
         HttpResponseStream* silentAnswer = nullptr;
         bool isCallerDisconnected = false;
+        /** Notified when the request need not wait for a server any longer. */
+        AsyncConditionVariable waitEnded;
 
         void noteCallerDisconnect()
         {
             isCallerDisconnected = true;
+            waitEnded.notifyAll();
             cancel();
         }
 
@@ -109,6 +112,19 @@
     void releaseSuccessor();
     boost::asio::awaitable<std::optional<BackendServerName>> awaitServer();
     std::optional<BackendServerName> pickServer();
+    void noteSelection(ServerSelection);
+    WaitingTerms waitingTerms() const;
+    void enterQueue();
+    void distributeForModel();
+    void distributeIfDue(Instant now);
+    void distributePlaceAt(const BackendServerName&);
+    std::optional<BackendServerName> takeReserved();
+    bool canReplaceSilent() const;
+    bool replaceSilent(const BackendServerName&);
+    Offer offerServer(unsigned offeredRank, const BackendServerName* freed, Instant now) override;
+    void noteNoServer(const WaitingRequest&) override;
+    bool isWaitInVain(Instant now) override;
+    void resume() override { m_call->waitEnded.notifyAll(); }
     void updateRateWait(bool isWaiting);
     void noteRateDemand();
     void returnRateGrant(const BackendServerName&);
@@ -178,6 +194,10 @@
     std::shared_ptr<CallState> m_call;
     /** Outlives the core. */
     std::shared_ptr<std::set<RequestForwarder*>> m_requests;
+    /** Outlives the core. */
+    std::shared_ptr<WaitingQueue> m_waiting;
+    /** The server that was reserved for the request while it waited. */
+    std::optional<BackendServerName> m_reserved;
     std::set<BackendServerName> m_triedServers;
     /** The servers that answered that they have not run this request. */
     std::set<BackendServerName> m_refusedBy;
--- a/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderTakeover.cpp
@@ -57,20 +57,16 @@
     if (m_call->isCallerDisconnected || m_isAborted || m_successor)
         return;
     noteSilence();
-    // A read can be interrupted only once the request has been written.
-    if (!m_call->answer || !m_call->answer->isRequestSent()) {
+    if (!canReplaceSilent()) {
         watchSilence();
         return;
     }
-    auto other = pickServer();
+    // Requests that wait for the same model may come before this one.
+    enterQueue();
+    distributeForModel();
     noteRateDemand();
-    if (other && mayResend(Outcome::Unknown)) {
-        m_successor = std::move(other);
-        reserve(*m_successor);
-        logEvent(EventId::GatewayTakeover, { { "request", m_metadata.attempt }, { "from", m_currentServer }, { "to", *m_successor }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "left_ms", milliseconds(timeLeft()) } });
-        m_call->answer->interrupt();
+    if (m_successor)
         return;
-    }
     if (hasModel() && !std::exchange(m_isWaitingElsewhere, true)) {
         m_core.demand.addWaiting(m_key, 1);
         m_core.link.pollSoon();
@@ -78,6 +74,25 @@
     watchSilence();
 }
 
+bool RequestForwarder::canReplaceSilent() const
+{
+    // A read can be interrupted only once the request has been written.
+    bool canInterrupt = m_call->answer && m_call->answer->isRequestSent();
+    return canInterrupt && !m_isAborted && !m_successor && canMove();
+}
+
+/** Reserves the server that takes over from the silent one; false if the request may not be sent again. */
+bool RequestForwarder::replaceSilent(const BackendServerName& other)
+{
+    if (!mayResend(Outcome::Unknown))
+        return false;
+    m_successor = other;
+    reserve(other);
+    logEvent(EventId::GatewayTakeover, { { "request", m_metadata.attempt }, { "from", m_currentServer }, { "to", other }, { "last_event", m_lastEvent.value_or(0) }, { "silent_ms", milliseconds(currentTime() - m_lastProgress) }, { "left_ms", milliseconds(timeLeft()) } });
+    m_call->answer->interrupt();
+    return true;
+}
+
 /** Other requests prefer other servers and new connections while this one is silent. */
 void RequestForwarder::noteSilence()
 {
@@ -97,6 +112,7 @@
 void RequestForwarder::endSilence()
 {
     m_isSilent = false;
+    m_waiting->remove(*this);
     if (std::exchange(m_isWaitingElsewhere, false))
         m_core.demand.addWaiting(m_key, -1);
 }
@@ -169,6 +185,7 @@
     m_core.servers.noteEnded(server, m_metadata);
     if (hasModel())
         m_core.demand.addActive(m_key, -1);
+    distributePlaceAt(server);
 }
 
 /** Counts the request at the server, so that no other request takes its place. */
@@ -186,6 +203,7 @@
     m_core.servers.notePromptRead(server, m_metadata);
     m_core.servers.noteEnded(server, m_metadata);
     returnRateGrant(server);
+    distributePlaceAt(server);
 }
 
 /** The reserved server that takes over from a silent one, unless it has left the list. */
--- a/modules/hc_gateway/gateway/ServerAdmission.cpp
+++ b/modules/hc_gateway/gateway/ServerAdmission.cpp
@@ -20,13 +20,22 @@
     // Services without models queue requests themselves. They are limited too while servers are paused or recovering, since the others would receive the excess, and the paused ones every waiting request at once.
     if (!key.model.isEmpty() || selection.pauses.isRecovering)
         std::erase_if(candidates, [&](const ServerCandidate& each) { return each.load.requests >= requestLimit(each, rank); });
-    std::erase_if(candidates, [&](const ServerCandidate& each) { return lacksMemory(each, request); });
+    selection.isShortOfMemory = std::erase_if(candidates, [&](const ServerCandidate& each) { return lacksMemory(each, request); }) > 0;
     selection.isFull = hasCandidates && candidates.empty();
     if (auto best = m_chooser.choose(candidates, request))
         selection.server = candidates[*best].id;
     return selection;
 }
 
+ServerSelection ServerAdmission::checkPlace(const BackendServerName& name, const RequestMetadata& request, unsigned rank) const
+{
+    ServerSelection selection;
+    auto server = m_servers.candidate(name);
+    selection.isShortOfMemory = server && lacksMemory(*server, request);
+    selection.isFull = !server || selection.isShortOfMemory || server->load.requests >= requestLimit(*server, rank);
+    return selection;
+}
+
 /** A server without requests takes any, since no other server would suit a request beyond the capacity better. Shared parts of prompts that the server keeps are not counted, since it drops them when it needs memory. */
 bool ServerAdmission::lacksMemory(const ServerCandidate& server, const RequestMetadata& request)
 {
--- a/modules/hc_gateway/gateway/ServerAdmission.h
+++ b/modules/hc_gateway/gateway/ServerAdmission.h
@@ -10,6 +10,8 @@
     std::optional<BackendServerName> server;
     /** True when servers could take the request and all of them are at their limit. */
     bool isFull = false;
+    /** True when a server has a place but no memory for the request. */
+    bool isShortOfMemory = false;
     /** The servers that could take the request but for a pause. */
     ServerTable::Pauses pauses;
     /** The servers that could take the request but for their rate limit. */
@@ -47,6 +49,8 @@
 
     /** Selects the best server that was not tried. */
     ServerSelection select(const ModelKey&, const RequestMetadata&, unsigned rank, const std::set<BackendServerName>& tried, Instant now) const;
+    /** Whether a server has a place for a request with a model: only `isFull` and `isShortOfMemory` are set. Much cheaper than select(). */
+    ServerSelection checkPlace(const BackendServerName&, const RequestMetadata&, unsigned rank) const;
 
 private:
     unsigned requestLimit(const ServerCandidate&, unsigned rank) const;
--- a/modules/hc_gateway/gateway/ServerTable.cpp
+++ b/modules/hc_gateway/gateway/ServerTable.cpp
@@ -123,6 +123,27 @@
     return { id, server.listed.dataCentre == m_ownDataCentre, server.listed.slots, server.own + server.others, capacity == m_tokenCapacities.end() ? 0 : capacity->second };
 }
 
+std::optional<ServerCandidate> ServerTable::candidate(const BackendServerName& id) const
+{
+    auto found = m_servers.find(id);
+    return found == m_servers.end() ? std::nullopt : std::optional(candidateOf(id, found->second));
+}
+
+std::vector<ModelKey> ServerTable::modelsAt(const BackendServerName& id) const
+{
+    std::vector<ModelKey> keys;
+    const ListedServer* server = find(id);
+    if (!server)
+        return keys;
+    keys.push_back({ server->service, ModelName(), AdapterName() });
+    for (const auto& [model, adapters] : server->models) {
+        keys.push_back({ server->service, model, AdapterName() });
+        for (const AdapterName& adapter : adapters)
+            keys.push_back({ server->service, model, adapter });
+    }
+    return keys;
+}
+
 bool ServerTable::isEligible(const Server& server, const ModelKey& key, Instant now) const
 {
     bool isServing = server.listed.service == key.service && now >= server.refusesUntil && !server.listed.isLeaving && !m_notices.isLeaving(lifeOf(server.listed), now);
--- a/modules/hc_gateway/gateway/ServerTable.h
+++ b/modules/hc_gateway/gateway/ServerTable.h
@@ -55,6 +55,10 @@
     //==============================================================================
     /** The servers that may take a request now, except those in `excluded`. An empty model name matches every server of the service. */
     std::vector<ServerCandidate> candidates(const ModelKey&, const std::set<BackendServerName>& excluded, Instant now) const;
+    /** One server with its load, whether or not it may take requests; nothing when it is not listed. */
+    std::optional<ServerCandidate> candidate(const BackendServerName&) const;
+    /** The models and adapters that the server is listed with; and the service alone, for requests without a model. */
+    std::vector<ModelKey> modelsAt(const BackendServerName&) const;
     /** The servers that would be candidates but for a pause. */
     Pauses pauses(const ModelKey&, Instant now) const;
     /** The server's entry, or null when it is not listed. */
