--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -11,6 +11,7 @@
 #include "gateway/ServerAdmission.h"
 #include "gateway/ServerRateLimiter.h"
 #include "gateway/ServerTable.h"
+#include "gateway/WaitingQueue.h"
 #include "hemlockchute/http/BufferBudget.h"
 #include "hemlockchute/http/HttpClient.h"
 #include "hemlockchute/report/Metrics.h"
@@ -47,6 +48,21 @@
     {
     }
 
+    /** Lets all waiting requests check the state again. */
+    void noteStateChanged()
+    {
+        stateChanged.notifyAll();
+        distributeServers();
+    }
+    /** Offers servers to the waiting requests, and resumes those that need not wait longer. */
+    void distributeServers(const WaitingQueue::Scope& scope = {})
+    {
+        if (waiting->isEmpty())
+            return;
+        for (WaitingRequest* request : waiting->distribute(currentTime(), scope))
+            request->resume();
+    }
+
     const FleetPlatform& platform;
     HttpClient& client;
     CoordinatorLink& link;
@@ -62,6 +78,8 @@
     HedgePolicy hedging;
     ServerAdmission admission { servers, rateLimiter, ServerAdmission::Options() };
     AsyncConditionVariable stateChanged;
+    /** The requests that wait for a server; shared, because a request may outlive the gateway. */
+    std::shared_ptr<WaitingQueue> waiting = std::make_shared<WaitingQueue>(WaitingQueue::Options());
     /** Shared, because a request may outlive the gateway. */
     std::shared_ptr<BufferBudget> responseBuffers = std::make_shared<BufferBudget>();
     Metrics metrics;
--- a/modules/hc_gateway/gateway/ServerAdmission.h
+++ b/modules/hc_gateway/gateway/ServerAdmission.h
@@ -10,6 +10,8 @@
     std::optional<BackendServerName> server;
     /** True when servers could take the request and all of them are at their limit. */
     bool isFull = false;
+    /** True when a server has a place but no memory for the request. */
+    bool isShortOfMemory = false;
     /** The servers that could take the request but for a pause. */
     ServerTable::Pauses pauses;
     /** The servers that could take the request but for their rate limit. */
@@ -29,7 +31,7 @@
 //==============================================================================
 /**
     Admission control and load balancing: selects the server for a request, and limits the requests
-    at each server by rank.
+    at each server by rank, and their tokens by the server's memory.
 
     Under overload, and while some servers are paused, excess requests wait at the gateway instead
     of in the queues of the remaining servers. Servers with a rate limit are selected only while a
@@ -57,12 +59,15 @@
 
     /** Selects the best server that was not tried. */
     ServerSelection select(const ModelKey&, const RequestMetadata&, unsigned rank, const std::set<BackendServerName>& tried, Instant now) const;
+    /** Whether a server has a place for a request with a model: only `isFull` and `isShortOfMemory` are set. Much cheaper than select(). */
+    ServerSelection checkPlace(const BackendServerName&, const RequestMetadata&, unsigned rank) const;
 
     /** Selects the best server that was not tried and has a free slot. */
     SpareServerSelection selectSpare(const ModelKey&, const RequestMetadata&, const std::set<BackendServerName>& tried, Instant now) const;
 
 private:
     unsigned requestLimit(const ServerCandidate&, unsigned rank) const;
+    static bool lacksMemory(const ServerCandidate&, const RequestMetadata&);
 
     const ServerTable& m_servers;
     ServerRateLimiter& m_rateLimiter;
