Keep the quota limiter alive for requests that outlive the gateway

Cause: the destructor of RequestForwarder returns the units of a request that no server has run, and requests may be destroyed after the gateway, with the io_context. Found by reading (review of the queue of waiting requests).

Change: the limiter is shared, as the set of requests and the waiting queue are.

--- a/modules/hc_gateway/gateway/Gateway.cpp
+++ b/modules/hc_gateway/gateway/Gateway.cpp
@@ -79,7 +79,7 @@
     , m_peers(context, { settings.clusterName, settings.clusterKey, settings.host, "gateway" }, PeerClient::Options())
     , m_servers(settings.dataCentre, tableOptions(settings))
     , m_access(settings.access)
-    , m_link(context, m_peers, settings.host, settings.dataCentre, settings.seeds, linkOptions(settings), m_servers, m_demand, m_promptParts, m_rateLimiter, m_access, m_quotas,
+    , m_link(context, m_peers, settings.host, settings.dataCentre, settings.seeds, linkOptions(settings), m_servers, m_demand, m_promptParts, m_rateLimiter, m_access, *m_quotas,
           { [this](ConfigurationVersion version, const ByteString& body) { applyConfiguration(version, body); },
               [this](const std::vector<Endpoint>& unusedAddresses) {
                   closeConnections(unusedAddresses);
@@ -216,7 +216,7 @@
     }
     m_core.configuration = std::move(*configuration);
     m_link.noteVersion(version);
-    m_quotas.setQuotas(m_core.configuration->workspaces());
+    m_quotas->setQuotas(m_core.configuration->workspaces());
     std::map<ServiceName, std::uint64_t> tokenCapacities;
     for (const auto& [name, service] : m_core.configuration->services()) {
         if (service.engine)
--- a/modules/hc_gateway/gateway/Gateway.h
+++ b/modules/hc_gateway/gateway/Gateway.h
@@ -49,7 +49,7 @@
     PromptPartMonitor m_promptParts { PromptPartMonitor::Options() };
     ServerRateLimiter m_rateLimiter { ServerRateLimiter::Options(), std::random_device {}() };
     AccessControl m_access;
-    QuotaLimiter m_quotas { QuotaLimiter::Options() };
+    std::shared_ptr<QuotaLimiter> m_quotas = std::make_shared<QuotaLimiter>(QuotaLimiter::Options());
     CoordinatorLink m_link;
     GatewayCore m_core;
     ListingPoller m_listing;
--- a/modules/hc_gateway/gateway/GatewayCore.h
+++ b/modules/hc_gateway/gateway/GatewayCore.h
@@ -33,7 +33,7 @@
     @see RequestForwarder
 */
 struct GatewayCore {
-    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandTracker& demandLedger, PromptPartMonitor& promptPartMonitor, ServerRateLimiter& serverRateLimiter, AccessControl& accessControl, QuotaLimiter& quotaLimiter)
+    GatewayCore(const FleetPlatform& fleetPlatform, const GatewaySettings& settings, HttpClient& httpClient, CoordinatorLink& coordinatorLink, ServerTable& serverTable, DemandTracker& demandLedger, PromptPartMonitor& promptPartMonitor, ServerRateLimiter& serverRateLimiter, AccessControl& accessControl, std::shared_ptr<QuotaLimiter> quotaLimiter)
         : platform(fleetPlatform)
         , client(httpClient)
         , link(coordinatorLink)
@@ -42,7 +42,7 @@
         , promptParts(promptPartMonitor)
         , rateLimiter(serverRateLimiter)
         , access(accessControl)
-        , quotas(quotaLimiter)
+        , quotas(std::move(quotaLimiter))
         , retries(settings.retries)
         , hedging(settings.hedging)
     {
@@ -71,7 +71,8 @@
     PromptPartMonitor& promptParts;
     ServerRateLimiter& rateLimiter;
     AccessControl& access;
-    QuotaLimiter& quotas;
+    /** Shared, because a request may outlive the gateway. */
+    std::shared_ptr<QuotaLimiter> quotas;
     /** For access keys and quotas, which a host must not use longer because it was suspended. */
     SuspendAwareClock suspendAwareClock;
     RetryBudget retries;
--- a/modules/hc_gateway/gateway/RequestForwarder.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarder.cpp
@@ -45,6 +45,7 @@
     , m_configuration(core.configuration)
     , m_call(std::make_shared<CallState>())
     , m_requests(core.requests)
+    , m_quotas(core.quotas)
     , m_waiting(core.waiting)
 {
     m_requests->insert(this);
@@ -243,7 +244,6 @@
 }
 
 //==============================================================================
-=======
 // One attempt
 
 Instant RequestForwarder::answerDeadline() const
--- a/modules/hc_gateway/gateway/RequestForwarder.h
+++ b/modules/hc_gateway/gateway/RequestForwarder.h
@@ -249,6 +249,7 @@
     std::shared_ptr<CallState> m_call;
     /** Outlives the core. */
     std::shared_ptr<std::set<RequestForwarder*>> m_requests;
+    std::shared_ptr<QuotaLimiter> m_quotas;
     /** Outlives the core. */
     std::shared_ptr<WaitingQueue> m_waiting;
     /** The server that was reserved for the request while it waited. */
--- a/modules/hc_gateway/gateway/RequestForwarderAccess.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderAccess.cpp
@@ -64,7 +64,7 @@
 //==============================================================================
 QuotaLimiter::Admission RequestForwarder::takeQuota()
 {
-    return m_core.quotas.take(*m_workspace, m_quotaCost, m_core.suspendAwareClock.now());
+    return m_quotas->take(*m_workspace, m_quotaCost, m_core.suspendAwareClock.now());
 }
 
 /** Waits for units of the workspace's quota; false when the request was refused, or its caller has disconnected. */
@@ -74,18 +74,18 @@
         co_return true;
     const WorkspaceName& name = m_workspace->name;
     m_quotaCost = m_workspace->quota->costOf(m_metadata);
-    m_core.quotas.noteArrival(*m_workspace, m_quotaCost, m_core.suspendAwareClock.now());
+    m_quotas->noteArrival(*m_workspace, m_quotaCost, m_core.suspendAwareClock.now());
     auto admission = takeQuota();
     if (admission == QuotaLimiter::Admission::Waiting) {
         Instant end = m_received + std::min<Duration>(maximumQuotaWait, (m_deadline - m_received) / quotaWaitDivisor);
-        if (!m_core.quotas.isWaiting())
+        if (!m_quotas->isWaiting())
             m_core.link.pollSoon();
-        m_core.quotas.addWaiting(name, static_cast<std::int64_t>(m_quotaCost));
+        m_quotas->addWaiting(name, static_cast<std::int64_t>(m_quotaCost));
         while (admission == QuotaLimiter::Admission::Waiting && !m_call->isCallerDisconnected && !m_isAborted && currentTime() < end) {
             co_await m_core.stateChanged.wait(end);
             admission = takeQuota();
         }
-        m_core.quotas.addWaiting(name, -static_cast<std::int64_t>(m_quotaCost));
+        m_quotas->addWaiting(name, -static_cast<std::int64_t>(m_quotaCost));
     }
     if (admission == QuotaLimiter::Admission::Granted && !m_call->isCallerDisconnected) {
         m_core.metrics.observe(quotaWaitMetric, elapsed());
@@ -93,7 +93,7 @@
     }
     std::uint64_t cost = admission == QuotaLimiter::Admission::Granted ? 0 : std::exchange(m_quotaCost, 0);
     if (admission != QuotaLimiter::Admission::Unconfirmed)
-        m_core.quotas.noteRefused(name, cost);
+        m_quotas->noteRefused(name, cost);
     if (m_call->isCallerDisconnected) {
         logCallerDisconnect();
         co_return false;
@@ -105,7 +105,7 @@
     } else {
         Duration jitter(std::uniform_int_distribution<Duration::rep>(0, maximumReturnJitter.count())(m_core.random));
         auto refill = std::chrono::duration<double>(static_cast<double>(cost) / m_workspace->quota->perSecond);
-        Duration untilRoom = std::max({ m_core.quotas.untilRoom(name), std::chrono::duration_cast<Duration>(refill), Duration(minimumRetryAfter) });
+        Duration untilRoom = std::max({ m_quotas->untilRoom(name), std::chrono::duration_cast<Duration>(refill), Duration(minimumRetryAfter) });
         co_await refuse(statusTooManyRequests, "the quota of the workspace is used up", untilRoom + jitter);
     }
     co_return false;
@@ -115,7 +115,7 @@
 void RequestForwarder::noteQuotaSent()
 {
     if (m_quotaCost > 0 && !std::exchange(m_isQuotaSent, true))
-        m_core.quotas.noteSent(m_workspace->name, m_quotaCost);
+        m_quotas->noteSent(m_workspace->name, m_quotaCost);
 }
 
 /** Returns the cost of a request that no server has run. */
@@ -123,7 +123,7 @@
 {
     bool hasRun = m_isQuotaSent && (m_mayHaveRun || m_hasSucceeded || m_call->isCallerDisconnected);
     if (m_quotaCost > 0 && !hasRun)
-        m_core.quotas.giveBack(m_workspace->name, m_quotaCost, m_isQuotaSent, m_core.suspendAwareClock.now());
+        m_quotas->giveBack(m_workspace->name, m_quotaCost, m_isQuotaSent, SuspendAwareClock().now());
 }
 
 } // namespace hemlockchute
--- a/modules/hc_gateway/gateway/RequestForwarderHedge.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderHedge.cpp
@@ -133,7 +133,7 @@
 {
     Hedge& hedge = *m_call->hedge;
     const BackendServerName& name = hedge.server.server;
-    m_core.servers.notePromptRead(name, m_metadata.promptTokens);
+    m_core.servers.notePromptRead(name, m_metadata);
     noteAttemptEnded(name);
     Outcome outcome = hedgeOutcome();
     hedge.outcome = outcome;
@@ -226,7 +226,7 @@
     hedge->onEnd = nullptr;
     if (!hedge->outcome) {
         hedge->cancel();
-        m_core.servers.notePromptRead(name, m_metadata.promptTokens);
+        m_core.servers.notePromptRead(name, m_metadata);
         noteAttemptEnded(name);
     }
     m_core.metrics.add(answered == "second" ? wonMetric : lostMetric);
