Count the buffers of small requests towards their size, and test the reserve over a connection

A body of nearly 64 KiB with its read buffer and header counted as large, and waited behind large requests although the reserve is for it; the bound is now 128 KiB with buffers. The options of both budgets are not const, which clang rejects with a defaulted constructor. The setting's least value has a test.

--- a/modules/hc_gateway/tests/GatewaySettingsTests.cpp
+++ b/modules/hc_gateway/tests/GatewaySettingsTests.cpp
@@ -61,6 +61,7 @@
     // Generated files write whole numbers without a decimal point.
     BOOST_TEST(faultsOf(validSettings + "[retries]\nratio = 1\n[access]\nrevocation = \"5s\"\n").empty());
     BOOST_TEST(faultsOf(validSettings + "[stop]\ngrace = \"3s\"\n[log]\nlines_per_second = 50\nmost_waiting = \"64KiB\"\n").empty());
+    BOOST_TEST(faultsOf(validSettings + "[callers]\nrequest_memory = \"16MiB\"\n").empty());
 }
 
 BOOST_AUTO_TEST_CASE(missingMistypedOrUnknownKeyIsNamedInTheFault)
@@ -75,6 +76,8 @@
     checkFault(validSettings + "[stop]\ngrace = 8\n", "grace");
     checkFault(validSettings + "[retries]\nratio = 1.5\n", "ratio");
     checkFault(validSettings + "[log]\nlines_per_second = 0\n", "lines_per_second");
+    // A gateway with less could not read a body of the largest size.
+    checkFault(validSettings + "[callers]\nrequest_memory = \"15MiB\"\n", "request_memory: must be at least 16MiB");
 }
 
 BOOST_AUTO_TEST_CASE(unreadableOrMalformedFileIsAFault)
--- a/modules/hc_http/include/hemlockchute/http/BufferBudget.h
+++ b/modules/hc_http/include/hemlockchute/http/BufferBudget.h
@@ -96,7 +96,7 @@
         return wanted <= m_options.perHolder && reserved <= limit;
     }
 
-    const Options m_options;
+    Options m_options;
     mutable std::mutex m_lock;
     std::size_t m_reservedBytes = 0;
 };
--- a/modules/hc_http/include/hemlockchute/http/RequestBufferBudget.h
+++ b/modules/hc_http/include/hemlockchute/http/RequestBufferBudget.h
@@ -54,8 +54,8 @@
     struct Options {
         /** Bound on the bytes of all requests. A quarter of it is a reserve for small ones. */
         std::size_t total = 64U << 20U;
-        /** Size of the requests that may use the reserve. */
-        std::size_t small = 64U << 10U;
+        /** Size of the requests that may use the reserve: a body of 64 KiB, its string of half the size while a chunked one grows, the read buffer and the header. */
+        std::size_t small = 128U << 10U;
         /** The span over which a request's rate is measured. */
         Duration window = 2s;
         /** Bytes a second. Not even a request of 64 KiB is complete within the read time-out of 10 s at this rate. */
@@ -150,7 +150,7 @@
     Request* lastOfDeadlock(const Request& first);
     void abortFor(const Request& waiting, Instant now, Functions&);
 
-    const Options m_options;
+    Options m_options;
     BufferBudget m_budget;
     mutable std::mutex m_lock;
     std::map<Id, Request> m_requests;
--- a/modules/hc_http/tests/HttpRequestMemoryTests.cpp
+++ b/modules/hc_http/tests/HttpRequestMemoryTests.cpp
@@ -176,6 +176,22 @@
     BOOST_TEST(second.get().starts_with("HTTP/1.1 200 "));
 }
 
+/** Guards against ordinary requests that wait behind large ones. */
+BOOST_AUTO_TEST_CASE(aSmallRequestIsAnsweredWhileLargeOnesUseUpTheMemory)
+{
+    server.setOptions(HttpServer::Options().withMaximumBodyBytes(maximumBodyBytes).withReadTimeout(30s).withSingleThread());
+    tcp::socket held = connect();
+    send(held, post("/hold", largeBytes) + std::string(largeBytes, 'x'));
+    BOOST_TEST(eventually([&] { return budget->reservedBytes() >= largeBytes; }));
+    tcp::socket waiting = connect();
+    send(waiting, post("/x", largeBytes) + std::string(largeBytes, 'x'));
+    BOOST_TEST(exchangeRaw(post("/x", 60'000) + std::string(60'000, 'x')).ends_with("\r\n\r\n60000"));
+    BOOST_TEST(!isReleased);
+    isReleased = true;
+    BOOST_TEST(receiveAll(held).starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(receiveAll(waiting).starts_with("HTTP/1.1 200 "));
+}
+
 /** Guards against a client that holds all memory by a body that it does not complete. */
 BOOST_AUTO_TEST_CASE(aRequestThatStopsGivesUpItsMemoryToAnotherOne)
 {
