--- a/modules/hc_gateway/tests/GatewaySettingsTests.cpp
+++ b/modules/hc_gateway/tests/GatewaySettingsTests.cpp
@@ -62,6 +62,7 @@
     BOOST_TEST(faultsOf(validSettings + "[retries]\nratio = 1\n[access]\nrevocation = \"5s\"\n").empty());
     BOOST_TEST(faultsOf(validSettings + "[hedging]\nratio = 0.1\nminimum_delay = \"5ms\"\n").empty());
     BOOST_TEST(faultsOf(validSettings + "[stop]\ngrace = \"3s\"\n[log]\nlines_per_second = 50\nmost_waiting = \"64KiB\"\n").empty());
+    BOOST_TEST(faultsOf(validSettings + "[callers]\nrequest_memory = \"16MiB\"\n").empty());
 }
 
 BOOST_AUTO_TEST_CASE(missingMistypedOrUnknownKeyIsNamedInTheFault)
@@ -78,6 +79,8 @@
     checkFault(validSettings + "[hedging]\nratio = 0.11\n", "ratio");
     checkFault(validSettings + "[hedging]\nminimum_delay = 20\n", "minimum_delay");
     checkFault(validSettings + "[log]\nlines_per_second = 0\n", "lines_per_second");
+    // A gateway with less could not read a body of the largest size.
+    checkFault(validSettings + "[callers]\nrequest_memory = \"15MiB\"\n", "request_memory: must be at least 16MiB");
 }
 
 BOOST_AUTO_TEST_CASE(unreadableOrMalformedFileIsAFault)
