Tell exhausted quotas from scarce ones by what hosts take

Change: a quota is exhausted while requests need more than is free and hosts take at least 80 % of its rate.

--- a/modules/hc_fleet/fleet/QuotaPool.cpp
+++ b/modules/hc_fleet/fleet/QuotaPool.cpp
@@ -146,6 +146,7 @@
         return;
     auto held = static_cast<double>(demandOf(pool, now).held);
     pool.free += inflowOf(pool, now) * seconds(now - pool.refilled);
+    pool.taken *= std::exp(-seconds(now - pool.refilled) / seconds(m_options.usageTime));
     pool.refilled = now;
     double room = capacityOf(*pool.quota) - held;
     if (now < m_takeoverEnd)
@@ -260,16 +261,16 @@
     QuotaGrant reply { report.workspace, 0, pool.isScarceElsewhere, pool.isExhaustedElsewhere, pool.untilRoomElsewhere };
     double keptForWaiting = 0;
     if (pool.quota) {
-        double capacity = capacityOf(*pool.quota);
         reply.isScarce = needed > pool.free;
-        reply.isExhausted = reply.isScarce && pool.free + static_cast<double>(demand.held) < capacity * m_options.exhaustedShare;
+        reply.isExhausted = reply.isScarce && pool.taken > m_options.exhaustedShare * pool.quota->perSecond * seconds(m_options.usageTime);
         reply.untilRoom = durationOf((static_cast<double>(demand.waiting) - pool.free) / pool.quota->perSecond);
-        keptForWaiting = capacity * m_options.unreservedShare;
+        keptForWaiting = capacityOf(*pool.quota) * m_options.unreservedShare;
     }
     double forWaiting = takeWholeRequests(host, shareOf(host.needed, needed, pool.free));
     double forReserve = shareOf(report.reserve, static_cast<double>(demand.reserve), pool.free - needed - keptForWaiting);
     reply.granted = static_cast<std::uint64_t>(std::min(forWaiting + forReserve, pool.free));
     pool.free -= static_cast<double>(reply.granted);
+    pool.taken += static_cast<double>(reply.granted) - static_cast<double>(report.returned);
     pool.recentlyGranted += static_cast<double>(reply.granted);
     host.held += reply.granted;
     std::uint64_t served = std::min(host.needed, reply.granted);
--- a/modules/hc_fleet/include/hemlockchute/fleet/QuotaPool.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/QuotaPool.h
@@ -73,8 +73,10 @@
         Duration holdLifetime = 3s;
         /** The part of the capacity that is kept for requests that wait, and not given to hosts in reserve: a long request may need more than a host holds. */
         double unreservedShare = 0.4;
-        /** A quota counts as exhausted only below this part of its capacity; above it, hosts hold enough that they can give back. */
-        double exhaustedShare = 0.5;
+        /** A quota counts as exhausted only while hosts take at least this part of its rate; otherwise they hold enough that they can give back. */
+        double exhaustedShare = 0.8;
+        /** The recent time over which what hosts take is averaged. */
+        Duration usageTime = 1s;
         /** The inflow that may be free while hosts may still hold units of a former leader. */
         Duration takeoverReserve = 500ms;
         /** What hosts ask for counts for this long unless it is replaced. */
@@ -138,6 +140,8 @@
         Instant refilled {};
         /** Of the last window, the latest one last. */
         std::deque<Peak> peaks;
+        /** Exponentially decayed sum of what hosts took, less what they gave back. */
+        double taken = 0;
         std::map<HostName, Host> hosts;
         /** Units granted shortly before, which a relay keeps in stock. */
         double recentlyGranted = 0;
