Let the platform name the scheme of access keys, and list what was seen

Cause: the answer 401 named the platform's scheme outside of platform/.

Change: FleetPlatform gives the headers that tell a caller how to send a key.

--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -14,6 +14,7 @@
 public:
     bool isReadinessPath(std::string_view) const override { return false; }
     Result<RequestMetadata, PlatformErrorCode> decodeRequest(const HttpRequest&) const override { return RequestMetadata(); }
+    HttpHeaders challengeHeaders() const override { return {}; }
     HttpRequest forwardedRequest(const HttpRequest& request, const ForwardingTerms&) const override { return request; }
     AnswerMetadata decodeAnswer(unsigned, const HttpHeaders&) const override { return {}; }
     HttpHeaders forwardedAnswerHeaders(const HttpHeaders& headers) const override { return headers; }
--- a/modules/hc_fleet/include/hemlockchute/fleet/FleetPlatform.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/FleetPlatform.h
@@ -74,6 +74,8 @@
     /** The request as forwarded to a backend server. */
     virtual HttpRequest forwardedRequest(const HttpRequest&, const ForwardingTerms&) const = 0;
     virtual AnswerMetadata decodeAnswer(unsigned status, const HttpHeaders&) const = 0;
+    /** The headers that tell a caller without a known access key how to send one. */
+    virtual HttpHeaders challengeHeaders() const = 0;
     /** An answer's headers as forwarded to the caller. */
     virtual HttpHeaders forwardedAnswerHeaders(const HttpHeaders&) const = 0;
 
--- a/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
+++ b/modules/hc_gateway/gateway/RequestForwarderOutcome.cpp
@@ -179,8 +179,11 @@
 {
     noteRefused(status, reason, retryAfter.value_or(Duration::zero()));
     HttpResponse response = refusal(status, reason, retryAfter);
-    if (status == statusUnauthorized)
-        response.headers.set("WWW-Authenticate", "Bearer");
+    if (status == statusUnauthorized) {
+        HttpHeaders challenge = m_core.platform.challengeHeaders();
+        for (const auto& [name, value] : challenge.fields())
+            response.headers.set(name, value);
+    }
     co_await m_exchange.respond(std::move(response));
 }
 
