Keep the names of the platform in its folder

Cause: scripts/check-platform-names.sh found them in a benchmark and a test of large configurations, which the tests of the parts had not run.

--- a/modules/hc_fleet/tests/ConfigurationTransferTests.cpp
+++ b/modules/hc_fleet/tests/ConfigurationTransferTests.cpp
@@ -19,8 +19,8 @@
     for (unsigned i = 0; i < count; ++i) {
         std::string name = Digest::of(std::to_string(i)).text();
         body += R"({"name":"customer-)" + name;
-        body += R"(","host":"api.example","pathPrefix":"/v1/customers/)" + name;
-        body += R"(/requests/","routeKind":"safe","timeoutMs":3000,"targetLatencyMs":100,"priority":1,"service":"api","maxAttempts":2,"resumable":false,"gapTargetMs":300,"public":false,"maxBodyBytes":4000000},)";
+        body += R"(","host":"api.example","prefix":"/v1/customers/)" + name;
+        body += R"(/requests/","kind":"safe","timeout":3000,"targetLatency":100,"rank":1,"service":"api","maximumAttempts":2,"retries":true,"resumable":false,"gapTargetMs":300,"public":false,"maxBodyBytes":4000000},)";
     }
     return body + "{}]}";
 }
