--- a/review/stage2.py
+++ b/review/stage2.py
@@ -577,12 +577,18 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     stage = Stage(folder, **options)
     code = NOT_RUN
+
+    def end_early(*_):
+        stage.end()
+        os._exit(NOT_RUN)
+
+    signal.signal(signal.SIGTERM, end_early)
     try:
         reason = asyncio.run(asyncio.wait_for(case(stage, trouble), limit))
         code = BROKEN if reason else HELD
         stage.record("RESULT: " + ("the rule was broken: " + reason if reason else "the rule held"))
         print("broken: " + reason if reason else "held")
-    except (CannotRun, OSError, asyncio.TimeoutError) as error:
+    except Exception as error:  # An error of the script says nothing about the rule.
         stage.record("RESULT: not run: %s %s" % (type(error).__name__, error))
         print("not run: %s %s" % (type(error).__name__, error))
     finally:
