--- a/review/stage2.py
+++ b/review/stage2.py
@@ -18,6 +18,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -25,6 +26,16 @@
 INTERNAL_PORTS = [7380, 7395]
 
 
+def end_as_not_run(kind, error, trace):
+    """An error of a script says nothing about the rule."""
+    traceback.print_exception(kind, error, trace)
+    sys.stderr.flush()
+    os._exit(NOT_RUN)
+
+
+sys.excepthook = end_as_not_run
+
+
 class CannotRun(Exception):
     """The case could not be played; says nothing about the rule."""
 
@@ -572,7 +583,7 @@
 LIMITS = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
 
 
-def play(folder, case, limit=110.0, **options):
+def play(folder, case, limit=100.0, **options):
     """Runs `await case(stage, trouble)`, which returns why the rule was broken, or an empty text; ends the process."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
     stage = Stage(folder, **options)
