Refuse answers whose status is not valid

Callers got an answer with status 000 when a server sent one, and likewise with every status below 100 and above 599, and with 101, although no switch of the protocol had been asked for. A non-idempotent service call was recorded with such an answer, and hemlockctl took it for the keeper's.

Cause: Beast's parser accepts any three digits as a status, and the client did not check the range (RFC 9110, section 15).

All HTTP responses of the system are read by HttpClient, so responseHeadFault() is called there, in readHead(). A response that it refuses is Malformed: its request may have run, so callers get 502 with outcome-unknown, or a second attempt where the route allows one. The connection to the server is closed, and that of the caller is kept.

--- a/modules/hc_backend/tests/BackendTests.cpp
+++ b/modules/hc_backend/tests/BackendTests.cpp
@@ -262,6 +262,23 @@
     BOOST_TEST((run(protocol->callService(backend, call, soon())).error().code == BackendErrorCode::Malformed));
 }
 
+BOOST_AUTO_TEST_CASE(anAnswerWithAnInvalidStatusIsNoAnswer)
+{
+    EngineOrder order;
+    order.id = OrderId("o-17");
+    ServiceRequest call { AttemptId("A"), { "POST", "/book", {}, "one" }, true };
+    for (unsigned status : { 0U, 99U, 600U }) {
+        response = { status, { { "X-Attempt-Id", "A" } }, "booked" };
+        BOOST_TEST((infer().error().code == BackendErrorCode::Malformed));
+        BOOST_TEST((run(protocol->sendOrder(backend, order, soon())).error().code == BackendErrorCode::Malformed));
+        BOOST_TEST((run(protocol->readState(backend, soon())).error().code == BackendErrorCode::Malformed));
+        auto served = run(protocol->callService(backend, call, soon()));
+        BOOST_REQUIRE(!served);
+        BOOST_TEST((served.error().code == BackendErrorCode::Malformed));
+        BOOST_TEST(!hasCertainlyNotRun(served.error().code));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(hostListChangeIsReportedOnce)
 {
     HttpClient client { HttpClient::Options() };
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -2,6 +2,7 @@
 
 #include "hemlockchute/http/BufferBudget.h"
 #include "http/BeastMessages.h"
+#include "http/ResponseHeadCheck.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -279,6 +280,9 @@
             m_client->closeIdleConnections(m_endpoint);
         if (error)
             co_return fail(error);
+        std::string_view fault = responseHeadFault(m_parser.get().base());
+        if (!fault.empty())
+            co_return fail(HttpClientErrorCode::Malformed, std::string(fault));
         m_headers = headersFromBeast(m_parser.get());
         if (auto time = peerKeepAliveTime(m_headers))
             m_connection->keepAliveLimit = std::max<Duration>(*time - keepAliveMargin, Duration::zero());
@@ -340,8 +344,13 @@
     {
         if (error == beast::error::timeout)
             m_client->closeIdleConnections(m_endpoint);
+        return fail(errorCodeFor(error), error.message());
+    }
+
+    tl::unexpected<Error<HttpClientErrorCode>> fail(HttpClientErrorCode code, std::string detail)
+    {
         m_connection.reset();
-        return failure(errorCodeFor(error), error.message());
+        return failure(code, std::move(detail));
     }
 
     void releaseConnection()
--- /dev/null
+++ b/modules/hc_http/http/ResponseHeadCheck.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
+#include <string_view>
+
+namespace hemlockchute {
+
+/**
+    The reason why the head of a response must not be used although the parser
+    accepts it; empty if there is none. All responses of all peers are checked here.
+
+    The parser accepts any three digits as a status.
+*/
+std::string_view responseHeadFault(const boost::beast::http::response_header<>&);
+
+} // namespace hemlockchute
--- a/tools/hemlockctl/tests/HemlockctlTests.cpp
+++ b/tools/hemlockctl/tests/HemlockctlTests.cpp
@@ -131,6 +131,17 @@
     BOOST_TEST(requests[0].body == section);
 }
 
+BOOST_AUTO_TEST_CASE(anAnswerWithAnInvalidStatusIsNotTheKeepers)
+{
+    script.push_back({ 0, {}, "{\"verdict\":\"accepted\",\"version\":1}" });
+    script.push_back(HttpResponse::json(200, "{\"verdict\":\"accepted\",\"version\":8,\"in_force\":{}}"));
+    Outcome outcome = run({ "submit", file("new.toml"), "--base=7" });
+    BOOST_TEST(outcome.exitCode == 0);
+    BOOST_TEST(outcome.out.find("accepted as version 8") != std::string::npos, outcome.out << outcome.err);
+    BOOST_REQUIRE(requests.size() == 2U);
+    BOOST_TEST(requests[0].target == requests[1].target);
+}
+
 BOOST_AUTO_TEST_CASE(refusedSubmissionsExplainTheReason)
 {
     script.push_back(HttpResponse::json(409, "{\"verdict\":\"conflict\",\"version\":9}"));
