Skip interim responses

A server that sent 100 (Continue), 102 or 103 before its answer had that interim response forwarded as its answer, or, if it lacked the attempt id, callers got 502 "the answer belongs to another request". The coordinator took reports, and answers to orders, for failures, and the platform's list could not be read.

Cause: the client took the first head of a response for that of the answer. A client must be able to parse interim responses before the final one (RFC 9110, section 15.2).

readHead() now reads heads until the final one, with a new parser for each, and checks interim ones as well. More than 64 count as an answer that is too large, so that a server cannot keep a caller busy with them; the existing tests of interim responses without end bound that.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -30,6 +30,8 @@
 
 constexpr unsigned httpVersion = 11;
 constexpr std::size_t maximumPieceBytes = 16U << 10U;
+/** Interim responses are discarded; a peer must not keep the caller busy with them. */
+constexpr unsigned maximumInterimResponses = 64;
 /** Fits into a peer's receive buffer, so that its host acknowledges the request whatever its process does. */
 constexpr std::size_t maximumBufferedBodyBytes = 64U << 10U;
 
@@ -262,36 +264,33 @@
         , m_write(std::move(write))
         , m_isOnReusedConnection(m_connection->isUsed)
     {
-        m_parser.header_limit(static_cast<std::uint32_t>(m_client->options.maximumHeaderBytes));
-        m_parser.body_limit(boost::none);
+        resetParser();
     }
 
     asio::awaitable<Result<void, HttpClientErrorCode>> readHead(Instant deadline) override
     {
-        if (std::exchange(m_isInterrupted, false))
-            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
-        beast::error_code error;
-        m_connection->stream.expires_at(deadline);
-        co_await http::async_read_header(m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
-        bool isInterrupted = std::exchange(m_isInterrupted, false) && error == asio::error::operation_aborted;
-        if (isInterrupted)
-            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
-        if (error && m_write->hasFailed)
-            m_client->closeIdleConnections(m_endpoint);
-        if (error)
-            co_return fail(error);
-        std::string_view fault = responseHeadFault(m_parser.get().base());
-        if (!fault.empty())
-            co_return fail(HttpClientErrorCode::Malformed, std::string(fault));
-        m_headers = headersFromBeast(m_parser.get());
+        while (true) {
+            auto read = co_await readNextHead(deadline);
+            if (!read)
+                co_return read;
+            std::string_view fault = responseHeadFault(m_parser->get().base());
+            if (!fault.empty())
+                co_return fail(HttpClientErrorCode::Malformed, std::string(fault));
+            if (!isInterimResponse(m_parser->get().base()))
+                break;
+            if (++m_interimResponses > maximumInterimResponses)
+                co_return fail(HttpClientErrorCode::TooLarge, "too many interim responses");
+            resetParser();
+        }
+        m_headers = headersFromBeast(m_parser->get());
         if (auto time = peerKeepAliveTime(m_headers))
             m_connection->keepAliveLimit = std::max<Duration>(*time - keepAliveMargin, Duration::zero());
         co_return Result<void, HttpClientErrorCode> {};
     }
 
-    unsigned status() const override { return m_parser.get().result_int(); }
+    unsigned status() const override { return m_parser->get().result_int(); }
     const HttpHeaders& headers() const override { return m_headers; }
-    bool endsWithConnection() const override { return m_parser.need_eof(); }
+    bool endsWithConnection() const override { return m_parser->need_eof(); }
     bool isOnReusedConnection() const override { return m_isOnReusedConnection; }
 
     asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) override
@@ -301,18 +300,18 @@
         if (std::exchange(m_isInterrupted, false))
             co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
         ByteString piece(maximumPieceBytes, '\0');
-        while (!m_parser.is_done()) {
-            m_parser.get().body().data = piece.data();
-            m_parser.get().body().size = piece.size();
+        while (!m_parser->is_done()) {
+            m_parser->get().body().data = piece.data();
+            m_parser->get().body().size = piece.size();
             beast::error_code error;
             m_connection->stream.expires_at(deadline);
-            co_await http::async_read_some(m_connection->stream, m_connection->buffer, m_parser, asio::redirect_error(asio::use_awaitable, error));
+            co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
             bool isInterrupted = std::exchange(m_isInterrupted, false) && error == asio::error::operation_aborted;
             if (isInterrupted)
                 co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
             if (error && error != http::error::need_buffer)
                 co_return fail(error);
-            std::size_t count = piece.size() - m_parser.get().body().size;
+            std::size_t count = piece.size() - m_parser->get().body().size;
             if (count == 0)
                 continue;
             piece.resize(count);
@@ -340,6 +339,31 @@
     }
 
 private:
+    void resetParser()
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_client->options.maximumHeaderBytes));
+        m_parser->body_limit(boost::none);
+    }
+
+    /** Reads one head, of an interim response or the final one. */
+    asio::awaitable<Result<void, HttpClientErrorCode>> readNextHead(Instant deadline)
+    {
+        if (std::exchange(m_isInterrupted, false))
+            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
+        beast::error_code error;
+        m_connection->stream.expires_at(deadline);
+        co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
+        bool isInterrupted = std::exchange(m_isInterrupted, false) && error == asio::error::operation_aborted;
+        if (isInterrupted)
+            co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
+        if (error && m_write->hasFailed)
+            m_client->closeIdleConnections(m_endpoint);
+        if (error)
+            co_return fail(error);
+        co_return Result<void, HttpClientErrorCode> {};
+    }
+
     tl::unexpected<Error<HttpClientErrorCode>> fail(beast::error_code error)
     {
         if (error == beast::error::timeout)
@@ -358,7 +382,7 @@
         bool isWritten = m_write->isDone && !m_write->hasFailed;
         if (isWritten)
             m_connection->stream.expires_never();
-        if (m_parser.keep_alive() && isWritten)
+        if (m_parser->keep_alive() && isWritten)
             m_client->returnToPool(m_endpoint, std::move(m_connection));
         m_connection.reset();
     }
@@ -370,7 +394,9 @@
     bool m_isOnReusedConnection;
     /** True from interrupt() to the end of the read. */
     bool m_isInterrupted = false;
-    http::response_parser<http::buffer_body> m_parser;
+    /** Replaced after each interim response. */
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    unsigned m_interimResponses = 0;
     HttpHeaders m_headers;
 };
 
--- a/modules/hc_http/http/ResponseHeadCheck.h
+++ b/modules/hc_http/http/ResponseHeadCheck.h
@@ -6,8 +6,11 @@
 
 namespace hemlockchute {
 
+/** True for an answer that precedes the final one (RFC 9110, section 15.2). */
+bool isInterimResponse(const boost::beast::http::response_header<>&);
+
 /**
-    The reason why the head of a response must not be used although the parser
+    The reason why the head of a response, interim or final, must not be used although the parser
     accepts it; empty if there is none. All responses of all peers are checked here.
 
     The parser accepts any three digits as a status.
--- a/modules/hc_http/tests/HttpBrokenAnswerTests.cpp
+++ b/modules/hc_http/tests/HttpBrokenAnswerTests.cpp
@@ -69,11 +69,14 @@
     answers.push_back({ "chunk longer than its size", "HTTP/1.1 200 OK\r\n" + chunkedField + "\r\n3\r\nbody\r\n0\r\n\r\n" });
     answers.push_back({ "name in a trailer", chunkedWith(chunkedField, "Odd Name: x\r\n") });
     answers.push_back({ "control byte in a trailer", chunkedWith(chunkedField, "Odd\x01Name: x\r\n") });
+    answers.push_back({ "broken answer after an interim one", "HTTP/1.1 100 Continue\r\n\r\n" + withStatus("000 Any") });
+    answers.push_back({ "broken interim answer", "HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + ok });
     return answers;
 }
 
 std::vector<RawAnswer> validAnswers()
 {
+    std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
     return {
         { "lowest status", withStatus("200 OK") },
         { "unregistered status", withStatus("299 Any"), 299 },
@@ -95,6 +98,9 @@
         { "chunk extension", "HTTP/1.1 200 OK\r\n" + chunkedField + "\r\n4;x=\"y\"\r\nbody\r\n0;z\r\n\r\n" },
         { "trailers", chunkedWith(chunkedField, "Odd: x\r\nOther: y\r\n") },
         { "body until the end of the connection", "HTTP/1.1 200 OK\r\n\r\nbody" },
+        { "interim answer", interim + ok },
+        { "several interim answers", interim + "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: </x>\r\nLink: </y>\r\n\r\n" + ok },
+        { "unregistered interim answer", "HTTP/1.1 199 Any\r\nContent-Length: 0\r\n\r\n" + ok },
     };
 }
 
