--- a/modules/hc_http/tests/HttpBrokenAnswerTests.cpp
+++ b/modules/hc_http/tests/HttpBrokenAnswerTests.cpp
@@ -64,7 +64,13 @@
         answers.push_back({ "length " + length, "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\nbody" });
     answers.push_back({ "length and chunks", chunkedWith("Content-Length: 4\r\n" + chunkedField) });
     answers.push_back({ "chunks and length", chunkedWith(chunkedField + "Content-Length: 4\r\n") });
+    for (const std::string coding : { "", "gzip", "identity", "gzip, chunked", "chunked, gzip", "chunked, chunked", "chunked;x=y", "xchunked" })
+        answers.push_back({ "coding " + coding, chunkedWith("Transfer-Encoding: " + coding + "\r\n") });
+    answers.push_back({ "codings in two fields", chunkedWith("Transfer-Encoding: gzip\r\n" + chunkedField) });
     answers.push_back({ "chunked twice", chunkedWith(chunkedField + chunkedField) });
+    answers.push_back({ "coding beside a length", withField("Transfer-Encoding: gzip") });
+    answers.push_back({ "chunks in version 1.0", "HTTP/1.0 200 OK\r\n" + chunkedField + "\r\n4\r\nbody\r\n0\r\n\r\n" });
+    answers.push_back({ "coding without a body", "HTTP/1.1 204 No Content\r\nTransfer-Encoding: gzip\r\n\r\n" });
     answers.push_back({ "chunk size", "HTTP/1.1 200 OK\r\n" + chunkedField + "\r\nx\r\nbody\r\n0\r\n\r\n" });
     answers.push_back({ "chunk longer than its size", "HTTP/1.1 200 OK\r\n" + chunkedField + "\r\n3\r\nbody\r\n0\r\n\r\n" });
     answers.push_back({ "name in a trailer", chunkedWith(chunkedField, "Odd Name: x\r\n") });
