Treat a part of an answer as lost if its upload was reset

A server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was being written. Callers got the part as a complete answer.

Cause: the system reports a reset to one operation of a socket only. With a write waiting, that was the write of the request; the read after it returned an orderly end, which completes a body without a length. The client used the error of the write for its pool of connections only.

At the end of such a body the client now asks the write. If that has failed, the connection is lost (RFC 9112, section 8: a response is not complete if the connection has indicated an error). If it is in progress, the client waits up to 500 ms for it: a process that ends may close its side orderly first, and the reset follows when more of the request arrives. A server that only half-closes the connection, and then reads on or not, is answered for as before. A body with a length or in chunks is delimited by itself, and delivered.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -30,6 +31,8 @@
 
 constexpr unsigned httpVersion = 11;
 constexpr std::size_t maximumPieceBytes = 16U << 10U;
+/** How long after the orderly end of a connection a reset may arrive; exceeds the round-trip time between regions. */
+constexpr Duration resetTransitTime = 500ms;
 /** Interim responses are discarded; a peer must not keep the caller busy with them. */
 constexpr unsigned maximumInterimResponses = 64;
 /** Fits into a peer's receive buffer, so that its host acknowledges the request whatever its process does. */
@@ -68,9 +71,29 @@
 
 /** A request being sent. The answer may arrive before the write is complete. */
 struct RequestWrite {
+    /** Waits until the write is done, or the time is over. */
+    asio::awaitable<void> awaitDone(Instant limit)
+    {
+        waitTimer.emplace(co_await asio::this_coro::executor, limit);
+        beast::error_code ignored;
+        if (!isDone)
+            co_await waitTimer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+    }
+
+    void noteDone(beast::error_code error)
+    {
+        isDone = true;
+        hasFailed = bool(error);
+        // The answer may take long, and the caller keeps its own copy of the body.
+        message = {};
+        if (waitTimer)
+            waitTimer->cancel();
+    }
+
     http::request<http::string_body> message;
     bool isDone = false;
     bool hasFailed = false;
+    std::optional<asio::steady_timer> waitTimer;
 };
 
 using AcknowledgeTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -317,6 +340,9 @@
             piece.resize(count);
             co_return std::optional<ByteString>(std::move(piece));
         }
+        bool isBroken = co_await hasBrokenBeforeEnd(deadline);
+        if (isBroken)
+            co_return fail(asio::error::connection_reset);
         releaseConnection();
         co_return std::optional<ByteString>();
     }
@@ -364,6 +390,21 @@
         co_return Result<void, HttpClientErrorCode> {};
     }
 
+    /**
+        True if a body that ends with its connection may be incomplete, since the connection broke.
+
+        The system reports a reset to one operation only; if that is the write of the request, the
+        read sees an orderly end. A reset may also follow an orderly end, when a process has ended.
+    */
+    asio::awaitable<bool> hasBrokenBeforeEnd(Instant deadline)
+    {
+        if (!m_parser->need_eof())
+            co_return false;
+        if (!m_write->isDone)
+            co_await m_write->awaitDone(std::min(deadline, std::chrono::steady_clock::now() + resetTransitTime));
+        co_return m_write->hasFailed;
+    }
+
     tl::unexpected<Error<HttpClientErrorCode>> fail(beast::error_code error)
     {
         if (error == beast::error::timeout)
@@ -454,12 +495,7 @@
     auto write = std::make_shared<RequestWrite>();
     write->message = requestToBeast(std::move(request), endpoint);
     (*connection)->stream.expires_at(deadline);
-    http::async_write((*connection)->stream, write->message, [write](beast::error_code error, std::size_t) {
-        write->isDone = true;
-        write->hasFailed = bool(error);
-        // The answer may take long, and the caller keeps its own copy of the body.
-        write->message = {};
-    });
+    http::async_write((*connection)->stream, write->message, [write](beast::error_code error, std::size_t) { write->noteDone(error); });
     co_return std::make_unique<BeastResponseStream<Impl>>(impl, endpoint, std::move(*connection), write);
 }
 
--- a/modules/hc_http/tests/HttpBrokenAnswerTests.cpp
+++ b/modules/hc_http/tests/HttpBrokenAnswerTests.cpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
@@ -119,6 +121,12 @@
     co_return socket;
 }
 
+asio::awaitable<void> pause(Duration duration)
+{
+    asio::steady_timer timer(co_await asio::this_coro::executor, duration);
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
 /** Sends an answer in pieces of a given size, one segment each, and closes the connection. */
 asio::awaitable<void> serve(tcp::acceptor& acceptor, std::string bytes, std::size_t pieceSize)
 {
@@ -171,4 +179,72 @@
     BOOST_TEST(answer->body == valid.body);
 }
 
+//==============================================================================
+// Answers that come while their request is still being sent
+
+namespace {
+
+enum class UploadEnd {
+    Reset,
+    CloseWithUnreadBytes,
+    CloseWithoutUnreadBytes,
+    ResetAfterLength,
+    HalfCloseAndRead,
+    HalfCloseOnly
+};
+
+std::ostream& operator<<(std::ostream& stream, UploadEnd end)
+{
+    return stream << static_cast<int>(end);
+}
+
+/** Exceeds what the sockets of both sides buffer. */
+constexpr std::size_t uploadBytes = 32U << 20U;
+
+/** Answers once the head of a long request has come, and ends the connection in one of several ways. */
+asio::awaitable<void> answerEarly(tcp::acceptor& acceptor, UploadEnd end)
+{
+    tcp::socket socket = co_await acceptRequest(acceptor);
+    std::string length = end == UploadEnd::ResetAfterLength ? "Content-Length: 4\r\n" : "";
+    co_await asio::async_write(socket, asio::buffer("HTTP/1.1 200 OK\r\n" + length + "\r\nbody"), asio::use_awaitable);
+    co_await pause(50ms);
+    boost::system::error_code error;
+    std::vector<char> read(1U << 20U);
+    if (end == UploadEnd::Reset || end == UploadEnd::ResetAfterLength)
+        socket.set_option(asio::socket_base::linger(true, 0));
+    else if (end == UploadEnd::CloseWithoutUnreadBytes) {
+        socket.non_blocking(true);
+        while (!error)
+            socket.read_some(asio::buffer(read), error);
+    } else if (end != UploadEnd::CloseWithUnreadBytes)
+        socket.shutdown(tcp::socket::shutdown_send);
+    if (end == UploadEnd::HalfCloseAndRead) {
+        while (!error)
+            co_await socket.async_read_some(asio::buffer(read), asio::redirect_error(asio::use_awaitable, error));
+    } else if (end == UploadEnd::HalfCloseOnly)
+        co_await pause(2s);
+}
+
+} // namespace
+
+/** What a server sent before it broke the connection may be a part of its answer only. */
+BOOST_DATA_TEST_CASE(anAnswerWithoutALengthIsLostIfTheConnectionBreaksWhileTheRequestIsSent,
+    data::make({ UploadEnd::Reset, UploadEnd::CloseWithUnreadBytes, UploadEnd::CloseWithoutUnreadBytes }) * data::xrange(5), end, repetition)
+{
+    (void)repetition;
+    Exchange exchange;
+    auto answer = exchange.run([&](tcp::acceptor& acceptor) { return answerEarly(acceptor, end); }, ByteString(uploadBytes, 'x'));
+    BOOST_REQUIRE_MESSAGE(!answer, "a part came as an answer: " << answer->body);
+    BOOST_TEST((answer.error().code == HttpClientErrorCode::ConnectionLost), answer.error().detail);
+}
+
+/** A server may answer before it has read the whole request, and may not want the rest. */
+BOOST_DATA_TEST_CASE(aCompleteAnswerThatComesBeforeTheRequestIsSentIsRead, data::make({ UploadEnd::ResetAfterLength, UploadEnd::HalfCloseAndRead, UploadEnd::HalfCloseOnly }), end)
+{
+    Exchange exchange;
+    auto answer = exchange.run([&](tcp::acceptor& acceptor) { return answerEarly(acceptor, end); }, ByteString(uploadBytes, 'x'));
+    BOOST_REQUIRE_MESSAGE(answer, answer.error().detail);
+    BOOST_TEST(answer->body == "body");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
