Do not reuse a connection after a 204 that announces a body

After a 204 with a Content-Length other than 0, or with chunks, the connection returned to the pool. A server in trouble may send the bytes that it announced once another request uses the connection; they would be read as the beginning of that request's answer.

A 204 has no body whatever its fields say (RFC 9112, section 6.3), and the answer itself is delivered as before; "Content-Length: 0" keeps its connection.

Evidence: HttpTests/aConnectionIsNotReusedAfterAnAnswerThatAnnouncesABodyItCannotHave counted one connection where two are needed without the change, and passes with it.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -418,12 +418,19 @@
         return failure(code, std::move(detail));
     }
 
+    /** True if bytes of a body may follow that the status does not allow. */
+    bool mayLeaveBytes() const
+    {
+        constexpr unsigned statusNoContent = 204;
+        return status() == statusNoContent && (m_parser->chunked() || m_parser->content_length().value_or(0) > 0);
+    }
+
     void releaseConnection()
     {
         bool isWritten = m_write->isDone && !m_write->hasFailed;
         if (isWritten)
             m_connection->stream.expires_never();
-        if (m_parser->keep_alive() && isWritten)
+        if (m_parser->keep_alive() && isWritten && !mayLeaveBytes())
             m_client->returnToPool(m_endpoint, std::move(m_connection));
         m_connection.reset();
     }
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -381,6 +381,18 @@
     BOOST_TEST(counting.connections() == 2U);
 }
 
+/** The bytes that it announces may come later, when another request uses the connection. */
+BOOST_AUTO_TEST_CASE(aConnectionIsNotReusedAfterAnAnswerThatAnnouncesABodyItCannotHave)
+{
+    for (const std::string length : { "4", "0" }) {
+        CountingServer counting("HTTP/1.1 204 No Content\r\nContent-Length: " + length + "\r\n\r\n");
+        endpoint = counting.endpoint();
+        BOOST_TEST(send({}).has_value());
+        BOOST_TEST(send({}).has_value());
+        BOOST_TEST(counting.connections() == (length == "0" ? 1U : 2U));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aServerWithKeepAliveDisabledClosesIdleConnectionsAndServesNewOnes)
 {
     asio::io_context own;
