Bound the keep-alive time that a server may announce

"Keep-Alive: timeout=" overflowed when it was converted to the clock's unit; the result was negative, and the connection was closed after each answer. The overflow is undefined behaviour on bytes from the network.

Evidence: HttpTests/aConnectionWithAVeryLongKeepAliveTimeIsReused counted two connections for each of three values without the change, and one with it.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -100,6 +100,8 @@
 
 /** Subtracted from the peer's keep-alive time, so that the peer does not close a connection just as it is reused. */
 constexpr Duration keepAliveMargin = 500ms;
+/** Longer keep-alive times are cut to this one, which exceeds every idle time-out. */
+constexpr unsigned long maximumKeepAliveSeconds = 24UL * 60 * 60;
 
 /** The time in "Keep-Alive: timeout=5", if present. */
 std::optional<Duration> peerKeepAliveTime(const HttpHeaders& headers)
@@ -109,7 +111,7 @@
     std::size_t at = text ? text->find(key) : std::string::npos;
     if (at == std::string::npos)
         return std::nullopt;
-    return std::chrono::seconds(std::strtoul(text->c_str() + at + key.size(), nullptr, 10));
+    return std::chrono::seconds(std::min(std::strtoul(text->c_str() + at + key.size(), nullptr, 10), maximumKeepAliveSeconds));
 }
 
 /** Moves a connection to another executor, since its timers must run on the executor of its next user. Returns null on an error. */
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -381,6 +381,18 @@
     BOOST_TEST(counting.connections() == 2U);
 }
 
+/** Its last second lies beyond what a clock can represent. */
+BOOST_AUTO_TEST_CASE(aConnectionWithAVeryLongKeepAliveTimeIsReused)
+{
+    for (const std::string seconds : { "9223372036854775807", "18446744073709551615", "99999999999999999999" }) {
+        CountingServer counting("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=" + seconds + "\r\nContent-Length: 2\r\n\r\nok");
+        endpoint = counting.endpoint();
+        BOOST_TEST(send({}).has_value());
+        BOOST_TEST(send({}).has_value());
+        BOOST_TEST(counting.connections() == 1U);
+    }
+}
+
 /** The bytes that it announces may come later, when another request uses the connection. */
 BOOST_AUTO_TEST_CASE(aConnectionIsNotReusedAfterAnAnswerThatAnnouncesABodyItCannotHave)
 {
