Expect and send no body in answers to HEAD

A caller of HEAD got 504 at its deadline when the head of the server's answer told a length, since a body was waited for (RFC 9110, section 9.3.2). Answers of the system itself, refusals for instance, had a body, which a caller takes for the beginning of the next answer on its connection.

The client's parser is told to skip the body of an answer to HEAD. The server writes the head only, and no Content-Length, since it does not know that of the answer to GET.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -91,6 +91,8 @@
     }
 
     http::request<http::string_body> message;
+    /** True for a HEAD request, whose answer has no body whatever its head says. */
+    bool isForHead = false;
     bool isDone = false;
     bool hasFailed = false;
     std::optional<asio::steady_timer> waitTimer;
@@ -372,6 +374,7 @@
         m_parser.emplace();
         m_parser->header_limit(static_cast<std::uint32_t>(m_client->options.maximumHeaderBytes));
         m_parser->body_limit(boost::none);
+        m_parser->skip(m_write->isForHead);
     }
 
     /** Reads one head, of an interim response or the final one. */
@@ -502,6 +505,7 @@
         (*connection)->isSingleUse = true;
     }
     auto write = std::make_shared<RequestWrite>();
+    write->isForHead = request.method == "HEAD";
     write->message = requestToBeast(std::move(request), endpoint);
     (*connection)->stream.expires_at(deadline);
     http::async_write((*connection)->stream, write->message, [write](beast::error_code error, std::size_t) { write->noteDone(error); });
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -165,9 +165,11 @@
     {
         http::response<http::string_body> message(static_cast<http::status>(response.status), httpVersion);
         headersToBeast(response.headers, message);
-        message.body() = std::move(response.body);
         message.keep_alive(mayKeepAlive());
-        message.prepare_payload();
+        if (!isHeadRequest()) {
+            message.body() = std::move(response.body);
+            message.prepare_payload();
+        }
         m_isAnswered = true;
         m_stream.expires_after(m_options.writeTimeout);
         beast::error_code error;
@@ -184,7 +186,7 @@
         m_isAnswered = true;
         std::string header = headerText(message);
         beast::error_code error;
-        if (firstChunk.empty())
+        if (firstChunk.empty() || isHeadRequest())
             error = co_await send(asio::const_buffer(asio::buffer(header)));
         else
             error = co_await send(beast::buffers_cat(asio::const_buffer(asio::buffer(header)), http::make_chunk(asio::const_buffer(asio::buffer(firstChunk)))));
@@ -193,7 +195,7 @@
 
     asio::awaitable<bool> write(ByteString chunk) override
     {
-        if (m_isBroken || chunk.empty())
+        if (m_isBroken || chunk.empty() || isHeadRequest())
             co_return !m_isBroken;
         m_stream.expires_after(m_options.writeTimeout);
         beast::error_code error;
@@ -206,6 +208,8 @@
         if (m_isBroken)
             co_return false;
         beast::error_code error;
+        if (isHeadRequest())
+            co_return finishAnswer(error);
         if (lastChunk.empty())
             error = co_await send(http::make_chunk_last());
         else
@@ -224,6 +228,8 @@
     bool isCallerDisconnected() const override { return m_isCallerDisconnected; }
 
 private:
+    /** An answer to it has no body (RFC 9110, section 9.3.2). */
+    bool isHeadRequest() const { return m_request.method == "HEAD"; }
     bool mayKeepAlive() const { return m_keepAlive && !m_table->isKeepAliveDisabled(); }
 
     void closeUnlessBusy()
--- a/modules/hc_http/tests/HttpTests.cpp
+++ b/modules/hc_http/tests/HttpTests.cpp
@@ -381,6 +381,22 @@
     BOOST_TEST(counting.connections() == 2U);
 }
 
+/** Bytes of a body would be taken for the answer to the next request on the connection. */
+BOOST_AUTO_TEST_CASE(answersToHeadRequestsHaveNoBody)
+{
+    for (const std::string path : { "/echo", "/stream", "/throw", "/unknown" }) {
+        std::string heads = exchangeRaw("HEAD " + path + " HTTP/1.1\r\n\r\nHEAD " + path + " HTTP/1.1\r\nConnection: close\r\n\r\n");
+        BOOST_REQUIRE(heads.starts_with("HTTP/1.1 "));
+        std::size_t end = heads.find("\r\n\r\n") + 4;
+        BOOST_TEST(heads.substr(end).starts_with("HTTP/1.1 "), heads);
+        BOOST_TEST(heads.find("\r\n\r\n", end) == heads.size() - 4, heads);
+        BOOST_TEST(heads.find("Content-Length: 0") == std::string::npos);
+    }
+    for (int i = 0; i < 2; ++i)
+        BOOST_TEST(send({ "HEAD", "/echo", {}, {} }).value().body.empty());
+    BOOST_TEST(server.connectionCount() == 1U);
+}
+
 /** Its last second lies beyond what a clock can represent. */
 BOOST_AUTO_TEST_CASE(aConnectionWithAVeryLongKeepAliveTimeIsReused)
 {
