--- a/modules/hc_http/include/hemlockchute/http/HttpClient.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpClient.h
@@ -47,7 +47,7 @@
 public:
     virtual ~HttpResponseStream() = default;
 
-    /** Reads up to the end of the head. Call it before the other methods; HttpClient::open() has done so. */
+    /** Reads up to the end of the head; interim responses before it are skipped. Call it before the other methods; HttpClient::open() has done so. */
     virtual boost::asio::awaitable<Result<void, HttpClientErrorCode>> readHead(Instant deadline) = 0;
     virtual unsigned status() const = 0;
     virtual const HttpHeaders& headers() const = 0;
@@ -55,7 +55,7 @@
     virtual bool endsWithConnection() const = 0;
     /** True if the connection carried another request before, so that bytes of that request's answer may be left on it. */
     virtual bool isOnReusedConnection() const = 0;
-    /** The next piece, or std::nullopt at the end of the body. A truncated body is an error. */
+    /** The next piece, or std::nullopt at the end of the body. A truncated body is an error; so is one without a length if the connection broke while the request was sent. */
     virtual boost::asio::awaitable<Result<std::optional<ByteString>, HttpClientErrorCode>> read(Instant deadline) = 0;
     /** True once the whole request has been written. */
     virtual bool isRequestSent() const = 0;
@@ -97,7 +97,7 @@
     with it, so that the next request opens a new one. An idle connection is not used past the time in
     the peer's Keep-Alive header. When a request is abandoned, its connection is reset: what the peer's
     host has not received yet is dropped, and no part of it arrives later, when a failed link works
-    again. The client never retries a request.
+    again. The client never retries a request. What is not a valid response is Malformed.
 
     Thread safety: every method may be called from any thread; a coroutine must run on a strand or on
     a single thread.
