Move the client's connection and request write out of HttpClient.cpp

The connection, the write of a request and the two functions on idle connections have a file of their own now; no behaviour changes.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -2,15 +2,13 @@
 
 #include "hemlockchute/http/BufferBudget.h"
 #include "http/BeastMessages.h"
+#include "http/ClientConnection.h"
 #include "http/ResponseHeadCheck.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
@@ -49,55 +47,6 @@
     return isParseError && !isEnd ? HttpClientErrorCode::Malformed : HttpClientErrorCode::ConnectionLost;
 }
 
-/** A connection, and bytes read from it beyond the current message. */
-struct ClientConnection {
-    ClientConnection(const asio::any_io_executor& executor, std::size_t maximumBufferedBytes)
-        : stream(executor)
-        , buffer(maximumBufferedBytes)
-    {
-    }
-
-    beast::tcp_stream stream;
-    /** Its limit also bounds what the parser reads at once outside of heads and bodies: chunk heads and trailers. */
-    beast::flat_buffer buffer;
-    Instant idleSince;
-    /** True once it has carried a request. */
-    bool isUsed = false;
-    /** True if it must not return to the pool. */
-    bool isSingleUse = false;
-    /** How long it may stay idle, from the peer's Keep-Alive header. */
-    std::optional<Duration> keepAliveLimit;
-};
-
-/** A request being sent. The answer may arrive before the write is complete. */
-struct RequestWrite {
-    /** Waits until the write is done, or the time is over. */
-    asio::awaitable<void> awaitDone(Instant limit)
-    {
-        waitTimer.emplace(co_await asio::this_coro::executor, limit);
-        beast::error_code ignored;
-        if (!isDone)
-            co_await waitTimer->async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-    }
-
-    void noteDone(beast::error_code error)
-    {
-        isDone = true;
-        hasFailed = bool(error);
-        // The answer may take long, and the caller keeps its own copy of the body.
-        message = {};
-        if (waitTimer)
-            waitTimer->cancel();
-    }
-
-    http::request<http::string_body> message;
-    /** True for a HEAD request, whose answer has no body whatever its head says. */
-    bool isForHead = false;
-    bool isDone = false;
-    bool hasFailed = false;
-    std::optional<asio::steady_timer> waitTimer;
-};
-
 using AcknowledgeTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
 /** Subtracted from the peer's keep-alive time, so that the peer does not close a connection just as it is reused. */
@@ -116,37 +65,6 @@
     return std::chrono::seconds(std::min(std::strtoul(text->c_str() + at + key.size(), nullptr, 10), maximumKeepAliveSeconds));
 }
 
-/** Moves a connection to another executor, since its timers must run on the executor of its next user. Returns null on an error. */
-std::unique_ptr<ClientConnection> moveToExecutor(const asio::any_io_executor& executor, std::unique_ptr<ClientConnection> connection)
-{
-    if (connection->stream.get_executor() == executor)
-        return connection;
-    tcp::socket old = connection->stream.release_socket();
-    beast::error_code error;
-    auto protocol = old.local_endpoint(error).protocol();
-    auto handle = old.release(error);
-    if (error)
-        return nullptr;
-    auto moved = std::make_unique<ClientConnection>(executor, connection->buffer.max_size());
-    moved->idleSince = connection->idleSince;
-    moved->keepAliveLimit = connection->keepAliveLimit;
-    moved->isUsed = connection->isUsed;
-    moved->stream.socket().assign(protocol, handle, error);
-    return error ? nullptr : std::move(moved);
-}
-
-/** True if the peer has neither closed an idle connection nor sent unsolicited bytes on it. */
-bool isReusable(ClientConnection& connection)
-{
-    char byte = 0;
-    beast::error_code error;
-    tcp::socket& socket = connection.stream.socket();
-    if (!socket.non_blocking())
-        socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 } // namespace
 
 //==============================================================================
