Split events in one pass over the bytes

Cause: for each event EventStreamSplitter searched the rest of the piece for "\n\r\n", even if "\n\n" came at once, or the other way round. A piece of 16 KB may hold 8,192 events, and the gateway has one thread.

Change: the splitter goes through the lines once and keeps the id of the incomplete event, so that each byte is examined once whatever the events are and wherever the pieces end. What counts as an event is the same; a property compares it with the old search on any mixture of line endings.

Evidence: EventStreamSplitterTests/theCostGrowsInProportionToTheBytes compares the processor time for 32 KB and for 4 KB of eight kinds of input.

--- a/modules/hc_fleet/include/hemlockchute/fleet/EventStreamSplitter.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/EventStreamSplitter.h
@@ -19,7 +19,7 @@
 //==============================================================================
 /**
     Splits a text/event-stream at event boundaries, so that only complete events are passed on when
-    a stream breaks off in the middle of one.
+    a stream breaks off in the middle of one. Examines each byte once, however many events there are.
 
     Thread safety: one thread at a time.
 */
@@ -34,6 +34,11 @@
 
 private:
     ByteString m_partial;
+    /** Where the incomplete line begins in m_partial, and up to where it is known to hold no line feed. */
+    std::size_t m_lineBegin = 0;
+    std::size_t m_searched = 0;
+    /** The last numeric id in the incomplete event. */
+    std::optional<std::uint64_t> m_eventId;
 };
 
 } // namespace hemlockchute
