End an answer whose bytes never pause at its deadline

What callers saw: a stream outlived its route's time while its server sent comments or other bytes without a pause; it stayed open until the caller left.

Cause: the connection's timer ends a read that waits. A read that finds bytes is complete before the timer can be handled, and the next one starts it anew, so that the deadline passed unnoticed as long as bytes kept coming. Every user of HttpClient was affected: streams, buffered answers, reports, lists and orders; the bodies that send() reads end at a size, the others did not end at all.

Change: a read that begins after the deadline fails with TimedOut, 200 ms after the first of them: an answer that has arrived completely is still delivered if this process was suspended meanwhile.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -31,6 +31,8 @@
 constexpr std::size_t maximumPieceBytes = 16U << 10U;
 /** How long after the orderly end of a connection a reset may arrive; exceeds the round-trip time between regions. */
 constexpr Duration resetTransitTime = 500ms;
+/** How long past the deadline bytes that have arrived are still read: an answer that is ready is delivered, also if this process was suspended. */
+constexpr Duration arrivedBytesTime = 200ms;
 /** Interim responses are discarded; a peer must not keep the caller busy with them. */
 constexpr unsigned maximumInterimResponses = 64;
 /** Fits into a peer's receive buffer, so that its host acknowledges the request whatever its process does. */
@@ -248,6 +250,8 @@
         while (!m_parser->is_done()) {
             m_parser->get().body().data = piece.data();
             m_parser->get().body().size = piece.size();
+            if (isOverdue(deadline))
+                co_return fail(beast::error::timeout);
             beast::error_code error;
             m_connection->stream.expires_at(deadline);
             co_await http::async_read_some(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
@@ -300,6 +304,8 @@
     {
         if (std::exchange(m_isInterrupted, false))
             co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
+        if (isOverdue(deadline))
+            co_return fail(beast::error::timeout);
         beast::error_code error;
         m_connection->stream.expires_at(deadline);
         co_await http::async_read_header(m_connection->stream, m_connection->buffer, *m_parser, asio::redirect_error(asio::use_awaitable, error));
@@ -313,6 +319,17 @@
         co_return Result<void, HttpClientErrorCode> {};
     }
 
+    /** True some time after the deadline. The stream's own timer ends only a read that waits: bytes that never pause would be read for ever. */
+    bool isOverdue(Instant deadline)
+    {
+        Instant now = currentTime();
+        if (now < deadline)
+            return false;
+        if (!m_overdueSince)
+            m_overdueSince = now;
+        return now - *m_overdueSince >= arrivedBytesTime;
+    }
+
     /**
         True if a body that ends with its connection may be incomplete, since the connection broke.
 
@@ -368,6 +385,8 @@
     /** Replaced after each interim response. */
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     unsigned m_interimResponses = 0;
+    /** When the first read after the deadline began. */
+    std::optional<Instant> m_overdueSince;
     HttpHeaders m_headers;
 };
 
--- a/modules/hc_http/tests/HttpEndlessAnswerTests.cpp
+++ b/modules/hc_http/tests/HttpEndlessAnswerTests.cpp
@@ -98,4 +98,98 @@
     BOOST_TEST(server.sentBytes() < maximumSentBytes);
 }
 
+namespace {
+
+/** What a caller of open() has read of a body when it ends. */
+struct ReadBody {
+    ByteString bytes;
+    std::optional<HttpClientErrorCode> error;
+};
+
+/** Reads a body until its end, an error or the limit; the time between the head and the first read is spent without reading. */
+asio::awaitable<ReadBody> readBody(HttpClient& client, tcp::endpoint endpoint, Instant deadline, Instant limit, Duration suspended = {})
+{
+    ReadBody read;
+    HttpRequest request;
+    request.method = "GET";
+    request.target = "/";
+    auto stream = co_await client.open(endpoint, std::move(request), deadline);
+    if (!stream) {
+        read.error = stream.error().code;
+        co_return read;
+    }
+    if (suspended > Duration::zero())
+        std::this_thread::sleep_for(suspended);
+    while (currentTime() < limit) {
+        auto piece = co_await (*stream)->read(deadline);
+        if (!piece)
+            read.error = piece.error().code;
+        if (!piece || !*piece)
+            co_return read;
+        read.bytes += **piece;
+    }
+    co_return read;
+}
+
+/** Accepts one connection, sends an answer and waits for the peer to close. */
+std::thread serveOnce(tcp::acceptor& acceptor, std::string answer)
+{
+    return std::thread([&acceptor, answer = std::move(answer)] {
+        tcp::socket socket = acceptor.accept();
+        boost::system::error_code error;
+        asio::write(socket, asio::buffer(answer), error);
+        char bytes[1024];
+        while (!error)
+            socket.read_some(asio::buffer(bytes), error);
+    });
+}
+
+std::vector<EndlessAnswer> endlessBodies()
+{
+    std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::vector<EndlessAnswer> bodies = endlessAnswers();
+    std::erase_if(bodies, [](const EndlessAnswer& answer) { return !answer.name.starts_with("body") && answer.name != "chunks"; });
+    std::string smallChunks;
+    for (int i = 0; i < 1000; ++i)
+        smallChunks += "1\r\nx\r\n";
+    bodies.push_back({ "small chunks", chunked, smallChunks });
+    bodies.push_back({ "chunks with long heads", chunked, "1;x=" + std::string(8U << 10U, 'y') + "\r\nx\r\n" });
+    return bodies;
+}
+
+} // namespace
+
+/** Guards against a deadline that only a waiting read meets: an answer whose bytes never pause was read until its caller left. */
+BOOST_DATA_TEST_CASE(aBodyThatNeverPausesEndsAtTheDeadline, data::make(endlessBodies()), answer)
+{
+    EndlessServer server(answer);
+    asio::io_context context;
+    HttpClient client { HttpClient::Options() };
+    Instant deadline = currentTime() + 300ms;
+    auto result = asio::co_spawn(context, readBody(client, server.endpoint(), deadline, deadline + 2s), asio::use_future);
+    context.run();
+    BOOST_TEST((result.get().error == HttpClientErrorCode::TimedOut));
+    BOOST_TEST((currentTime() < deadline + 500ms));
+}
+
+/** An answer that has arrived is delivered, also if this process was suspended past the deadline. */
+BOOST_AUTO_TEST_CASE(aBodyThatHasArrivedIsReadAfterTheDeadline)
+{
+    std::string body(64U << 10U, 'x');
+    asio::io_context context;
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::thread server = serveOnce(acceptor, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    ReadBody read;
+    {
+        HttpClient client { HttpClient::Options() };
+        Instant deadline = currentTime() + 200ms;
+        auto result = asio::co_spawn(context, readBody(client, acceptor.local_endpoint(), deadline, deadline + 5s, 1s), asio::use_future);
+        context.run();
+        read = result.get();
+    }
+    server.join();
+    BOOST_TEST(!read.error);
+    BOOST_TEST(read.bytes == body);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
