Read chunks that have arrived together

Cause: HttpClient returned each chunk as a piece of its own. A server that sends chunks of one byte made the gateway allocate and clear 16 KB, resume a coroutine and write to the caller for every six bytes that it received: work that grows with the number of chunks, not with the bytes.

Change: after each read the bytes that have arrived are parsed as far as there is room in the piece. Nothing waits for more bytes, and an error among them is met by the next read.

--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -260,11 +260,11 @@
                 co_return failure(HttpClientErrorCode::Interrupted, "interrupted");
             if (error && error != http::error::need_buffer)
                 co_return fail(error);
+            parseBuffered();
             std::size_t count = piece.size() - m_parser->get().body().size;
             if (count == 0)
                 continue;
-            piece.resize(count);
-            co_return std::optional<ByteString>(std::move(piece));
+            co_return std::optional<ByteString>(piece.substr(0, count));
         }
         bool isBroken = co_await hasBrokenBeforeEnd(deadline);
         if (isBroken)
@@ -319,6 +319,14 @@
         co_return Result<void, HttpClientErrorCode> {};
     }
 
+    /** Continues with the bytes that have arrived, as far as there is room in the piece; a body may come in chunks of one byte. The next read meets an error that is found here. */
+    void parseBuffered()
+    {
+        beast::error_code error;
+        while (!error && !m_parser->is_done() && m_connection->buffer.size() > 0)
+            m_connection->buffer.consume(m_parser->put(m_connection->buffer.data(), error));
+    }
+
     /** True some time after the deadline. The stream's own timer ends only a read that waits: bytes that never pause would be read for ever. */
     bool isOverdue(Instant deadline)
     {
--- a/modules/hc_http/tests/HttpEndlessAnswerTests.cpp
+++ b/modules/hc_http/tests/HttpEndlessAnswerTests.cpp
@@ -103,6 +103,7 @@
 /** What a caller of open() has read of a body when it ends. */
 struct ReadBody {
     ByteString bytes;
+    std::size_t pieces = 0;
     std::optional<HttpClientErrorCode> error;
 };
 
@@ -127,6 +128,7 @@
         if (!piece || !*piece)
             co_return read;
         read.bytes += **piece;
+        ++read.pieces;
     }
     co_return read;
 }
@@ -192,4 +194,28 @@
     BOOST_TEST(read.bytes == body);
 }
 
+/** Guards against a read, and what its caller does for each piece, for every byte of a body in chunks of one byte. */
+BOOST_AUTO_TEST_CASE(chunksThatHaveArrivedAreReadTogether)
+{
+    constexpr std::size_t chunks = 4000;
+    std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (std::size_t i = 0; i < chunks; ++i)
+        answer += "1\r\nx\r\n";
+    asio::io_context context;
+    tcp::acceptor acceptor(context, { asio::ip::make_address("127.0.0.1"), 0 });
+    std::thread server = serveOnce(acceptor, answer + "0\r\n\r\n");
+    ReadBody read;
+    {
+        HttpClient client { HttpClient::Options() };
+        Instant deadline = currentTime() + 5s;
+        auto result = asio::co_spawn(context, readBody(client, acceptor.local_endpoint(), deadline, deadline, 50ms), asio::use_future);
+        context.run();
+        read = result.get();
+    }
+    server.join();
+    BOOST_TEST(!read.error);
+    BOOST_TEST(read.bytes == std::string(chunks, 'x'));
+    BOOST_TEST(read.pieces < chunks / 16);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
