Find repeated parts of a prompt in a set

Cause: each part of a request's prompt was compared with all parts before it; a head of 16 KB may name some thousand.

Change: the keys that are known are kept in an ordered set; the order of the keys is the same.

Evidence: PromptPartQuarantineTests/theCostOfKeysGrowsInProportionToTheParts compares 16,000 and 2,000 parts; it failed before with a ratio of 53.9 (limit 22.6) and passes. hc_fleet_tests pass.

--- a/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
+++ b/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
@@ -34,10 +34,11 @@
 std::vector<PromptPartKey> sharedPartKeys(const RequestMetadata& request)
 {
     std::vector<PromptPartKey> keys;
+    std::set<PromptPartKey> known;
     for (std::size_t i = 0; i + 1 < request.promptParts.size(); ++i) {
         // Zero stands for no key.
         PromptPartKey key(std::max<std::uint64_t>(1, Digest::of(request.promptParts[i].id).low() & ~requestKeyBit));
-        if (std::find(keys.begin(), keys.end(), key) == keys.end())
+        if (known.insert(key).second)
             keys.push_back(key);
     }
     return keys;
--- a/modules/hc_fleet/tests/PromptPartQuarantineTests.cpp
+++ b/modules/hc_fleet/tests/PromptPartQuarantineTests.cpp
@@ -1,5 +1,7 @@
 #include "hemlockchute/fleet/PromptPartQuarantine.h"
 
+#include "CostRatio.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace hemlockchute;
@@ -361,4 +363,28 @@
     }
 }
 
+/** Guards against a comparison of every part of a prompt with every other one. */
+BOOST_AUTO_TEST_CASE(theCostOfKeysGrowsInProportionToTheParts)
+{
+    CostRatio cost(2000, 16000);
+    double ratio = cost.measure([](std::size_t parts) {
+        RequestMetadata request;
+        for (std::size_t i = 0; i <= parts; ++i)
+            request.promptParts.push_back({ std::to_string(i), 1 });
+        BOOST_TEST(sharedPartKeys(request).size() == parts);
+    });
+    BOOST_TEST(ratio < cost.limit());
+}
+
+BOOST_AUTO_TEST_CASE(aPartThatAPromptRepeatsHasOneKey)
+{
+    RequestMetadata request;
+    for (const char* id : { "b", "a", "b", "c", "a", "last" })
+        request.promptParts.push_back({ id, 1 });
+    std::vector<PromptPartKey> keys = sharedPartKeys(request);
+    BOOST_REQUIRE(keys.size() == 3U);
+    request.promptParts.erase(request.promptParts.begin() + 2);
+    BOOST_TEST((sharedPartKeys(request) == keys), "the order is that of the first occurrences");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
