Keep an adapter's place until the server no longer holds it

Cause: the answer to an order says that it is being carried out, and the director took it for done. An adapter whose unload was accepted (202) waits for the requests that use it, but its place was given away at once. So was that of an adapter that was still on its way: its load was assumed to be done after 20 ms, and an order to unload it is answered 200 as long as it isn't there.

Change: EngineHoldings, without I/O, keeps what a server holds by its reports and by the orders that it has accepted since. An adapter gives up its place when the server answers that it does not hold it, or reports so with a count of orders that includes the one for the adapter. Only adapters that a report has shown are unloaded, and none that requests have just waited for. A place that no request uses is still free with the order's answer (200).

--- a/modules/hc_coordinator/coordinator/PlacementDirector.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.cpp
@@ -49,7 +49,7 @@
 
 std::string_view nameOf(const PlacementStep& step)
 {
-    static constexpr std::string_view names[] = { "load", "unload" };
+    static constexpr std::string_view names[] = { "load", "unload", "report" };
     return names[static_cast<std::size_t>(step.operation)];
 }
 
@@ -141,7 +141,7 @@
 void PlacementDirector::noteOrderedLoad(Server& server)
 {
     auto service = m_services.find(server.listed.service);
-    if (service != m_services.end() && server.state.models.contains(server.orderedModel))
+    if (service != m_services.end() && server.holdings.models().contains(server.orderedModel))
         service->second.loadCrashes.noteLoaded(server.orderedModel);
     server.orderedModel = ModelName();
 }
@@ -180,6 +180,7 @@
     for (auto& [id, server] : m_servers) {
         markUnknown(server);
         server.hasReported = false;
+        server.holdings.forgetOrders();
         server.orderedModel = ModelName();
         publish(server);
     }
@@ -216,7 +217,7 @@
 /** A server that only fails to answer an order still holds its models; its last report is newer than the list. */
 const HeldModels& PlacementDirector::presumedModels(const Server& server)
 {
-    return server.hasReported ? server.state.models : server.listed.models;
+    return server.hasReported ? server.holdings.models() : server.listed.models;
 }
 
 /** A server as gateways see it: with the models it holds, except those withdrawn for an unload. */
@@ -284,8 +285,11 @@
         each.models = presumedModels(server);
         each.inMemory = server.inMemory.models();
         each.onDisk = server.onDisk.models();
-        each.pendingAdapters = server.state.pendingAdapters;
+        each.pendingAdapters = server.holdings.pendingAdapters();
+        each.leavingAdapters = server.holdings.leavingAdapters();
+        each.unconfirmedAdapters = server.holdings.unconfirmedAdapters();
         each.mayTakeOrder = server.isKnown && !server.isBusy && !server.isUnlisted;
+        each.mayReport = now >= server.nextReport;
         each.loading = server.loading;
         each.loadedAt = server.loadedAt;
         auto load = outstanding.find(m_table.handleOf(id));
@@ -352,6 +356,7 @@
     server.mayBeLoading = true;
     server.loading = ModelName();
     server.isLoadingFromStore = false;
+    server.holdings.noteUncertain();
 }
 
 asio::awaitable<void> PlacementDirector::pause(Duration duration) const
@@ -369,7 +374,7 @@
     order.server = server.listed.id;
     order.model = step.model;
     order.adapter = step.adapter;
-    order.ordersAcceptedBefore = server.state.ordersAccepted;
+    order.ordersAcceptedBefore = server.holdings.ordersAccepted();
     order.issuer = m_options.issuer;
     order.fence = fence;
     return order;
@@ -422,6 +427,10 @@
 
 asio::awaitable<void> PlacementDirector::executeStep(BackendServerName id, PlacementStep step)
 {
+    if (step.operation == PlacementStep::Operation::Report) {
+        co_await fetchReport(id);
+        co_return;
+    }
     std::int64_t incarnation = m_servers.at(id).listed.startedAt;
     ServerIncarnation life { id, incarnation };
     if (step.operation == PlacementStep::Operation::Unload) {
@@ -449,8 +458,11 @@
         co_return;
     }
     if (outcome == OrderOutcome::Accepted)
-        ++server->state.ordersAccepted;
-    co_await awaitCompletion(id, incarnation, step);
+        server->holdings.noteOrderAccepted(currentTime());
+    if (step.adapter.isEmpty())
+        co_await awaitCompletion(id, incarnation, step);
+    else
+        co_await completeAdapterOrder(id, incarnation, step, *outcome);
     server = find(id, incarnation);
     if (!server)
         co_return;
@@ -462,9 +474,9 @@
 void PlacementDirector::removeFromState(Server& server, const PlacementStep& step)
 {
     if (step.adapter.isEmpty())
-        server.state.models.erase(step.model);
-    else if (auto held = server.state.models.find(step.model); held != server.state.models.end())
-        held->second.erase(step.adapter);
+        server.holdings.removeModel(step.model);
+    else
+        server.holdings.removeAdapter(step.model, step.adapter);
 }
 
 /** Records that a load leaves copies of the weights in the server's memory and on its disk. */
@@ -516,21 +528,6 @@
     ServerIncarnation life { id, incarnation };
     bool isLoad = step.operation == PlacementStep::Operation::Load;
     Server* server = find(id, incarnation);
-    if (!step.adapter.isEmpty()) {
-        if (isLoad)
-            co_await pause(m_options.adapterLoadTime);
-        server = find(id, incarnation);
-        if (!server)
-            co_return;
-        auto held = server->state.models.find(step.model);
-        if (held == server->state.models.end())
-            co_return;
-        if (isLoad)
-            held->second.insert(step.adapter);
-        else
-            held->second.erase(step.adapter);
-        co_return;
-    }
     Duration time = isLoad ? step.time : m_options.completionPollInterval;
     bool isFromStore = isLoad && step.source == PlacementStep::Source::Store;
     if (isLoad) {
@@ -539,7 +536,7 @@
         server->concurrentStoreLoads = storeLoads(server->listed.service);
         server->loadedAt = acceptedAt + time;
     } else {
-        server->state.models.erase(step.model);
+        server->holdings.removeModel(step.model);
         publish(*server);
     }
     co_await pause(time + loadSlack);
@@ -572,12 +569,32 @@
     server->isLoadingFromStore = false;
     if (!isLoad)
         co_return;
-    server->state.models.try_emplace(step.model);
+    server->holdings.addModel(step.model);
     noteOrderedLoad(*server);
     recordCopies(*server, step.model);
     logLoadCompleted(id, step, currentTime() - acceptedAt);
 }
 
+/** An adapter's load is assumed to take a fixed time. An unload that was only accepted waits for the requests that use the adapter; a report tells when they have ended. */
+asio::awaitable<void> PlacementDirector::completeAdapterOrder(BackendServerName id, std::int64_t incarnation, PlacementStep step, OrderOutcome outcome)
+{
+    bool isLoad = step.operation == PlacementStep::Operation::Load;
+    if (isLoad)
+        co_await pause(m_options.adapterLoadTime);
+    Server* server = find(id, incarnation);
+    if (!server)
+        co_return;
+    server->adapterOrderedAt = currentTime();
+    if (isLoad)
+        server->holdings.addAdapter(step.model, step.adapter);
+    else if (outcome == OrderOutcome::AlreadyHolds)
+        server->holdings.removeAdapter(step.model, step.adapter);
+    else {
+        server->holdings.beginUnload(step.model, step.adapter);
+        server->nextReport = server->adapterOrderedAt + m_options.completionPollInterval;
+    }
+}
+
 /** Reads a server's report of what it holds. */
 asio::awaitable<void> PlacementDirector::fetchReport(BackendServerName id)
 {
@@ -589,12 +606,10 @@
     if (!server)
         co_return;
     server->isBusy = false;
-    server->nextReport = currentTime() + m_options.reportRetryDelay;
-    server->mayBeLoading = false;
-    bool hasReported = std::exchange(server->hasReported, false);
     if (answer)
         markIfLeaving(lifeOf(server->listed), *answer);
     std::string reason;
+    bool isInProgress = false;
     if (!answer)
         reason = answer.error().detail;
     else if (answer->status != statusOk)
@@ -603,25 +618,48 @@
         reason = report.error().detail;
     else if (report->startedAt != incarnation)
         reason = "the report is of another incarnation of the server";
-    else if (report->isBusy) {
-        server->mayBeLoading = true;
-        server->hasReported = hasReported;
-        reason = "an order is in progress";
-    } else {
-        server->inMemory.reset(report->inMemory);
-        server->onDisk.reset(report->onDisk);
-        server->state = std::move(*report);
-        server->hasReported = true;
-        server->isKnown = true;
-        server->loading = ModelName();
-        noteOrderedLoad(*server);
-        publish(*server);
+    else if (applyReport(*server, std::move(*report)))
         co_return;
+    else {
+        isInProgress = true;
+        reason = "an order is in progress";
     }
-    if (!server->mayBeLoading)
-        server->loading = ModelName();
-    publish(*server);
+    noteUnreported(*server, isInProgress);
     logReportUnavailable(id, reason);
 }
 
+/** False while the server carries out an order, since what it will hold is then not known. */
+bool PlacementDirector::applyReport(Server& server, EngineReport report)
+{
+    if (report.isBusy)
+        return false;
+    Instant now = currentTime();
+    server.inMemory.reset(report.inMemory);
+    server.onDisk.reset(report.onDisk);
+    server.holdings.applyReport(report, now);
+    server.hasReported = true;
+    server.isKnown = true;
+    server.mayBeLoading = false;
+    server.loading = ModelName();
+    server.nextReport = now + std::clamp<Duration>((now - server.adapterOrderedAt) / pollBackOffDivisor, m_options.completionPollInterval, m_options.reportRetryDelay);
+    noteOrderedLoad(server);
+    publish(server);
+    return true;
+}
+
+/** The server has not said what it holds. */
+void PlacementDirector::noteUnreported(Server& server, bool isInProgress)
+{
+    bool wasKnown = server.isKnown;
+    // What it held until now is lost only if it fails to answer again.
+    if (wasKnown)
+        markUnknown(server);
+    server.nextReport = currentTime() + m_options.reportRetryDelay;
+    server.mayBeLoading = wasKnown || isInProgress;
+    server.hasReported = server.hasReported && server.mayBeLoading;
+    if (!server.mayBeLoading)
+        server.loading = ModelName();
+    publish(server);
+}
+
 } // namespace hemlockchute
--- a/modules/hc_coordinator/coordinator/PlacementDirector.h
+++ b/modules/hc_coordinator/coordinator/PlacementDirector.h
@@ -2,6 +2,7 @@
 
 #include "coordinator/DemandAggregator.h"
 #include "coordinator/LoadCrashes.h"
+#include "hemlockchute/fleet/EngineHoldings.h"
 #include "hemlockchute/fleet/FleetPlatform.h"
 #include "hemlockchute/fleet/FleetTable.h"
 #include "hemlockchute/fleet/WeightCacheEstimate.h"
@@ -76,13 +77,13 @@
         bool announcedLeaving = false;
         /** False until the server has reported what it holds; false again while it is uncertain whether it carried out an order. */
         bool isKnown = false;
-        /** True from the server's first report in this epoch until a report request fails: `state` is what it holds, except for the result of an unanswered order. */
+        /** True from the server's first report in this epoch until a report request fails: `holdings` is what it holds, except for the result of an unanswered order. */
         bool hasReported = false;
         /** True until the server reports otherwise or does not answer: an earlier order, possibly of a former leader, may still be in progress. */
         bool mayBeLoading = true;
         /** True while an order or a report request of this host is in progress. */
         bool isBusy = false;
-        EngineReport state;
+        EngineHoldings holdings;
         WeightCacheEstimate inMemory;
         WeightCacheEstimate onDisk;
         ModelName withdrawn;
@@ -96,6 +97,8 @@
         unsigned concurrentStoreLoads = 0;
         Instant loadedAt {};
         Instant nextReport {};
+        /** When the server last carried out, or began to carry out, an order for an adapter. */
+        Instant adapterOrderedAt {};
     };
 
     struct Service {
@@ -112,7 +115,10 @@
     void decide(const ServiceName&, const EngineSpec&, Service&, Instant now);
     boost::asio::awaitable<void> executeStep(BackendServerName, PlacementStep);
     boost::asio::awaitable<void> awaitCompletion(BackendServerName, std::int64_t incarnation, PlacementStep);
+    boost::asio::awaitable<void> completeAdapterOrder(BackendServerName, std::int64_t incarnation, PlacementStep, OrderOutcome);
     boost::asio::awaitable<void> fetchReport(BackendServerName);
+    bool applyReport(Server&, EngineReport);
+    void noteUnreported(Server&, bool isInProgress);
     boost::asio::awaitable<std::optional<OrderOutcome>> sendOrder(ServerIncarnation, const PlacementStep&);
     std::shared_ptr<HttpCallHandle> whileAuthorized(FencingNumber, ServerIncarnation, PlacementStep);
     void noteOrderSent(const ServerIncarnation&, const PlacementStep&);
--- a/modules/hc_coordinator/tests/FaultyEngines.cpp
+++ b/modules/hc_coordinator/tests/FaultyEngines.cpp
@@ -36,7 +36,7 @@
     return request;
 }
 
-/** "started busy accepted model…" */
+/** "started busy accepted model…", adapters as model/adapter, and with a plus sign before that while they are on their way */
 Result<EngineReport, PlatformErrorCode> PlainPlatform::decodeReport(std::string_view body) const
 {
     std::vector<std::string> parts = words(body);
@@ -44,12 +44,19 @@
     report.startedAt = std::stoll(parts.at(0));
     report.isBusy = parts.at(1) == "busy";
     report.ordersAccepted = std::stoull(parts.at(2));
-    for (std::size_t i = 3; i < parts.size(); ++i)
-        report.models.try_emplace(ModelName(parts[i]));
+    for (std::size_t i = 3; i < parts.size(); ++i) {
+        bool isPending = parts[i].front() == '+';
+        std::string name = parts[i].substr(isPending ? 1 : 0);
+        std::size_t slash = name.find('/');
+        HeldModels& models = isPending ? report.pendingAdapters : report.models;
+        std::set<AdapterName>& adapters = models[ModelName(name.substr(0, slash))];
+        if (slash != std::string::npos)
+            adapters.insert(AdapterName(name.substr(slash + 1)));
+    }
     return report;
 }
 
-/** "operation server model accepted-before fence" */
+/** "operation server model accepted-before fence [adapter]" */
 HttpRequest PlainPlatform::orderRequest(const PlacementOrder& order) const
 {
     if (onOrder)
@@ -58,7 +65,7 @@
     request.method = "POST";
     request.target = "/order";
     request.body = std::string(order.operation == PlacementOrder::Operation::Load ? "load " : "unload ") + order.server.text() + " " + order.model.text() + " "
-        + std::to_string(order.ordersAcceptedBefore) + " " + std::to_string(order.fence.value());
+        + std::to_string(order.ordersAcceptedBefore) + " " + std::to_string(order.fence.value()) + " " + order.adapter.text();
     return request;
 }
 
@@ -110,6 +117,7 @@
     ++m_startedAt;
     m_models = std::move(models);
     m_loading.clear();
+    m_adapters.clear();
     m_accepted = 0;
 }
 
@@ -138,9 +146,56 @@
     std::string text = std::to_string(m_startedAt) + (m_loading.empty() ? " idle " : " busy ") + std::to_string(m_accepted);
     for (const std::string& model : m_models)
         text += " " + model;
+    dropAdapters();
+    for (const auto& [name, adapter] : m_adapters)
+        text += (currentTime() < adapter.loadedAt ? " +" : " ") + name;
     return text;
 }
 
+bool FaultyEngine::use(const std::string& adapter, Duration time)
+{
+    dropAdapters();
+    auto held = m_adapters.find(adapter);
+    if (held == m_adapters.end() || held->second.isLeaving || currentTime() < held->second.loadedAt)
+        return false;
+    held->second.usedUntil = std::max(held->second.usedUntil, currentTime() + time);
+    return true;
+}
+
+/** An unload waits for the requests that use the adapter. */
+void FaultyEngine::dropAdapters()
+{
+    std::erase_if(m_adapters, [](const auto& item) { return item.second.isLeaving && currentTime() >= item.second.usedUntil; });
+}
+
+unsigned FaultyEngine::decideAdapter(const std::vector<std::string>& order)
+{
+    dropAdapters();
+    if (!m_models.contains(order.at(2)))
+        return wrongServer;
+    std::string name = order.at(2) + "/" + order.at(5);
+    auto held = m_adapters.find(name);
+    bool isThere = held != m_adapters.end() && currentTime() >= held->second.loadedAt;
+    bool isLoad = order.at(0) == "load";
+    if (isLoad && held != m_adapters.end() && !held->second.isLeaving)
+        return isThere ? holds : accepted;
+    // What is still on its way is not there yet, and an order to unload it does not stop it.
+    if (!isLoad && !isThere)
+        return holds;
+    if (std::stoull(order.at(3)) != m_accepted)
+        return conflict;
+    ++m_accepted;
+    ++m_allAccepted;
+    if (isLoad) {
+        m_isOverloaded = m_isOverloaded || m_adapters.size() >= adapterSlots;
+        m_adapters[name].loadedAt = currentTime() + m_adapterLoadTime;
+        return accepted;
+    }
+    held->second.isLeaving = true;
+    dropAdapters();
+    return m_adapters.contains(name) ? accepted : holds;
+}
+
 unsigned FaultyEngine::decide(const std::vector<std::string>& order)
 {
     completeLoad();
@@ -152,6 +207,8 @@
     if (fence < m_fence)
         return fenced;
     m_fence = fence;
+    if (order.size() > 5)
+        return decideAdapter(order);
     if (!m_loading.empty())
         return isLoad && m_loading == model ? accepted : conflict;
     if (isLoad == m_models.contains(model))
@@ -162,6 +219,7 @@
     ++m_allAccepted;
     if (!isLoad) {
         m_models.erase(model);
+        std::erase_if(m_adapters, [&](const auto& item) { return item.first.starts_with(model + "/"); });
         return accepted;
     }
     m_isOverloaded = m_isOverloaded || m_models.size() >= maximumModels;
--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -50,6 +50,7 @@
 class FaultyEngine {
 public:
     static constexpr unsigned maximumModels = 2;
+    static constexpr unsigned adapterSlots = 2;
 
     FaultyEngine(boost::asio::io_context&, std::string id, std::mt19937& random, const OrderFaults&, Duration loadTime);
 
@@ -67,12 +68,25 @@
     /** True when a load was accepted for which there was no room. */
     bool wasOverloaded() const { return m_isOverloaded; }
     unsigned ordersAccepted() const { return m_allAccepted; }
+    /** How long an adapter is on its way to the server; 0 by default. */
+    void setAdapterLoadTime(Duration time) { m_adapterLoadTime = time; }
+    /** Has a request use an adapter for a while; false if the server does not hold it, or is about to drop it. */
+    bool use(const std::string& adapter, Duration time);
 
 private:
+    /** An adapter, which takes a place from the order of its load until it is dropped. */
+    struct Adapter {
+        Instant loadedAt {};
+        Instant usedUntil {};
+        bool isLeaving = false;
+    };
+
     boost::asio::awaitable<void> serve(HttpExchange&);
     boost::asio::awaitable<void> pause(Duration) const;
     void completeLoad();
     unsigned decide(const std::vector<std::string>& order);
+    unsigned decideAdapter(const std::vector<std::string>& order);
+    void dropAdapters();
     std::string report();
     bool happens(unsigned perMille);
 
@@ -85,6 +99,9 @@
     std::set<std::string> m_models;
     std::string m_loading;
     Instant m_loadedAt {};
+    /** By "model/adapter". */
+    std::map<std::string, Adapter> m_adapters;
+    Duration m_adapterLoadTime {};
     Instant m_silentUntil {};
     std::multiset<std::string> m_loads;
     std::uint64_t m_accepted = 0;
--- a/modules/hc_fleet/fleet/ModelPlacer.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacer.cpp
@@ -1,4 +1,4 @@
-#include "hemlockchute/fleet/ModelPlacer.h"
+#include "fleet/ModelPlacerRound.h"
 
 #include <algorithm>
 #include <cmath>
@@ -42,21 +42,6 @@
 }
 
 //==============================================================================
-/** Inputs and intermediate results of one decide() call. */
-struct ModelPlacer::Round {
-    const EngineSpec& engine;
-    const Servers& servers;
-    const Demands& demands;
-    Instant now;
-    /** The demand for each model, including its adapters. */
-    std::map<ModelName, CombinedDemand> models {};
-    std::map<ModelName, unsigned> copies {};
-    std::map<ModelName, unsigned> pendingCopies {};
-    unsigned storeLoads = 0;
-    std::vector<PlacementStep> steps {};
-    std::set<BackendServerName> assigned {};
-};
-
 /** A candidate server for a model. */
 struct ModelPlacer::Place {
     const PlacedServer* server = nullptr;
@@ -86,6 +71,7 @@
     m_intents.clear();
     m_heldSince.clear();
     m_waitingSince.clear();
+    m_adapterWaitingSince.clear();
     m_expected.clear();
 }
 
@@ -318,10 +304,7 @@
     for (auto other = others.begin(); used + spec.weights > round.engine.weightsCapacity; ++other) {
         if (other == others.end())
             return std::nullopt;
-        // The size of a model that the configuration no longer names is unknown; usedAt() does not count it either.
-        auto victim = round.engine.models.find(other->second);
-        if (victim != round.engine.models.end())
-            used -= victim->second.weights + ByteCount(victim->second.adapterWeights.value() * server.models.at(other->second).size());
+        used -= usedBy(round.engine, server, other->second);
         lost += other->first;
         place.victims.push_back(other->second);
         place.cost += unloadTime;
@@ -421,59 +404,6 @@
 }
 
 //==============================================================================
-/** Places an adapter on the least loaded server that holds its model; evicts the least requested adapter if there is no room. */
-void ModelPlacer::placeAdapters(Round& round)
-{
-    for (const auto& [key, demand] : round.demands) {
-        const auto& [model, adapter] = key;
-        if (adapter.isEmpty() || demand.waiting == 0 || !round.engine.models.contains(model))
-            continue;
-        bool isThere = false;
-        const PlacedServer* best = nullptr;
-        for (const PlacedServer& server : round.servers) {
-            auto held = server.models.find(model);
-            if (held == server.models.end())
-                continue;
-            auto pending = server.pendingAdapters.find(model);
-            isThere = isThere || held->second.contains(adapter) || (pending != server.pendingAdapters.end() && pending->second.contains(adapter));
-            bool mayTake = server.mayTakeOrder && !round.assigned.contains(server.id);
-            auto load = [](const PlacedServer& each) { return std::pair(each.rateLimit.has_value(), each.outstanding); };
-            if (mayTake && (!best || load(server) < load(*best)))
-                best = &server;
-        }
-        if (isThere || !best)
-            continue;
-        std::size_t places = 0;
-        for (const auto& [held, adapters] : best->models)
-            places += adapters.size();
-        for (const auto& [held, adapters] : best->pendingAdapters)
-            places += adapters.size();
-        PlacementStep step { PlacementStep::Operation::Load, best->id, model, adapter };
-        ByteCount room = round.engine.weightsCapacity - usedAt(round.engine, *best);
-        if (places >= round.engine.adapterSlots || room < round.engine.models.at(model).adapterWeights) {
-            double least = std::numeric_limits<double>::infinity();
-            step.operation = PlacementStep::Operation::Unload;
-            step.adapter = AdapterName();
-            for (const auto& [held, adapters] : best->models) {
-                for (const AdapterName& other : adapters) {
-                    auto wanted = round.demands.find({ held, other });
-                    double value = wanted == round.demands.end() ? 0 : wanted->second.arrivalsPerSecond + wanted->second.active;
-                    if (value >= least)
-                        continue;
-                    least = value;
-                    step.model = held;
-                    step.adapter = other;
-                }
-            }
-            if (step.adapter.isEmpty())
-                continue;
-            step.waitsForWithdrawal = least > m_options.withdrawalWaitRate;
-        }
-        round.assigned.insert(best->id);
-        round.steps.push_back(std::move(step));
-    }
-}
-
 bool ModelPlacer::waitsForWithdrawal(const Round& round, const ModelName& model) const
 {
     auto found = round.models.find(model);
@@ -483,21 +413,25 @@
 ByteCount ModelPlacer::usedAt(const EngineSpec& engine, const PlacedServer& server)
 {
     ByteCount used;
-    auto add = [&](const ModelName& model, std::size_t adapters, bool withModel) {
-        auto spec = engine.models.find(model);
-        if (spec == engine.models.end())
-            return;
-        if (withModel)
-            used += spec->second.weights;
-        used += ByteCount(spec->second.adapterWeights.value() * adapters);
-    };
     for (const auto& [model, adapters] : server.models)
-        add(model, adapters.size(), true);
-    for (const auto& [model, adapters] : server.pendingAdapters)
-        add(model, adapters.size(), false);
+        used += usedBy(engine, server, model);
     if (!server.loading.isEmpty() && !server.models.contains(server.loading))
-        add(server.loading, 0, true);
+        used += usedBy(engine, server, server.loading);
     return used;
 }
 
+/** The memory that the unload of a model frees once it is complete. */
+ByteCount ModelPlacer::usedBy(const EngineSpec& engine, const PlacedServer& server, const ModelName& model)
+{
+    auto size = engine.models.find(model);
+    if (size == engine.models.end())
+        return ByteCount();
+    std::size_t adapters = 0;
+    for (const HeldModels* held : { &server.models, &server.pendingAdapters, &server.leavingAdapters }) {
+        if (auto found = held->find(model); found != held->end())
+            adapters += found->second.size();
+    }
+    return size->second.weights + ByteCount(size->second.adapterWeights.value() * adapters);
+}
+
 } // namespace hemlockchute
--- a/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/ModelPlacer.h
@@ -30,9 +30,15 @@
     std::set<ModelName> inMemory;
     std::set<ModelName> onDisk;
     /** Adapters that are being loaded; they already occupy adapter slots. */
-    std::map<ModelName, std::set<AdapterName>> pendingAdapters;
+    HeldModels pendingAdapters;
+    /** Adapters that are being unloaded; they still occupy adapter slots. */
+    HeldModels leavingAdapters;
+    /** Adapters of `models` that may still be on their way to the server; unloading them may free nothing. */
+    HeldModels unconfirmedAdapters;
     /** True if it can take an order: its state is known and no order is in progress. */
     bool mayTakeOrder = false;
+    /** True if its report may be read now, to learn of a place that has become free. */
+    bool mayReport = false;
     /** The model that is being loaded, which already occupies memory; empty if none is known. */
     ModelName loading;
     /** True if the server loads from the weight store, or may be doing so. */
@@ -49,11 +55,14 @@
 struct PlacementStep {
     enum class Operation {
         Load,
-        Unload
+        Unload,
+        /** Read what the server holds; nothing is ordered. */
+        Report
     };
 
     Operation operation = Operation::Load;
     BackendServerName server;
+    /** Empty for a report. */
     ModelName model;
     /** Empty if the step is about the model itself. */
     AdapterName adapter;
@@ -85,6 +94,8 @@
       the most, and most urgent, requests.
     - Evicting a rarely requested model does not wait until every gateway knows, so that requests for
       another rare model start sooner.
+    - An adapter that requests use keeps its place until they have ended. A requested adapter waits for such
+      a place if no other is free, and no more adapters are unloaded than wait.
     - Copies that the demand does not need are evicted before the only copy of a rarely requested model.
     - A model whose servers are full, limit their rate below its demand, or are unreachable for the gateways
       with requests, gets another copy, where possible at a server without a rate limit.
@@ -154,6 +165,7 @@
 
     struct Round;
     struct Place;
+    struct AdapterPlace;
 
     void prepare(Round&);
     void continueIntents(Round&);
@@ -163,6 +175,12 @@
     void addCopies(Round&, bool forUrgent);
     void loadUnrequested(Round&);
     void placeAdapters(Round&);
+    void trackWaitingForAdapters(const Round&);
+    bool isAwaited(const Round&, const ModelName&, const AdapterName&) const;
+    void placeAdapter(Round&, const ModelName&, const AdapterName&, std::map<BackendServerName, std::size_t>& awaited);
+    std::optional<AdapterPlace> adapterPlaceAt(const Round&, const PlacedServer&, const ModelName&, std::size_t awaited) const;
+    void findAdapterVictim(const Round&, AdapterPlace&) const;
+    static void addReport(Round&, const PlacedServer&);
     bool place(Round&, const ModelName&, double value, bool mayUseStore, const DataCentreName& = {});
     std::optional<Place> bestPlace(const Round&, const ModelName&, double value, bool mayUseStore, const DataCentreName&) const;
     DataCentreName dataCentreWithout(const Round&, const ModelName&) const;
@@ -173,6 +191,7 @@
     void estimateUnplaced(Round&, const std::vector<ModelName>& unplaced);
     bool waitsForWithdrawal(const Round&, const ModelName&) const;
     static ByteCount usedAt(const EngineSpec&, const PlacedServer&);
+    static ByteCount usedBy(const EngineSpec&, const PlacedServer&, const ModelName&);
 
     Options m_options;
     unsigned m_storeLimit;
@@ -180,6 +199,7 @@
     std::map<std::pair<BackendServerName, ModelName>, Instant> m_heldSince;
     /** Since when requests have been waiting for models that are loaded. */
     std::map<ModelName, Instant> m_waitingSince;
+    std::map<std::pair<ModelName, AdapterName>, Instant> m_adapterWaitingSince;
     std::map<ModelName, Instant> m_expected;
 };
 
--- a/modules/hc_fleet/tests/ModelPlacerTests.cpp
+++ b/modules/hc_fleet/tests/ModelPlacerTests.cpp
@@ -395,6 +395,89 @@
     BOOST_TEST((steps.front().server == holder.id && steps.front().adapter == AdapterName("new") && steps.front().operation == PlacementStep::Operation::Load));
 }
 
+namespace {
+
+CombinedDemand active(unsigned count)
+{
+    CombinedDemand demand;
+    demand.active = count;
+    return demand;
+}
+
+/** A server with two places for adapters, both of which are taken. */
+PlacedServer fullServer(const std::string& id)
+{
+    PlacedServer full = server(id, { "m0" });
+    full.models.at(ModelName("m0")) = { AdapterName("a"), AdapterName("b") };
+    full.mayReport = true;
+    return full;
+}
+
+const ModelPlacer::Demands twoWaitForAdapters { { key("m0", "a"), active(1) }, { key("m0", "b"), active(2) }, { key("m0", "x"), waiting(1) }, { key("m0", "y"), waiting(1) } };
+
+} // namespace
+
+/** Guards against an adapter that is unloaded for each decision while a request waits for one place. */
+BOOST_AUTO_TEST_CASE(asManyAdaptersAreUnloadedAsWait)
+{
+    ModelPlacer placer { ModelPlacer::Options() };
+    ModelPlacer::Servers servers { fullServer("s1") };
+    ModelPlacer::Demands oneWaits = twoWaitForAdapters;
+    oneWaits.erase(key("m0", "y"));
+    auto steps = placer.decide(engineOf(1), servers, oneWaits, Instant(1h));
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().operation == PlacementStep::Operation::Unload && steps.front().adapter == AdapterName("a")));
+    servers.front().models.at(ModelName("m0")).erase(AdapterName("a"));
+    servers.front().leavingAdapters[ModelName("m0")].insert(AdapterName("a"));
+    steps = placer.decide(engineOf(1), servers, oneWaits, Instant(1h) + 50ms);
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().operation == PlacementStep::Operation::Report));
+    steps = placer.decide(engineOf(1), servers, twoWaitForAdapters, Instant(1h) + 100ms);
+    BOOST_REQUIRE(steps.size() == 1U);
+    servers.front().mayReport = false;
+    steps = placer.decide(engineOf(1), servers, twoWaitForAdapters, Instant(1h) + 150ms);
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().operation == PlacementStep::Operation::Unload && steps.front().adapter == AdapterName("b")));
+}
+
+BOOST_AUTO_TEST_CASE(aServerWithAFreePlaceIsPreferredToOneThatHasToWait)
+{
+    ModelPlacer placer { ModelPlacer::Options() };
+    PlacedServer loaded = server("s2", { "m0" });
+    loaded.outstanding = 3;
+    auto steps = placer.decide(engineOf(1), { fullServer("s1"), loaded }, twoWaitForAdapters, Instant(1h));
+    BOOST_REQUIRE(!steps.empty());
+    BOOST_TEST((steps.front().server == loaded.id && steps.front().operation == PlacementStep::Operation::Load));
+}
+
+/** Guards against adapters that are loaded and unloaded in turns before the requests that waited for them reach them. */
+BOOST_AUTO_TEST_CASE(anAdapterIsNotUnloadedBeforeTheRequestsThatWaitedForItCanUseIt)
+{
+    ModelPlacer placer { ModelPlacer::Options() };
+    ModelPlacer::Servers servers { fullServer("s1") };
+    ModelPlacer::Demands demands { { key("m0", "a"), waiting(1) }, { key("m0", "b"), waiting(1) }, { key("m0", "x"), waiting(1) } };
+    BOOST_TEST(placer.decide(engineOf(1), servers, demands, Instant(1h)).empty());
+    BOOST_TEST(placer.decide(engineOf(1), servers, demands, Instant(1h) + 400ms).empty());
+    // They cannot reach the server.
+    BOOST_TEST(placer.decide(engineOf(1), servers, demands, Instant(1h) + 600ms).size() == 1U);
+}
+
+/** An order to unload an adapter that is still on its way frees nothing. */
+BOOST_AUTO_TEST_CASE(anAdapterIsUnloadedOnlyOnceItIsCertainlyThere)
+{
+    ModelPlacer placer { ModelPlacer::Options() };
+    PlacedServer full = fullServer("s1");
+    full.unconfirmedAdapters[ModelName("m0")] = { AdapterName("a"), AdapterName("b") };
+    ModelPlacer::Demands demands { { key("m0", "x"), waiting(1) } };
+    auto steps = placer.decide(engineOf(1), { full }, demands, Instant(1h));
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().operation == PlacementStep::Operation::Report));
+    full.unconfirmedAdapters.at(ModelName("m0")).erase(AdapterName("b"));
+    steps = placer.decide(engineOf(1), { full }, demands, Instant(1h) + 50ms);
+    BOOST_REQUIRE(steps.size() == 1U);
+    BOOST_TEST((steps.front().operation == PlacementStep::Operation::Unload && steps.front().adapter == AdapterName("b")));
+}
+
 /** Demand shifts repeatedly; InstantServers checks that no server is ordered beyond its capacity. */
 BOOST_AUTO_TEST_CASE(manyModelsTakeTurnsInLittleCapacity)
 {
