Count an adapter's immediate unload among the accepted orders

Cause: an order carries the number of orders that its server accepted before. A server that unloads an unused adapter at once answers 200 and counts the order; the director counted only answers of 202. The next order was refused with 409, the server's state had to be read again, and the place stayed empty meanwhile.

Change: that answer is counted. Since only adapters that a report has shown are unloaded, it does not mean that the adapter had not been there.

Evidence: AdapterPlacementTests/aServerRefusesNoOrderAfterAnImmediateUnload failed before (6 orders refused for 8 adapters) and passes.

--- a/modules/hc_coordinator/coordinator/PlacementDirectorOrders.cpp
+++ b/modules/hc_coordinator/coordinator/PlacementDirectorOrders.cpp
@@ -178,7 +178,9 @@
         server->nextReport = outcome ? currentTime() : currentTime() + m_options.reportRetryDelay;
         co_return;
     }
-    if (outcome == OrderOutcome::Accepted)
+    // An adapter that no request uses is gone with the answer, and its unload counts like any other order.
+    bool isImmediateUnload = step.operation == PlacementStep::Operation::Unload && !step.adapter.isEmpty();
+    if (outcome == OrderOutcome::Accepted || isImmediateUnload)
         server->holdings.noteOrderAccepted(currentTime());
     if (step.adapter.isEmpty())
         co_await awaitCompletion(id, incarnation, step);
--- a/modules/hc_coordinator/tests/AdapterPlacementTests.cpp
+++ b/modules/hc_coordinator/tests/AdapterPlacementTests.cpp
@@ -92,6 +92,7 @@
 
     std::size_t waiting() const { return m_waiting.size(); }
     bool wasOverloaded() const { return m_engine.wasOverloaded(); }
+    unsigned conflicts() const { return m_engine.conflicts(); }
 
 private:
     void tick()
@@ -182,6 +183,16 @@
     BOOST_TEST(placement.waiting() == 0U);
 }
 
+/** Guards against an immediate unload that is not counted: the next order was refused, and had to wait for a report. */
+BOOST_AUTO_TEST_CASE(aServerRefusesNoOrderAfterAnImmediateUnload)
+{
+    AdapterPlacement placement(0ms);
+    placement.want(8);
+    placement.run(4s);
+    BOOST_TEST(placement.waiting() == 0U);
+    BOOST_TEST(placement.conflicts() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(lostAndLateOrdersForAdaptersNeverOverloadAServer)
 {
     OrderFaults faults;
--- a/modules/hc_coordinator/tests/FaultyEngines.cpp
+++ b/modules/hc_coordinator/tests/FaultyEngines.cpp
@@ -182,8 +182,10 @@
     // What is still on its way is not there yet, and an order to unload it does not stop it.
     if (!isLoad && !isThere)
         return holds;
-    if (std::stoull(order.at(3)) != m_accepted)
+    if (std::stoull(order.at(3)) != m_accepted) {
+        ++m_conflicts;
         return conflict;
+    }
     ++m_accepted;
     ++m_allAccepted;
     if (isLoad) {
--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -68,6 +68,8 @@
     /** True when a load was accepted for which there was no room. */
     bool wasOverloaded() const { return m_isOverloaded; }
     unsigned ordersAccepted() const { return m_allAccepted; }
+    /** Number of orders for adapters that were refused since their sender had counted other orders than the server. */
+    unsigned conflicts() const { return m_conflicts; }
     /** How long an adapter is on its way to the server; 0 by default. */
     void setAdapterLoadTime(Duration time) { m_adapterLoadTime = time; }
     /** Has a request use an adapter for a while; false if the server does not hold it, or is about to drop it. */
@@ -107,6 +109,7 @@
     std::uint64_t m_accepted = 0;
     std::uint64_t m_fence = 0;
     unsigned m_allAccepted = 0;
+    unsigned m_conflicts = 0;
     bool m_isOverloaded = false;
     HttpServer m_server;
     Endpoint m_endpoint;
