Drop remembered prompt parts in batches

Cause: beyond 16,384 remembered parts each further one cost a search through all of them for the oldest.

Change: beyond the bound an eighth of the parts is dropped at once, those of the lowest rank as before, which spreads the search over some two thousand parts.

--- a/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
+++ b/modules/hc_fleet/fleet/PromptPartQuarantine.cpp
@@ -15,6 +15,25 @@
 /** Many hosts report several times a second, and expiry reads all records. */
 constexpr Duration expiryInterval = 1s;
 
+/** The part, 1/n, of what is remembered that is dropped at once, so that each further part does not cost a search through all of them. */
+constexpr std::size_t dropDivisor = 8;
+
+/** Once there are more items than allowed, drops those of the lowest rank. */
+template <typename Value, typename Rank>
+void dropLeast(std::map<PromptPartKey, Value>& items, std::size_t most, Rank rankOf)
+{
+    if (items.size() <= most)
+        return;
+    using Ranked = std::pair<decltype(rankOf(items.begin()->second)), PromptPartKey>;
+    std::vector<Ranked> ranked;
+    ranked.reserve(items.size());
+    for (const auto& [part, value] : items)
+        ranked.emplace_back(rankOf(value), part);
+    auto kept = ranked.begin() + static_cast<std::ptrdiff_t>(items.size() - (most - most / dropDivisor));
+    std::nth_element(ranked.begin(), kept, ranked.end());
+    std::for_each(ranked.begin(), kept, [&](const Ranked& dropped) { items.erase(dropped.second); });
+}
+
 /** Set in the keys of requests, and only there. */
 constexpr std::uint64_t requestKeyBit = std::uint64_t(1) << 63U;
 
@@ -338,11 +357,8 @@
 /** Callers can make up any number of parts. */
 void PromptPartQuarantine::limitSize()
 {
-    while (m_progress.size() > m_options.maximumParts)
-        m_progress.erase(std::min_element(m_progress.begin(), m_progress.end(), [](const auto& a, const auto& b) { return a.second < b.second; }));
-    auto rank = [](const auto& item) { return std::pair(item.second.isQuarantined, item.second.lastSeen); };
-    while (m_records.size() > m_options.maximumParts)
-        m_records.erase(std::min_element(m_records.begin(), m_records.end(), [&](const auto& a, const auto& b) { return rank(a) < rank(b); }));
+    dropLeast(m_progress, m_options.maximumParts, [](Instant begun) { return begun; });
+    dropLeast(m_records, m_options.maximumParts, [](const Record& record) { return std::pair(record.isQuarantined, record.lastSeen); });
 }
 
 } // namespace hemlockchute
--- a/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
+++ b/modules/hc_fleet/include/hemlockchute/fleet/PromptPartQuarantine.h
@@ -118,7 +118,7 @@
         std::size_t maximumJointParts = 4;
         /** How long an answer that was begun is remembered. Reports of earlier crashes are ignored, since an answer after them may be forgotten. */
         Duration progressLifetime = 10s;
-        /** Bound on the parts that are remembered. */
+        /** Bound on the parts that are remembered; beyond it an eighth of them is dropped, the oldest first. */
         std::size_t maximumParts = 16384;
     };
 
--- a/modules/hc_fleet/tests/PromptPartQuarantineTests.cpp
+++ b/modules/hc_fleet/tests/PromptPartQuarantineTests.cpp
@@ -387,4 +387,43 @@
     BOOST_TEST((sharedPartKeys(request) == keys), "the order is that of the first occurrences");
 }
 
+/** Guards against a search through all remembered parts for each part beyond the bound: prompts of many parts kept gateways and the leader from everything else. */
+BOOST_AUTO_TEST_CASE(theCostOfAPartDoesNotGrowWithThePartsThatAreRemembered)
+{
+    CostRatio cost(500, 4000);
+    double ratioOfProgress = cost.measure([](std::size_t parts) {
+        PromptPartQuarantine::Options options;
+        options.maximumParts = parts;
+        PromptPartQuarantine quarantine { options };
+        for (std::size_t i = 0; i < 4 * parts; ++i)
+            quarantine.noteProgress({ PromptPartKey(i + 1), Instant(1h) + std::chrono::microseconds(i) }, Instant(1h));
+    });
+    BOOST_TEST(ratioOfProgress < cost.limit());
+    double ratioOfRecords = cost.measure([](std::size_t parts) {
+        PromptPartQuarantine::Options options;
+        options.maximumParts = parts;
+        PromptPartQuarantine quarantine { options };
+        for (std::size_t i = 0; i < 4 * parts; ++i)
+            quarantine.adopt({ PromptPartKey(i + 1), true, 1s, 0 }, Instant(1h) + std::chrono::microseconds(i));
+    });
+    BOOST_TEST(ratioOfRecords < cost.limit());
+}
+
+/** Beyond the bound the oldest parts are forgotten, and at most an eighth of them at once. */
+BOOST_AUTO_TEST_CASE(theNewestPartsAreRemembered)
+{
+    constexpr std::size_t most = 800;
+    PromptPartQuarantine::Options options;
+    options.maximumParts = most;
+    PromptPartQuarantine quarantine { options };
+    for (std::size_t i = 1; i <= 10 * most; ++i) {
+        Instant now = Instant(1h) + std::chrono::microseconds(i);
+        quarantine.adopt({ PromptPartKey(i), true, 1s, 0 }, now);
+        std::size_t oldest = i > most * 7 / 8 ? i - most * 7 / 8 + 1 : 1;
+        BOOST_REQUIRE(quarantine.isQuarantined(PromptPartKey(i)));
+        BOOST_REQUIRE(quarantine.isQuarantined(PromptPartKey(oldest)));
+    }
+    BOOST_TEST(quarantine.suspects(Instant(2h)).size() <= most);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
