Give up stalled requests when there is no room for a connection

Cause: without a descriptor left, only a connection that is idle between two requests made room for another one. Requests that had stopped arriving kept theirs until the read time-out.

Change: if no connection is idle, requests of which no byte has come for a second are answered 503, not run, and closed: 32 for each accept that finds no descriptor, one for each connection beyond the limit.

--- a/modules/hc_http/http/ConnectionTable.h
+++ b/modules/hc_http/http/ConnectionTable.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "hemlockchute/core/Clock.h"
+
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,14 +18,19 @@
 public:
     using Pointer = std::shared_ptr<Connection>;
 
-    /** Adds a connection. If the limit is reached, `displaced` is set to the one that has been idle longest, which the caller closes. Returns false if none is idle or the server is draining. */
-    bool add(const Pointer& connection, std::size_t limit, Pointer& displaced)
+    /** Adds a connection. If the limit is reached, `displaced` is set to the one that has been idle longest, or whose request has not gone on since `stalledBefore`, which the caller closes. Returns false if there is none or the server is draining. */
+    bool add(const Pointer& connection, std::size_t limit, Instant stalledBefore, Pointer& displaced)
     {
         std::lock_guard guard(m_lock);
         if (m_isDraining)
             return false;
         if (m_connections.size() - m_closingCount >= limit) {
             displaced = takeLongestIdleLocked();
+            std::vector<Pointer> stalled;
+            if (!displaced)
+                stalled = takeStalledLocked(stalledBefore, 1);
+            if (!stalled.empty())
+                displaced = stalled.front();
             if (!displaced)
                 return false;
         }
@@ -70,6 +78,13 @@
         return takeLongestIdleLocked();
     }
 
+    /** Returns up to `most` connections whose requests have not gone on since then, those that have waited longest first; the caller closes them. */
+    std::vector<Pointer> takeStalled(Instant before, std::size_t most)
+    {
+        std::lock_guard guard(m_lock);
+        return takeStalledLocked(before, most);
+    }
+
     /** Admits no more connections and returns those that are open. `done` is called when the last one has been removed. */
     std::vector<Pointer> drain(std::function<void()> done)
     {
@@ -124,13 +139,36 @@
             return nullptr;
         Pointer connection = m_idle.begin()->second;
         m_idle.erase(m_idle.begin());
-        State& state = m_connections.at(connection);
-        state.idlePlace = 0;
-        state.isClosing = true;
-        ++m_closingCount;
+        m_connections.at(connection).idlePlace = 0;
+        setClosing(connection);
         return connection;
     }
 
+    /** Looks through all connections; called only while there is no room for another one. */
+    std::vector<Pointer> takeStalledLocked(Instant before, std::size_t most)
+    {
+        std::vector<std::pair<Instant, Pointer>> stalled;
+        for (const auto& [connection, state] : m_connections) {
+            Instant since = connection->waitsForBytesSince();
+            if (!state.isClosing && since < before)
+                stalled.emplace_back(since, connection);
+        }
+        std::size_t count = std::min(most, stalled.size());
+        std::partial_sort(stalled.begin(), stalled.begin() + static_cast<std::ptrdiff_t>(count), stalled.end());
+        std::vector<Pointer> taken;
+        for (std::size_t i = 0; i < count; ++i) {
+            setClosing(stalled[i].second);
+            taken.push_back(std::move(stalled[i].second));
+        }
+        return taken;
+    }
+
+    void setClosing(const Pointer& connection)
+    {
+        m_connections.at(connection).isClosing = true;
+        ++m_closingCount;
+    }
+
     void setBusy(const Pointer& connection)
     {
         auto found = m_connections.find(connection);
--- a/modules/hc_http/http/HttpServer.cpp
+++ b/modules/hc_http/http/HttpServer.cpp
@@ -38,6 +38,10 @@
 constexpr Duration acceptRetryDelay = 50ms;
 /** While draining, the time for the first request of a connection to start arriving; longer than the latency between regions. */
 constexpr Duration firstRequestTimeout = 500ms;
+/** While there is no room for another connection, requests of which no byte has come for this time are given up. */
+constexpr Duration stallTime = 1s;
+/** How many of them are given up at once, for each connection that finds no descriptor. */
+constexpr std::size_t stalledClosedAtOnce = 32;
 constexpr unsigned httpVersion = 11;
 constexpr unsigned statusUnavailable = 503;
 /** A request that waits for memory looks for slow ones at this interval. */
@@ -71,9 +75,10 @@
     return { statusForReadError(error), { { "Content-Type", "application/problem+json" } }, body };
 }
 
-HttpResponse memoryResponse()
+HttpResponse overloadResponse(RequestRefusal refusal)
 {
-    std::string body = "{\"title\":\"no memory for the request\",\"outcome\":\"not-run\"}";
+    std::string title = refusal == RequestRefusal::TooSlow ? "the request arrives too slowly while others wait" : "no memory for the request";
+    std::string body = "{\"title\":\"" + title + "\",\"outcome\":\"not-run\"}";
     return { statusUnavailable, { { "Content-Type", "application/problem+json" }, { "Retry-After", "1" } }, body };
 }
 
@@ -128,10 +133,17 @@
         }
     }
 
-    /** Closes the connection, which was idle when it was chosen, so that another one can have its descriptor. Thread safety: any thread. */
+    /** Since when a request that has begun to arrive has waited for its next bytes; Instant::max() if it doesn't. Thread safety: any thread. */
+    Instant waitsForBytesSince() const { return m_waitsForBytesSince; }
+
+    /** Closes the connection, which was idle or stalled when it was chosen, so that another one can have its descriptor. Thread safety: any thread. */
     void closeForAnother()
     {
         asio::post(m_stream.get_executor(), [self = shared_from_this()] {
+            if (self->waitsForBytesSince() != Instant::max()) {
+                self->abortStalled();
+                return;
+            }
             std::string caller = self->callerAddress();
             self->closeUnlessBusy();
             if (self->m_isClosed)
@@ -445,7 +457,9 @@
             co_return beast::error_code();
         beast::error_code error;
         m_stream.expires_at(m_readDeadline);
+        m_waitsForBytesSince = currentTime();
         count = co_await m_stream.async_read_some(m_buffer.prepare(count), asio::redirect_error(asio::use_awaitable, error));
+        m_waitsForBytesSince = Instant::max();
         m_buffer.commit(count);
         m_budget->noteReceived(*m_memoryId, count, currentTime());
         if (m_isAborted)
@@ -526,6 +540,18 @@
         m_stream.cancel();
     }
 
+    /** Refuses a request that does not go on. */
+    void abortStalled()
+    {
+        beast::error_code ignored;
+        // After this process was suspended, every request looks stalled.
+        bool isUnread = m_stream.socket().available(ignored) > 0;
+        if (isUnread)
+            return;
+        m_isAborted = true;
+        m_stream.cancel();
+    }
+
     /** Waits until the budget has room for the request, at most for the read time-out in total. Sets m_refusal and returns false if the request has to be refused. */
     asio::awaitable<bool> reserve(std::size_t bytes)
     {
@@ -572,7 +598,7 @@
         releaseMemory();
         m_keepAlive = false;
         if (isMemoryRefusal)
-            co_await respond(memoryResponse());
+            co_await respond(overloadResponse(*m_refusal));
         else
             co_await respond(readErrorResponse(error ? error : http::error::body_limit));
     }
@@ -663,8 +689,9 @@
     /** Why the request is refused; errors of its syntax are not included. */
     std::optional<RequestRefusal> m_refusal;
     std::uint64_t m_requestNumber = 0;
-    /** True once the request has to give up its memory. */
+    /** True once the request has to give up its memory, or its descriptor. */
     bool m_isAborted = false;
+    std::atomic<Instant> m_waitsForBytesSince { Instant::max() };
     beast::flat_buffer m_buffer;
     HttpRequest m_request;
     std::function<void()> m_onCallerDisconnect;
@@ -708,8 +735,7 @@
                 co_return;
             if (error) {
                 // The process may have no descriptor left.
-                if (auto idle = table->takeLongestIdle())
-                    idle->closeForAnother();
+                makeRoom();
                 co_await pause();
                 continue;
             }
@@ -717,6 +743,17 @@
         }
     }
 
+    /** Closes the connection that has been idle longest, or those whose requests have stalled. */
+    void makeRoom()
+    {
+        if (auto idle = table->takeLongestIdle()) {
+            idle->closeForAnother();
+            return;
+        }
+        for (const auto& stalled : table->takeStalled(currentTime() - stallTime, stalledClosedAtOnce))
+            stalled->closeForAnother();
+    }
+
     asio::awaitable<void> pause()
     {
         asio::steady_timer timer(acceptor.get_executor(), acceptRetryDelay);
@@ -747,7 +784,7 @@
         auto executor = socket.get_executor();
         auto connection = std::make_shared<Connection>(std::move(socket), options, handler, table, budget);
         std::shared_ptr<Connection> displaced;
-        if (!table->add(connection, options->load().maximumConnections, displaced))
+        if (!table->add(connection, options->load().maximumConnections, currentTime() - stallTime, displaced))
             return;
         if (displaced)
             displaced->closeForAnother();
--- a/modules/hc_http/include/hemlockchute/http/HttpServer.h
+++ b/modules/hc_http/include/hemlockchute/http/HttpServer.h
@@ -58,7 +58,8 @@
     request is incomplete after the read time-out, and one whose caller is too slow to accept a chunk
     after the write time-out. A body is read only as there is memory for it in the budget; a request
     that waits for it longer than the read time-out, or that arrives too slowly while others wait, is
-    answered 503. A connection beyond the limit replaces the one that has been idle longest.
+    answered 503. A connection beyond the limit, or for which there is no descriptor, replaces the one that
+    has been idle longest, or else requests of which no byte has come for a second; these are answered 503.
     Thread safety: every method may be called from any thread.
 
     @see HttpExchange, RequestBufferBudget
--- a/modules/hc_http/include/hemlockchute/http/RequestBufferBudget.h
+++ b/modules/hc_http/include/hemlockchute/http/RequestBufferBudget.h
@@ -19,7 +19,7 @@
     BodyTooLarge,
     /** The header is larger than the limit. */
     HeaderTooLarge,
-    /** The request arrived too slowly while others waited for its memory. */
+    /** The request arrived too slowly while others waited for its memory or its descriptor. */
     TooSlow,
     /** There was no memory for the request within the read time-out. */
     NoMemory,
--- a/modules/hc_http/tests/HttpRequestMemoryTests.cpp
+++ b/modules/hc_http/tests/HttpRequestMemoryTests.cpp
@@ -225,4 +225,24 @@
     BOOST_TEST(refusals(RequestRefusal::IdleClosed) == 1U);
 }
 
+/** Guards against clients that stop just short of the end of small bodies and stay: no new connection was answered until their read time-out. */
+BOOST_AUTO_TEST_CASE(stalledRequestsGiveWayToNewConnections)
+{
+    tcp::socket first = connect();
+    tcp::socket second = connect();
+    for (tcp::socket* stalled : { &first, &second })
+        send(*stalled, post("/stalled", 100) + std::string(90, 'x'));
+    std::string answer;
+    Instant begin = currentTime();
+    while (answer.empty() && currentTime() < begin + 3s) {
+        tcp::socket ordinary = connect();
+        send(ordinary, post("/ordinary", 2) + "xx");
+        answer = receiveAll(ordinary);
+        std::this_thread::sleep_for(20ms);
+    }
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST((currentTime() > begin + 900ms), "a request may pause for a while");
+    BOOST_TEST(receiveAll(first).starts_with("HTTP/1.1 503"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
