Look for held adapters only where requests wait for them

The placer looked through all servers for each adapter in demand, whether a request waits for it or not; in a large fleet that is most of a decision. And a read before the deadline ends the time that one after it gets for bytes that have arrived. The tests of hc_fleet, hc_coordinator and hc_http pass.

--- a/modules/hc_fleet/fleet/ModelPlacerAdapters.cpp
+++ b/modules/hc_fleet/fleet/ModelPlacerAdapters.cpp
@@ -49,8 +49,10 @@
 {
     std::map<std::pair<ModelName, AdapterName>, Instant> since;
     for (const auto& [key, demand] : round.demands) {
+        if (key.second.isEmpty() || demand.waiting == 0)
+            continue;
         bool isHeld = std::any_of(round.servers.begin(), round.servers.end(), [&key = key](const PlacedServer& server) { return containsAdapter(server.models, key.first, key.second); });
-        if (demand.waiting == 0 || !isHeld)
+        if (!isHeld)
             continue;
         auto known = m_adapterWaitingSince.find(key);
         since[key] = known == m_adapterWaitingSince.end() ? round.now : known->second;
--- a/modules/hc_http/http/HttpClient.cpp
+++ b/modules/hc_http/http/HttpClient.cpp
@@ -331,8 +331,10 @@
     bool isOverdue(Instant deadline)
     {
         Instant now = currentTime();
-        if (now < deadline)
+        if (now < deadline) {
+            m_overdueSince.reset();
             return false;
+        }
         if (!m_overdueSince)
             m_overdueSince = now;
         return now - *m_overdueSince >= arrivedBytesTime;
