--- a/modules/hc_coordinator/tests/AdapterPlacementTests.cpp
+++ b/modules/hc_coordinator/tests/AdapterPlacementTests.cpp
@@ -18,8 +18,6 @@
 
 RouteConfigurationPointer configuration()
 {
-    RouteConfiguration::Parts parts;
-    parts.version = ConfigurationVersion(1);
     RoutedService llm;
     llm.name = service;
     llm.engine.emplace();
@@ -31,15 +29,7 @@
     model.weights = ByteCount::gibibytes(1);
     model.adapterWeights = ByteCount::mebibytes(1);
     llm.engine->models.emplace(ModelName("m"), model);
-    parts.services.emplace(service, llm);
-    Route route;
-    route.name = "r";
-    route.host = "h.example";
-    route.pathPrefix = "/";
-    route.timeout = 1s;
-    route.services = { { service, 1 } };
-    parts.routes = { route };
-    return RouteConfiguration::make(std::move(parts)).value();
+    return configurationWith(llm);
 }
 
 PlacementDirector::Options directorOptions()
--- a/modules/hc_coordinator/tests/FaultyEngines.cpp
+++ b/modules/hc_coordinator/tests/FaultyEngines.cpp
@@ -87,6 +87,21 @@
     }
 }
 
+RouteConfigurationPointer configurationWith(const RoutedService& service)
+{
+    RouteConfiguration::Parts parts;
+    parts.version = ConfigurationVersion(1);
+    parts.services.emplace(service.name, service);
+    Route route;
+    route.name = "r";
+    route.host = "h.example";
+    route.pathPrefix = "/";
+    route.timeout = 1s;
+    route.services = { { service.name, 1 } };
+    parts.routes = { route };
+    return RouteConfiguration::make(std::move(parts)).value();
+}
+
 //==============================================================================
 FaultyEngine::FaultyEngine(asio::io_context& context, std::string id, std::mt19937& random, const OrderFaults& faults, Duration loadTime)
     : m_context(context)
--- a/modules/hc_coordinator/tests/FaultyEngines.h
+++ b/modules/hc_coordinator/tests/FaultyEngines.h
@@ -31,6 +31,9 @@
     std::function<void(const PlacementOrder&)> onOrder;
 };
 
+/** A configuration with this service alone and a route to it. */
+RouteConfigurationPointer configurationWith(const RoutedService&);
+
 /** Fault probabilities of messages between directors and engines, per mille. */
 struct OrderFaults {
     unsigned lostOrder = 0;
--- a/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
+++ b/modules/hc_coordinator/tests/PlacementDirectorTests.cpp
@@ -20,8 +20,6 @@
 
 RouteConfigurationPointer configuration(Duration loadTime, const std::vector<std::string>& models = modelNames)
 {
-    RouteConfiguration::Parts parts;
-    parts.version = ConfigurationVersion(1);
     RoutedService llm;
     llm.name = service;
     llm.engine.emplace();
@@ -36,15 +34,7 @@
         model.loadFromMemory = loadTime;
         llm.engine->models.emplace(ModelName(name), model);
     }
-    parts.services.emplace(service, llm);
-    Route route;
-    route.name = "r";
-    route.host = "h.example";
-    route.pathPrefix = "/";
-    route.timeout = 1s;
-    route.services = { { service, 1 } };
-    parts.routes = { route };
-    return RouteConfiguration::make(std::move(parts)).value();
+    return configurationWith(llm);
 }
 
 PlacementDirector::Options directorOptions(unsigned number)
