--- a/review/lab3.py
+++ b/review/lab3.py
@@ -22,6 +22,7 @@
 FRONT_PORT = 8149
 READY_PORT = 8141
 CONTROL_PORT = 8144
+METRICS_PORT = 7395
 PLATFORM_PORT = 8142
 SERVER_PORT = 8080
 MAXIMUM_DESCRIPTORS = 4100
@@ -220,18 +221,19 @@
         finally:
             writer.close()
 
-    def fields(self, role, number):
+    def fields(self, role, number, seeds, bootstrap):
         address = self.core(number) if role == 'coordinator' else self.edge(number)
         listen = {'control': f'{address}:{CONTROL_PORT}'} if role == 'coordinator' else {'front': f'{address}:{FRONT_PORT}', 'ready': f'{address}:{READY_PORT}'}
-        seeds = [f'{self.core(n)}:{CONTROL_PORT}' for n in range(self.coordinators)]
-        return dict(nodeName=f'{role}-{number}', ip=address, zone='z1', listen=listen, internalPorts=[7380, 7395], seeds=seeds, bootstrap=True, dataDir='data',
+        seeds = [f'{self.core(n)}:{CONTROL_PORT}' for n in (range(self.coordinators) if seeds is None else seeds)]
+        return dict(nodeName=f'{role}-{number}', ip=address, zone='z1', listen=listen, internalPorts=[7380, METRICS_PORT], seeds=seeds, bootstrap=bootstrap, dataDir='data',
                     cloud=dict(addr=f'{self.network}.9.1:{PLATFORM_PORT}'), bounds=BOUNDS, faultTolerance=dict(machines=(self.coordinators - 1) // 2))
 
-    def start_process(self, role, number):
+    def start_process(self, role, number, seeds=None, bootstrap=True):
+        """`seeds` are numbers of coordinators; the first ones of all unless given."""
         name = f'{role}-{number}'
         folder = os.path.join(self.work, name)
         os.makedirs(os.path.join(folder, 'data'))
-        settings = render(role + '.toml', self.fields(role, number)) + (self.gateway_settings if role == 'gateway' else '')
+        settings = render(role + '.toml', self.fields(role, number, seeds, bootstrap)) + (self.gateway_settings if role == 'gateway' else '')
         with open(os.path.join(folder, 'node.json'), 'w') as file:
             file.write(settings)
 
@@ -242,17 +244,18 @@
         with open(os.path.join(folder, 'log'), 'wb') as log:
             self.processes[name] = subprocess.Popen([command(role), '--settings=' + os.path.join(folder, 'node.json')], cwd=folder, stdout=log, stderr=log, preexec_fn=limit)
 
-    async def put(self, version, routes, limits=None):
+    async def put(self, version, routes, limits=None, numbers=None):
         """Sends a configuration to the coordinators in turn until one acknowledges it."""
-        services = [dict(name='app', healthPath='/healthz', maxConns=500, protocol='h1', tls=False)]
+        numbers = numbers or range(self.coordinators)
+        services = [dict(name=name, healthPath='/healthz', maxConns=500, protocol='h1', tls=False) for name in sorted({server.service for server in self.servers})]
         body = json.dumps(dict(version=version, routes=routes, services=services, limits=limits or LIMITS)).encode()
         end = time.monotonic() + 15
         number = 0
         while time.monotonic() < end:
             try:
-                reader, writer = await asyncio.open_connection(self.core(number % self.coordinators), CONTROL_PORT)
+                reader, writer = await asyncio.open_connection(self.core(numbers[number % len(numbers)]), CONTROL_PORT)
                 writer.write(f'PUT /hemlockchute/config HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: {len(body)}\r\nConnection: close\r\n\r\n'.encode() + body)
-                status, _, _ = await asyncio.wait_for(read_answer(reader), 4)
+                status, _, _ = await asyncio.wait_for(read_answer(reader), 1)
                 writer.close()
                 if status == 200:
                     self.record.write(f'configuration {version} acknowledged')
@@ -300,7 +303,7 @@
     def stop(self):
         for process in self.processes.values():
             if process.poll() is None:
-                process.kill()
+                process.kill()  # Also ends one that is stopped.
         for process in self.processes.values():
             process.wait()
         shutil.rmtree(self.work, ignore_errors=True)
