--- a/review/12/case.py
+++ b/review/12/case.py
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 import lab3
 
-REPLACEMENTS = 13
+REPLACEMENTS = 8
 GATEWAYS = 6
 CATCH_UP = lab3.BOUNDS['catchUpS'] + 0.2
 CONTACT = lab3.BOUNDS['contactMs'] / 1000
